--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -43,7 +43,7 @@
 
 // Error names the kind.
 func (k Kind) Error() string {
-	return [...]string{"none", "the queue is full", "the request can never run", "the team is at its upper limit",
+	return [...]string{"none", "the queue is full", "the request can never run", "the customer is at its upper limit",
 		"the time ran out", "not available now", "the outcome is not known", "the request fails on healthy targets",
 		"the idempotency key was used with other content", "cancelled"}[k]
 }
@@ -68,13 +68,13 @@
 
 // Header names between entries and targets.
 const (
-	HeaderAttempt = "Task-Attempt"
-	HeaderLease   = "Task-Lease"
-	HeaderTeam    = "Task-Team"
-	HeaderQueue   = "Task-Queue"
-	HeaderOutcome = "Request-Outcome"
-	HeaderTimeout = "Request-Timeout"
-	HeaderDigest  = "Content-Digest"
+	HeaderAttempt  = "Task-Attempt"
+	HeaderLease    = "Task-Lease"
+	HeaderCustomer = "Task-Customer"
+	HeaderQueue    = "Task-Queue"
+	HeaderOutcome  = "Request-Outcome"
+	HeaderTimeout  = "Request-Timeout"
+	HeaderDigest   = "Content-Digest"
 )
 
 // placer gives places; it is the owner package in the product.
@@ -92,10 +92,10 @@
 
 // Job is one request of a caller.
 type Job struct {
-	ID    fleet.RequestID
-	Team  fleet.TeamID
-	Queue configuration.Queue
-	Type  string
+	ID       fleet.RequestID
+	Customer fleet.CustomerID
+	Queue    configuration.Queue
+	Type     string
 	// Body is the content; Replay gives it again, or is nil when it can be read only once.
 	Body   io.Reader
 	Length int64
@@ -265,7 +265,7 @@
 func (c *Carrier) place(ctx context.Context, e *effort, attempt fleet.AttemptID) (owner.Ticket, error) {
 	for {
 		t, err := c.options.Placer.Place(ctx, owner.Ask{
-			Pool: e.job.Queue.Pool, Request: e.job.ID, Attempt: attempt, Queue: e.job.Queue.Name, Team: e.job.Team, Avoid: e.avoid,
+			Pool: e.job.Queue.Pool, Request: e.job.ID, Attempt: attempt, Queue: e.job.Queue.Name, Customer: e.job.Customer, Avoid: e.avoid,
 		})
 		if err == nil && t.Cause == dispatcher.CauseNone {
 			return t, nil
@@ -295,7 +295,7 @@
 func (c *Carrier) try(ctx context.Context, e *effort, attempt fleet.AttemptID, t owner.Ticket) (*Answer, error) {
 	e.attempts++
 	carried := owner.Carried{
-		Request: e.job.ID, Attempt: attempt, Queue: e.job.Queue.Name, Team: e.job.Team, Instance: t.Instance, Pool: e.job.Queue.Pool,
+		Request: e.job.ID, Attempt: attempt, Queue: e.job.Queue.Name, Customer: e.job.Customer, Instance: t.Instance, Pool: e.job.Queue.Pool,
 	}
 	c.options.Placer.Carry(carried)
 	end := owner.End{Pool: e.job.Queue.Pool, Attempt: attempt, Verdict: dispatcher.Unused}
@@ -352,7 +352,7 @@
 	}
 	r.Header.Set(HeaderAttempt, string(attempt))
 	r.Header.Set(HeaderLease, strconv.Itoa(int(fleet.TaskLease.Seconds())))
-	r.Header.Set(HeaderTeam, string(e.job.Team))
+	r.Header.Set(HeaderCustomer, string(e.job.Customer))
 	r.Header.Set(HeaderQueue, string(e.job.Queue.Name))
 	if e.job.Type != "" {
 		r.Header.Set("Content-Type", e.job.Type)
--- a/internal/commander/operate.go
+++ b/internal/commander/operate.go
@@ -69,10 +69,10 @@
 }
 
 func (c *Commander) key() *cobra.Command {
-	cmd := &cobra.Command{Use: "key", Short: "Grant and withdraw keys of teams."}
+	cmd := &cobra.Command{Use: "key", Short: "Grant and withdraw keys of customers."}
 	var secretFile string
 	grant := &cobra.Command{
-		Use: "grant ID TEAM", Short: "Grant a team a key; a new secret is printed once.", Args: cobra.ExactArgs(2),
+		Use: "grant ID CUSTOMER", Short: "Grant a customer a key; a new secret is printed once.", Args: cobra.ExactArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			secret := identity.Random(24)
 			if secretFile != "" {
@@ -82,7 +82,7 @@
 				}
 				secret = trim(text)
 			}
-			body, err := json.Marshal(map[string]string{"team": args[1], "sha-256": hex.EncodeToString(state.HashKey(secret))})
+			body, err := json.Marshal(map[string]string{"customer": args[1], "sha-256": hex.EncodeToString(state.HashKey(secret))})
 			if err != nil {
 				return err
 			}
@@ -205,7 +205,7 @@
 
 func (c *Commander) explain() *cobra.Command {
 	return &cobra.Command{
-		Use: "explain ID", Short: "Show why decisions about a request, instance, team or pool were made.", Args: cobra.ExactArgs(1),
+		Use: "explain ID", Short: "Show why decisions about a request, instance, customer or pool were made.", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			return c.send(cmd.Context(), http.MethodGet, "/v1/decisions?subject="+url.QueryEscape(args[0]), nil)
 		},
--- a/internal/commander/replay.go
+++ b/internal/commander/replay.go
@@ -29,7 +29,7 @@
 			return c.replayAll(trace, picture)
 		},
 	}
-	cmd.Flags().StringVar(&picture, "picture", "", "file for an SVG of use by team over time")
+	cmd.Flags().StringVar(&picture, "picture", "", "file for an SVG of use by customer over time")
 	return cmd
 }
 
--- a/internal/commander/tools.go
+++ b/internal/commander/tools.go
@@ -93,7 +93,7 @@
 			return c.runLoad(ctx, args[0], trim(key), o)
 		},
 	}
-	cmd.Flags().StringVar(&o.keyFile, "key-file", "", "file that holds a team's key")
+	cmd.Flags().StringVar(&o.keyFile, "key-file", "", "file that holds a customer's key")
 	cmd.Flags().IntVar(&o.concurrency, "concurrency", 8, "callers at once")
 	cmd.Flags().IntVar(&o.size, "size", 1024, "body size in bytes")
 	cmd.Flags().DurationVar(&o.length, "length", 5*time.Second, "how long to post")
--- a/internal/configuration/check.go
+++ b/internal/configuration/check.go
@@ -46,20 +46,20 @@
 	k.require(c.Version > 0, "$.version", "want a version of 1 or more")
 	k.require(namePattern.MatchString(c.Site), "$.site", "site %q: want lower-case letters, digits and hyphens", c.Site)
 	names(k, "data-centres", c.DataCentres, func(d DataCentre) string { return string(d.Name) })
-	teams := names(k, "teams", c.Teams, func(t Team) string { return string(t.Name) })
+	customers := names(k, "customers", c.Customers, func(t Customer) string { return string(t.Name) })
 	pools := names(k, "pools", c.Pools, func(p Pool) string { return string(p.Name) })
 	names(k, "queues", c.Queues, func(q Queue) string { return string(q.Name) })
-	c.checkTeams(k)
+	c.checkCustomers(k)
 	c.checkPools(k)
-	c.checkQueues(k, teams, pools)
+	c.checkQueues(k, customers, pools)
 	c.checkPeaks(k, pools)
 	c.checkMaintenance(k)
 	return k.faults
 }
 
-func (c *Configuration) checkTeams(k *checker) {
-	for i, t := range c.Teams {
-		path := fmt.Sprintf("$.teams[%d]", i)
+func (c *Configuration) checkCustomers(k *checker) {
+	for i, t := range c.Customers {
+		path := fmt.Sprintf("$.customers[%d]", i)
 		k.require(t.Share > 0, path+".share", "share %g: want more than 0", t.Share)
 		k.require(t.Limit >= 0, path+".limit", "limit %d: want 0 or more", t.Limit)
 	}
@@ -78,14 +78,14 @@
 	}
 }
 
-func (c *Configuration) checkQueues(k *checker, teams, pools map[string]bool) {
+func (c *Configuration) checkQueues(k *checker, customers, pools map[string]bool) {
 	for i, q := range c.Queues {
 		path := fmt.Sprintf("$.queues[%d]", i)
 		k.require(pools[string(q.Pool)], path+".pool", "pool %q is not configured", q.Pool)
 		if q.Open {
-			k.require(q.Team == "", path+".team", "an open queue has no team")
+			k.require(q.Customer == "", path+".customer", "an open queue has no customer")
 		} else {
-			k.require(teams[string(q.Team)], path+".team", "team %q is not configured", q.Team)
+			k.require(customers[string(q.Customer)], path+".customer", "customer %q is not configured", q.Customer)
 		}
 		k.require(q.Timeout > 0 && q.Timeout <= maxTimeout, path+".timeout", "timeout %s: want more than 0 and at most %s", q.Timeout, maxTimeout)
 		k.require(q.BodyLimit <= maxBodyLimit, path+".body-limit", "want at most 1GiB")
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -13,7 +13,7 @@
 	Version     uint64       `json:"version"`
 	Site        string       `json:"site"`
 	DataCentres []DataCentre `json:"data-centres"`
-	Teams       []Team       `json:"teams"`
+	Customers   []Customer   `json:"customers"`
 	Pools       []Pool       `json:"pools"`
 	Queues      []Queue      `json:"queues"`
 	Peaks       []Peak       `json:"peaks,omitempty"`
@@ -26,11 +26,11 @@
 	Region string             `json:"region"`
 }
 
-// Team has a share of a full fleet and an upper limit of tasks that run at once in all pools.
-type Team struct {
-	Name  fleet.TeamID `json:"name"`
-	Share float64      `json:"share"`
-	Limit int          `json:"limit"`
+// Customer has a share of a full fleet and an upper limit of tasks that run at once in all pools.
+type Customer struct {
+	Name  fleet.CustomerID `json:"name"`
+	Share float64          `json:"share"`
+	Limit int              `json:"limit"`
 }
 
 // Pool is a set of instances with an availability budget.
@@ -46,9 +46,9 @@
 type Queue struct {
 	Name fleet.QueueID `json:"name"`
 	Pool fleet.PoolID  `json:"pool"`
-	// Team owns the queue; an open queue serves every team.
-	Team fleet.TeamID `json:"team,omitempty"`
-	Open bool         `json:"open,omitempty"`
+	// Customer owns the queue; an open queue serves every customer.
+	Customer fleet.CustomerID `json:"customer,omitempty"`
+	Open     bool             `json:"open,omitempty"`
 	// Urgent requests go before batch requests.
 	Urgent bool `json:"urgent,omitempty"`
 	// Repeatable requests may run again after a failure.
@@ -142,9 +142,9 @@
 	return find(c.Pools, func(p Pool) bool { return p.Name == name })
 }
 
-// Team returns the team named name.
-func (c *Configuration) Team(name fleet.TeamID) (Team, bool) {
-	return find(c.Teams, func(t Team) bool { return t.Name == name })
+// Customer returns the customer named name.
+func (c *Configuration) Customer(name fleet.CustomerID) (Customer, bool) {
+	return find(c.Customers, func(t Customer) bool { return t.Name == name })
 }
 
 // SparePool returns the pool that lends instances.
--- a/internal/daemon/path_bench_test.go
+++ b/internal/daemon/path_bench_test.go
@@ -32,9 +32,9 @@
 const benchConfiguration = `version: 1
 site: bench
 data-centres: [{name: dc-1, region: r}]
-teams: [{name: a, share: 1, limit: 4096}]
+customers: [{name: a, share: 1, limit: 4096}]
 pools: [{name: p, minimum-available: 0}]
-queues: [{name: q, pool: p, team: a, repeatable: true, timeout: 1m}]
+queues: [{name: q, pool: p, customer: a, repeatable: true, timeout: 1m}]
 `
 
 // bench is three entries and four targets with many slots.
@@ -65,7 +65,7 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	assert.NilError(b, operator.Send(ctx, http.MethodPut, "/v1/config?wait", []byte(benchConfiguration), nil))
-	grant := fmt.Appendf(nil, `{"team":"a","sha-256":"%x"}`, state.HashKey(x.key))
+	grant := fmt.Appendf(nil, `{"customer":"a","sha-256":"%x"}`, state.HashKey(x.key))
 	assert.NilError(b, operator.Send(ctx, http.MethodPut, "/v1/keys/a-1?wait", grant, nil))
 	for i := range 4 {
 		t, err := standin.NewTarget(fleet.Instance{
--- a/internal/daemon/record.go
+++ b/internal/daemon/record.go
@@ -27,7 +27,7 @@
 
 func (d *Daemon) recordRequest(j carrier.Job, arrived time.Time, ran time.Duration) {
 	if d.recorder != nil {
-		d.recorder.Request(arrived, j.ID, j.Queue.Name, j.Team, ran, j.Queue.Timeout)
+		d.recorder.Request(arrived, j.ID, j.Queue.Name, j.Customer, ran, j.Queue.Timeout)
 	}
 }
 
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -49,7 +49,7 @@
 	targets  []*standin.Target
 	platform *standin.Platform
 	ledger   *standin.Ledger
-	keys     map[fleet.TeamID]string
+	keys     map[fleet.CustomerID]string
 	operator *client.Client
 	watch    *watch
 }
@@ -66,7 +66,7 @@
 	}
 	d := &Demonstrator{
 		site: site, text: text, config: config, logger: logger, folder: folder,
-		ledger: standin.NewLedger(), keys: map[fleet.TeamID]string{}, watch: newWatch(),
+		ledger: standin.NewLedger(), keys: map[fleet.CustomerID]string{}, watch: newWatch(),
 	}
 	if err := d.start(ctx); err != nil {
 		return nil, errors.Join(err, d.Close())
@@ -85,10 +85,10 @@
 	if err := d.operator.Send(ctx, "PUT", "/v1/config?wait", d.text, nil); err != nil {
 		return fmt.Errorf("apply: %w", err)
 	}
-	for _, t := range d.config.Teams {
+	for _, t := range d.config.Customers {
 		secret := identity.Random(16)
 		d.keys[t.Name] = secret
-		body := fmt.Appendf(nil, `{"team":%q,"sha-256":"%x"}`, t.Name, state.HashKey(secret))
+		body := fmt.Appendf(nil, `{"customer":%q,"sha-256":"%x"}`, t.Name, state.HashKey(secret))
 		if err := d.operator.Send(ctx, "PUT", "/v1/keys/"+string(t.Name)+"-1?wait", body, nil); err != nil {
 			return fmt.Errorf("grant key: %w", err)
 		}
@@ -177,7 +177,7 @@
 func (d *Demonstrator) staffed() bool {
 	ok := false
 	d.daemons[0].Replicator().View(func(s *state.State) {
-		ok = len(s.Instances) == len(d.targets) && len(s.Owners) == len(d.config.Pools) && len(s.Permits) == len(d.config.Teams)
+		ok = len(s.Instances) == len(d.targets) && len(s.Owners) == len(d.config.Pools) && len(s.Permits) == len(d.config.Customers)
 	})
 	return ok
 }
--- a/internal/demonstrator/demonstrator_test.go
+++ b/internal/demonstrator/demonstrator_test.go
@@ -85,7 +85,7 @@
 		{"empty body", key, "cure-study", nil, nil, 200, "done"},
 		{"no key", "", "cure-study", work, nil, 401, "not-run"},
 		{"wrong key", "guess", "cure-study", work, nil, 401, "not-run"},
-		{"another team's queue", key, "recall-trace", work, nil, 403, "not-run"},
+		{"another customer's queue", key, "recall-trace", work, nil, 403, "not-run"},
 		{"open queue", key, "lot-index", work, nil, 200, "done"},
 		{"unknown queue", key, "nothing", work, nil, 404, "not-run"},
 		{"body too large", key, "cure-study", bytes.Repeat([]byte("x"), 9<<20), nil, 413, "not-run"},
@@ -159,11 +159,11 @@
 		callers.Go(func() {
 			for n := 0; stop.Err() == nil; n++ {
 				entry := (away + 1 + (i+n)%(Entries-1)) % Entries
-				team := q.Team
+				customer := q.Customer
 				if q.Open {
-					team = d.config.Teams[n%len(d.config.Teams)].Name
+					customer = d.config.Customers[n%len(d.config.Customers)].Name
 				}
-				c := client.New("http://"+d.daemons[entry].Address(), d.keys[team])
+				c := client.New("http://"+d.daemons[entry].Address(), d.keys[customer])
 				d.ask(tallied, c, q, fmt.Sprintf("%s-cut-%d", q.Name, n), workMillis, true)
 			}
 		})
@@ -283,7 +283,7 @@
 		}
 		callers.Go(func() {
 			for n := 0; stop.Err() == nil; n++ {
-				c := client.New("http://"+d.daemons[alive[(i+n)%len(alive)]].Address(), d.keys[q.Team])
+				c := client.New("http://"+d.daemons[alive[(i+n)%len(alive)]].Address(), d.keys[q.Customer])
 				d.ask(tallied, c, q, fmt.Sprintf("%s-dc-%d", q.Name, n), workMillis, true)
 			}
 		})
--- a/internal/demonstrator/run.go
+++ b/internal/demonstrator/run.go
@@ -95,16 +95,16 @@
 // call posts one request after another to a queue, through a different entry each time.
 func (d *Demonstrator) call(ctx context.Context, t *tally, q configuration.Queue, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 1))
-	teams := d.config.Teams
+	customers := d.config.Customers
 	transport := &http.Transport{MaxIdleConnsPerHost: 2}
 	defer transport.CloseIdleConnections()
 	for n := 0; ctx.Err() == nil; n++ {
-		team := q.Team
+		customer := q.Customer
 		if q.Open {
-			team = teams[rng.IntN(len(teams))].Name
+			customer = customers[rng.IntN(len(customers))].Name
 		}
 		entry := d.daemons[rng.IntN(len(d.daemons))]
-		c := client.New("http://"+entry.Address(), d.keys[team], client.WithHTTPClient(&http.Client{Transport: transport}))
+		c := client.New("http://"+entry.Address(), d.keys[customer], client.WithHTTPClient(&http.Client{Transport: transport}))
 		d.ask(t, c, q, fmt.Sprintf("%s-%d-%d", q.Name, seed, n), workMillis+rng.IntN(workMillis), n%resendEvery == 0)
 	}
 }
@@ -178,10 +178,10 @@
 	d.watch.mutex.Unlock()
 	over := 0
 	r.Limits = map[string]string{}
-	for _, team := range d.config.Teams {
-		most := d.ledger.Most(team.Name)
-		r.Limits[string(team.Name)] = fmt.Sprintf("%d of %d", most, team.Limit)
-		if most > team.Limit {
+	for _, customer := range d.config.Customers {
+		most := d.ledger.Most(customer.Name)
+		r.Limits[string(customer.Name)] = fmt.Sprintf("%d of %d", most, customer.Limit)
+		if most > customer.Limit {
 			over++
 		}
 	}
@@ -191,7 +191,7 @@
 	add("every caller gets the whole answer to its own request", t.wrong+t.silenced)
 	add("a refusal that says not-run is true", t.untrue)
 	add("what may not be repeated runs at most once", t.doubled)
-	add("no team has more running than its limit", over)
+	add("no customer has more running than its limit", over)
 	add("availability budgets hold", broken)
 	add("planned stops cut no request", cut)
 	add("a leaving target gets no new work after 3 s", late)
--- a/internal/dispatcher/team.go
+++ b/internal/dispatcher/customer.go
@@ -11,7 +11,7 @@
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
 )
 
-// Parameters of the order among teams and of admission.
+// Parameters of the order among customers and of admission.
 const (
 	averageSpan     = 4 * time.Second
 	averageWeight   = 1.0
@@ -35,7 +35,7 @@
 	startBy time.Duration
 }
 
-// lane is the waiting line of one team at one queue.
+// lane is the waiting line of one customer at one queue.
 type lane struct {
 	queue  fleet.QueueID
 	urgent bool
@@ -54,9 +54,9 @@
 	return l.items[0]
 }
 
-// team is what the dispatcher knows of one team.
-type team struct {
-	id            fleet.TeamID
+// customer is what the dispatcher knows of one customer.
+type customer struct {
+	id            fleet.CustomerID
 	share         float64
 	permit        int
 	running       int
@@ -72,9 +72,9 @@
 	urgent        rate
 }
 
-func newTeam(id fleet.TeamID) *team { return &team{id: id, share: 1} }
+func newCustomer(id fleet.CustomerID) *customer { return &customer{id: id, share: 1} }
 
-func (t *team) lane(queue fleet.QueueID, urgent bool) *lane {
+func (t *customer) lane(queue fleet.QueueID, urgent bool) *lane {
 	i := slices.IndexFunc(t.lanes, func(l *lane) bool { return l.queue == queue })
 	if i < 0 {
 		t.lanes = append(t.lanes, &lane{queue: queue, urgent: urgent})
@@ -85,7 +85,7 @@
 }
 
 // settle brings the smoothed use up to clock now.
-func (t *team) settle(now time.Duration) {
+func (t *customer) settle(now time.Duration) {
 	if now <= t.averagedAt {
 		return
 	}
@@ -94,13 +94,13 @@
 	t.averagedAt = now
 }
 
-// score orders teams: the one that had the least of its share goes first.
-func (t *team) score() float64 {
+// score orders customers: the one that had the least of its share goes first.
+func (t *customer) score() float64 {
 	return (t.use + averageWeight*t.average) / t.share
 }
 
 // heads returns the lane heads in the order they are to be tried.
-func (t *team) heads(now time.Duration) []*item {
+func (t *customer) heads(now time.Duration) []*item {
 	heads := make([]*item, 0, len(t.lanes))
 	for _, l := range t.lanes {
 		if h := l.head(); h != nil {
@@ -166,7 +166,7 @@
 		return
 	}
 	d.entries[q.Entry] = max(d.entries[q.Entry], now)
-	t := d.team(q.Team)
+	t := d.customer(q.Customer)
 	if cause := d.admit(now, t, q); cause != CauseNone {
 		d.refuse(q, cause, 0)
 		return
@@ -186,7 +186,7 @@
 }
 
 // admit returns why a request cannot start in time, or no cause.
-func (d *Dispatcher) admit(now time.Duration, t *team, q Request) Cause {
+func (d *Dispatcher) admit(now time.Duration, t *customer, q Request) Cause {
 	queue, ok := d.queues[q.Queue]
 	if !ok {
 		return CauseUnknownQueue
@@ -245,7 +245,7 @@
 func (d *Dispatcher) leave(w *item) {
 	w.gone = true
 	delete(d.waiting, w.request.ID)
-	t := d.team(w.request.Team)
+	t := d.customer(w.request.Customer)
 	t.waiting--
 	if w.lane.urgent {
 		t.urgentWaiting--
@@ -263,7 +263,7 @@
 		if now < w.request.Deadline {
 			cause = CauseFull
 		}
-		if t := d.team(w.request.Team); t.running >= t.permit {
+		if t := d.customer(w.request.Customer); t.running >= t.permit {
 			cause = CauseLimit
 		}
 		d.leave(w)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -28,7 +28,7 @@
 	ID       fleet.RequestID
 	Attempt  fleet.AttemptID
 	Queue    fleet.QueueID
-	Team     fleet.TeamID
+	Customer fleet.CustomerID
 	Entry    fleet.EntryID
 	Deadline time.Duration
 	// Avoid lists instances that failed this request before.
@@ -67,7 +67,7 @@
 // String describes the cause to callers.
 func (c Cause) String() string {
 	return [...]string{"", "no instance of the pool can ever hold the request", "the queue is too long for the time left",
-		"the team is at its upper limit", "the time ran out before a place was free", "cancelled while waiting",
+		"the customer is at its upper limit", "the time ran out before a place was free", "cancelled while waiting",
 		"the queue is not configured", "the entry stopped asking"}[c]
 }
 
@@ -133,7 +133,7 @@
 	started   time.Duration
 	rebuild   bool
 	queues    map[fleet.QueueID]configuration.Queue
-	teams     *table.Table[fleet.TeamID, *team]
+	customers *table.Table[fleet.CustomerID, *customer]
 	rows      *table.Table[fleet.InstanceID, *row]
 	tasks     map[fleet.AttemptID]*task
 	waiting   map[fleet.RequestID]*item
@@ -165,17 +165,17 @@
 // New returns the dispatcher of a pool, started at clock now.
 func New(pool fleet.PoolID, now time.Duration, options ...Option) *Dispatcher {
 	d := &Dispatcher{
-		pool:    pool,
-		started: now,
-		queues:  map[fleet.QueueID]configuration.Queue{},
-		teams:   table.New[fleet.TeamID, *team](),
-		rows:    table.New[fleet.InstanceID, *row](),
-		tasks:   map[fleet.AttemptID]*task{},
-		waiting: map[fleet.RequestID]*item{},
-		entries: map[fleet.EntryID]time.Duration{},
-		sizes:   map[fleet.QueueID]*estimate{},
-		domains: map[string]int{},
-		ended:   map[fleet.AttemptID]time.Duration{},
+		pool:      pool,
+		started:   now,
+		queues:    map[fleet.QueueID]configuration.Queue{},
+		customers: table.New[fleet.CustomerID, *customer](),
+		rows:      table.New[fleet.InstanceID, *row](),
+		tasks:     map[fleet.AttemptID]*task{},
+		waiting:   map[fleet.RequestID]*item{},
+		entries:   map[fleet.EntryID]time.Duration{},
+		sizes:     map[fleet.QueueID]*estimate{},
+		domains:   map[string]int{},
+		ended:     map[fleet.AttemptID]time.Duration{},
 	}
 	for _, o := range options {
 		o(d)
@@ -183,7 +183,7 @@
 	return d
 }
 
-// Configure sets the queues of the pool and the shares of the teams.
+// Configure sets the queues of the pool and the shares of the customers.
 func (d *Dispatcher) Configure(c *configuration.Configuration) {
 	d.queues = map[fleet.QueueID]configuration.Queue{}
 	for _, q := range c.Queues {
@@ -191,26 +191,26 @@
 			d.queues[q.Name] = q
 		}
 	}
-	known := map[fleet.TeamID]bool{}
-	for _, t := range c.Teams {
+	known := map[fleet.CustomerID]bool{}
+	for _, t := range c.Customers {
 		known[t.Name] = true
-		d.team(t.Name).share = t.Share
+		d.customer(t.Name).share = t.Share
 	}
-	for id, t := range d.teams.All() {
+	for id, t := range d.customers.All() {
 		if !known[id] {
 			t.permit = 0
 		}
 	}
 }
 
-// SetPermit sets how many tasks of a team may run in the pool.
-func (d *Dispatcher) SetPermit(id fleet.TeamID, usable int) { d.team(id).permit = usable }
+// SetPermit sets how many tasks of a customer may run in the pool.
+func (d *Dispatcher) SetPermit(id fleet.CustomerID, usable int) { d.customer(id).permit = usable }
 
-func (d *Dispatcher) team(id fleet.TeamID) *team {
-	t, ok := d.teams.Get(id)
+func (d *Dispatcher) customer(id fleet.CustomerID) *customer {
+	t, ok := d.customers.Get(id)
 	if !ok {
-		t = newTeam(id)
-		d.teams.Put(id, t)
+		t = newCustomer(id)
+		d.customers.Put(id, t)
 	}
 	return t
 }
@@ -248,13 +248,13 @@
 	d.domains[i.Domain()] += r.tasks
 }
 
-// setTotal changes what the pool offers, and with it the use of every team.
+// setTotal changes what the pool offers, and with it the use of every customer.
 func (d *Dispatcher) setTotal(total fleet.Resources) {
 	if total == d.total {
 		return
 	}
 	d.total = total
-	for _, t := range d.teams.All() {
+	for _, t := range d.customers.All() {
 		t.use = t.held.Dominant(total)
 	}
 }
@@ -293,17 +293,17 @@
 	return n
 }
 
-// Load is what a pool reports about one team.
+// Load is what a pool reports about one customer.
 type Load struct {
 	Running int `cbor:"1,keyasint" json:"running"`
 	Waiting int `cbor:"2,keyasint" json:"waiting"`
 	Urgent  int `cbor:"3,keyasint" json:"urgent"`
 }
 
-// Loads returns the use and demand of each team that has any, in order of their ids.
-func (d *Dispatcher) Loads() *table.Table[fleet.TeamID, Load] {
-	loads := table.New[fleet.TeamID, Load]()
-	for id, t := range d.teams.All() {
+// Loads returns the use and demand of each customer that has any, in order of their ids.
+func (d *Dispatcher) Loads() *table.Table[fleet.CustomerID, Load] {
+	loads := table.New[fleet.CustomerID, Load]()
+	for id, t := range d.customers.All() {
 		if t.running > 0 || t.waiting > 0 {
 			loads.Put(id, Load{Running: t.running, Waiting: t.waiting, Urgent: t.urgentWaiting})
 		}
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -16,7 +16,7 @@
 
 func config() *configuration.Configuration {
 	return &configuration.Configuration{
-		Teams: []configuration.Team{{Name: "a", Share: 1}, {Name: "b", Share: 1}},
+		Customers: []configuration.Customer{{Name: "a", Share: 1}, {Name: "b", Share: 1}},
 		Queues: []configuration.Queue{
 			{Name: "batch", Pool: "p", Open: true, Repeatable: true, Needs: fleet.Resources{Slots: 1}},
 			{Name: "once", Pool: "p", Open: true, Needs: fleet.Resources{Slots: 1}},
@@ -45,9 +45,9 @@
 	return d
 }
 
-func ask(d *dispatcher.Dispatcher, now time.Duration, id int, queue fleet.QueueID, team fleet.TeamID) {
+func ask(d *dispatcher.Dispatcher, now time.Duration, id int, queue fleet.QueueID, customer fleet.CustomerID) {
 	d.Ask(now, dispatcher.Request{
-		ID: fleet.RequestID(fmt.Sprint("r", id)), Attempt: fleet.AttemptID(fmt.Sprintf("t%06d", id)), Queue: queue, Team: team,
+		ID: fleet.RequestID(fmt.Sprint("r", id)), Attempt: fleet.AttemptID(fmt.Sprintf("t%06d", id)), Queue: queue, Customer: customer,
 		Entry: "e", Deadline: now + time.Minute,
 	})
 }
@@ -80,8 +80,8 @@
 		ask(d, start+1, i, "batch", "a")
 	}
 	d.Tick(start + 1)
-	assert.Equal(t, len(codes(d.Take(), dispatcher.Placed)), 1, "four slots of a silent instance may hold tasks of the team")
-	d.SetPlace(start+2, place(0, 4, start+2, fleet.Task{Attempt: "old", Team: "a", Queue: "batch"}))
+	assert.Equal(t, len(codes(d.Take(), dispatcher.Placed)), 1, "four slots of a silent instance may hold tasks of the customer")
+	d.SetPlace(start+2, place(0, 4, start+2, fleet.Task{Attempt: "old", Customer: "a", Queue: "batch"}))
 	d.Tick(start + 2)
 	assert.Equal(t, len(codes(d.Take(), dispatcher.Placed)), 3)
 }
@@ -144,7 +144,7 @@
 	d.Place(start)
 	placed := codes(d.Take(), dispatcher.Placed)
 	assert.Equal(t, len(placed), 1)
-	assert.Equal(t, placed[0].Request.Team, fleet.TeamID("b"))
+	assert.Equal(t, placed[0].Request.Customer, fleet.CustomerID("b"))
 }
 
 // BenchmarkPlacement asks for and ends one task in a pool of a size.
--- a/internal/dispatcher/place.go
+++ b/internal/dispatcher/place.go
@@ -21,7 +21,7 @@
 
 // Tick brings the dispatcher to clock now: it ends, expires, judges and places.
 func (d *Dispatcher) Tick(now time.Duration) {
-	for _, t := range d.teams.All() {
+	for _, t := range d.customers.All() {
 		t.settle(now)
 	}
 	d.endStale(now)
@@ -36,7 +36,7 @@
 	if len(d.waiting) == 0 {
 		return
 	}
-	blocked := map[fleet.TeamID]bool{}
+	blocked := map[fleet.CustomerID]bool{}
 	unlearned := d.Unlearned(now)
 	reserve := d.reserve(now)
 	for range maxPlacedAtOne {
@@ -50,12 +50,12 @@
 	}
 }
 
-// next returns the team whose turn it is: urgent work within its share first, then the least served.
-func (d *Dispatcher) next(now time.Duration, blocked map[fleet.TeamID]bool, unlearned int) *team {
-	var best *team
+// next returns the customer whose turn it is: urgent work within its share first, then the least served.
+func (d *Dispatcher) next(now time.Duration, blocked map[fleet.CustomerID]bool, unlearned int) *customer {
+	var best *customer
 	bestRank := rankBatch
 	entitled := d.entitlement()
-	for id, t := range d.teams.All() {
+	for id, t := range d.customers.All() {
 		if t.waiting == 0 || blocked[id] || t.running+unlearned >= t.permit {
 			continue
 		}
@@ -74,15 +74,15 @@
 	return best
 }
 
-// Ranks of teams in the order of service.
+// Ranks of customers in the order of service.
 const (
 	rankBatch = iota
 	rankUrgent
 	rankLate
 )
 
-// rank returns how pressing the work of a team is: urgent work counts only while the team is below its share.
-func (t *team) rank(now time.Duration, entitled float64) int {
+// rank returns how pressing the work of a customer is: urgent work counts only while the customer is below its share.
+func (t *customer) rank(now time.Duration, entitled float64) int {
 	switch {
 	case t.urgentWaiting == 0 || t.use >= t.share*entitled:
 		return rankBatch
@@ -92,7 +92,7 @@
 	return rankUrgent
 }
 
-func (t *team) oldest() uint64 {
+func (t *customer) oldest() uint64 {
 	oldest := uint64(math.MaxUint64)
 	for _, l := range t.lanes {
 		if h := l.head(); h != nil {
@@ -105,7 +105,7 @@
 // entitlement returns the fraction of the pool that one unit of share is worth now.
 func (d *Dispatcher) entitlement() float64 {
 	sum := 0.0
-	for _, t := range d.teams.All() {
+	for _, t := range d.customers.All() {
 		if t.waiting > 0 || t.running > 0 {
 			sum += t.share
 		}
@@ -116,7 +116,7 @@
 	return 1 / sum
 }
 
-// reserve returns the slots kept free for urgent work that is expected, within the shares of its teams, before
+// reserve returns the slots kept free for urgent work that is expected, within the shares of its customers, before
 // enough others end.
 func (d *Dispatcher) reserve(now time.Duration) int {
 	if d.fifo {
@@ -124,7 +124,7 @@
 	}
 	entitled := d.entitlement()
 	expected := 0.0
-	for _, t := range d.teams.All() {
+	for _, t := range d.customers.All() {
 		room := (t.share*entitled - t.use) * float64(d.ready.Slots)
 		expected += min(t.urgent.per(now)*urgentStart.Seconds(), max(room, 0))
 	}
@@ -132,8 +132,8 @@
 	return int(min(max(missing, 0), maxReserve*float64(d.ready.Slots)))
 }
 
-// placeOne starts the first request of a team that fits anywhere.
-func (d *Dispatcher) placeOne(now time.Duration, t *team, reserve int) bool {
+// placeOne starts the first request of a customer that fits anywhere.
+func (d *Dispatcher) placeOne(now time.Duration, t *customer, reserve int) bool {
 	heads := t.heads(now)
 	if d.fifo {
 		slices.SortFunc(heads, func(a, b *item) int { return cmp.Compare(a.sequence, b.sequence) })
@@ -215,7 +215,7 @@
 }
 
 // start counts a request as running on an instance.
-func (d *Dispatcher) start(now time.Duration, t *team, w *item, r *row) {
+func (d *Dispatcher) start(now time.Duration, t *customer, w *item, r *row) {
 	d.leave(w)
 	t.streak++
 	if !w.lane.urgent {
@@ -227,14 +227,14 @@
 	})
 	d.decide(Decision{
 		Code: Placed, Request: w.request, Instance: r.place.Instance.ID, Address: r.place.Instance.Address, Waited: now - w.arrived,
-		Reason: fmt.Sprintf("score %.3f of team, load %d/%d of instance", t.score(), r.tasks, r.place.Instance.Offers.Slots),
+		Reason: fmt.Sprintf("score %.3f of customer, load %d/%d of instance", t.score(), r.tasks, r.place.Instance.Offers.Slots),
 	})
 }
 
-// add counts a task for its team, instance and failure domain.
+// add counts a task for its customer, instance and failure domain.
 func (d *Dispatcher) add(x *task) {
 	d.tasks[x.request.Attempt] = x
-	t := d.team(x.request.Team)
+	t := d.customer(x.request.Customer)
 	t.running++
 	t.held = t.held.Add(x.needs)
 	t.use = t.held.Dominant(d.total)
@@ -249,7 +249,7 @@
 // remove is the reverse of add.
 func (d *Dispatcher) remove(x *task) {
 	delete(d.tasks, x.request.Attempt)
-	t := d.team(x.request.Team)
+	t := d.customer(x.request.Customer)
 	t.running--
 	t.held = t.held.Sub(x.needs)
 	if t.running == 0 {
--- a/internal/dispatcher/press.go
+++ b/internal/dispatcher/press.go
@@ -66,14 +66,14 @@
 	d.decide(Decision{Code: Pressed, Request: x.request, Instance: x.instance, Action: escalation[step], Reason: reason})
 }
 
-// pressForUrgent stops one repeatable batch task of the team furthest over its share for each urgent request
-// that has waited too long in a team below its share.
+// pressForUrgent stops one repeatable batch task of the customer furthest over its share for each urgent request
+// that has waited too long in a customer below its share.
 func (d *Dispatcher) pressForUrgent(now time.Duration) {
 	if d.fifo || d.freeSlots() > 0 {
 		return
 	}
 	entitled := d.entitlement()
-	for _, t := range d.teams.All() {
+	for _, t := range d.customers.All() {
 		if t.urgentWaiting == 0 || t.use >= t.share*entitled || t.running >= t.permit || !t.urgentLate(now) {
 			continue
 		}
@@ -84,11 +84,11 @@
 		x.pressed = len(escalation)
 		x.pressAt = now + pressPause
 		d.decide(Decision{Code: Pressed, Request: x.request, Instance: x.instance, Action: Stop,
-			Reason: fmt.Sprintf("urgent work of team %s waits and is below its share", t.id)})
+			Reason: fmt.Sprintf("urgent work of customer %s waits and is below its share", t.id)})
 	}
 }
 
-func (t *team) urgentLate(now time.Duration) bool {
+func (t *customer) urgentLate(now time.Duration) bool {
 	for _, l := range t.lanes {
 		if h := l.head(); h != nil && l.urgent && now-h.arrived > pressUrgentWait {
 			return true
@@ -97,7 +97,7 @@
 	return false
 }
 
-// victim returns the youngest repeatable batch task of the team furthest over its share.
+// victim returns the youngest repeatable batch task of the customer furthest over its share.
 func (d *Dispatcher) victim(now time.Duration, entitled float64) *task {
 	var best *task
 	for _, x := range d.matching(func(x *task) bool { return d.mayStop(now, x, entitled) }) {
@@ -110,13 +110,13 @@
 
 func (d *Dispatcher) mayStop(now time.Duration, x *task, entitled float64) bool {
 	q := d.queues[x.request.Queue]
-	t := d.team(x.request.Team)
+	t := d.customer(x.request.Customer)
 	return !q.Urgent && q.Repeatable && now >= x.pressAt && t.use > t.share*entitled
 }
 
 func (d *Dispatcher) ranksAbove(x, other *task) bool {
-	if x.request.Team == other.request.Team {
+	if x.request.Customer == other.request.Customer {
 		return x.started > other.started
 	}
-	return d.team(x.request.Team).score() > d.team(other.request.Team).score()
+	return d.customer(x.request.Customer).score() > d.customer(other.request.Customer).score()
 }
--- a/internal/dispatcher/running.go
+++ b/internal/dispatcher/running.go
@@ -80,7 +80,7 @@
 		}
 		x, ok := d.tasks[a.Attempt]
 		if !ok {
-			q := Request{Attempt: a.Attempt, Queue: a.Queue, Team: a.Team}
+			q := Request{Attempt: a.Attempt, Queue: a.Queue, Customer: a.Customer}
 			x = &task{request: q, instance: r.place.Instance.ID, started: now, adopted: true, needs: d.needs(a.Queue)}
 			d.add(x)
 			d.decide(Decision{Code: Adopted, Request: q, Instance: x.instance, Reason: "announced by its target"})
--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -24,7 +24,7 @@
 	Instances       float64 `json:"instances"`
 	Accelerators    float64 `json:"accelerators"`
 	Pools           float64 `json:"pools"`
-	Teams           float64 `json:"teams"`
+	Customers       float64 `json:"customers"`
 	Entries         float64 `json:"entries"`
 	DataCentres     float64 `json:"data-centres"`
 	ChangesADay     float64 `json:"changes-a-day"`
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -40,20 +40,20 @@
 	StateRefused     = define(118, "state refused", "error")
 	CommandRefused   = define(119, "command refused", "command", "reason")
 	ConfigurationSet = define(120, "configuration in force", "version", "digest")
-	KeyChanged       = define(121, "key changed", "key", "team", "change")
+	KeyChanged       = define(121, "key changed", "key", "customer", "change")
 )
 
 // Events of routing and placement.
 var (
 	PoolTaken       = define(200, "pool ownership taken", "pool", "epoch", "adopted")
 	PoolLeft        = define(201, "pool ownership left", "pool", "epoch")
-	RequestAccepted = define(210, "request accepted", "request", "queue", "team")
-	RequestRefused  = define(211, "request refused", "request", "queue", "team", "status", "reason")
-	RequestQueued   = define(212, "request queued", "request", "pool", "team", "depth")
-	TaskPlaced      = define(213, "task placed", "request", "attempt", "pool", "team", "instance", "reason")
+	RequestAccepted = define(210, "request accepted", "request", "queue", "customer")
+	RequestRefused  = define(211, "request refused", "request", "queue", "customer", "status", "reason")
+	RequestQueued   = define(212, "request queued", "request", "pool", "customer", "depth")
+	TaskPlaced      = define(213, "task placed", "request", "attempt", "pool", "customer", "instance", "reason")
 	TaskEnded       = define(214, "task ended", "attempt", "pool", "instance", "success", "took")
 	TaskRetried     = define(215, "task retried", "request", "attempt", "instance", "reason")
-	TaskAdopted     = define(216, "task adopted", "attempt", "pool", "team", "instance")
+	TaskAdopted     = define(216, "task adopted", "attempt", "pool", "customer", "instance")
 	AnswerDropped   = define(217, "answer dropped", "attempt", "reason")
 	ClaimResolved   = define(218, "claim resolved", "request", "attempt", "result")
 	TaskPressed     = define(219, "task over its share", "attempt", "instance", "action")
@@ -66,7 +66,7 @@
 
 // Events of planning.
 var (
-	PermitAllotted    = define(300, "permit allotted", "team", "pool", "granted", "ceiling", "reason")
+	PermitAllotted    = define(300, "permit allotted", "customer", "pool", "granted", "ceiling", "reason")
 	OwnerAssigned     = define(301, "pool owner assigned", "pool", "entry", "epoch", "reason")
 	InstanceAdopted   = define(302, "instance adopted", "instance", "pool")
 	InstanceLost      = define(303, "instance lost", "instance", "pool", "silent")
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -14,8 +14,8 @@
 	InstanceID string
 	// PoolID names a pool of instances.
 	PoolID string
-	// TeamID names a team, the unit of shares and limits.
-	TeamID string
+	// CustomerID names a customer, the unit of shares and limits.
+	CustomerID string
 	// QueueID names a queue that callers post requests to.
 	QueueID string
 	// DataCentreID names a data centre.
@@ -137,10 +137,10 @@
 
 // Task is a running task as its target reports it.
 type Task struct {
-	Attempt AttemptID `json:"attempt"`
-	Team    TeamID    `json:"team"`
-	Queue   QueueID   `json:"queue"`
-	Usage   Resources `json:"usage"`
+	Attempt  AttemptID  `json:"attempt"`
+	Customer CustomerID `json:"customer"`
+	Queue    QueueID    `json:"queue"`
+	Usage    Resources  `json:"usage"`
 }
 
 // Instance is the announcement of one target.
--- a/internal/gateway/claimed.go
+++ b/internal/gateway/claimed.go
@@ -49,9 +49,9 @@
 	if key == "" {
 		key = asyncKeyPrefix + string(o.job.ID)
 	}
-	o.job.Claim = state.NewClaimKey(o.job.Team, key)
+	o.job.Claim = state.NewClaimKey(o.job.Customer, key)
 	claim := state.Claim{
-		Key: o.job.Claim, Request: o.job.ID, Team: o.job.Team, Queue: o.job.Queue.Name, Digest: o.digest,
+		Key: o.job.Claim, Request: o.job.ID, Customer: o.job.Customer, Queue: o.job.Queue.Name, Digest: o.digest,
 		Entry: g.options.Entry, Boot: g.options.Boot, Opened: state.At(time.Now()), Repeatable: o.job.Queue.Repeatable,
 	}
 	if old, ok := g.claimAt(claim.Key); ok && old.Result != fleet.NotRun {
@@ -185,7 +185,7 @@
 	return view
 }
 
-// ownRequest finds the claim of a request of the caller's team.
+// ownRequest finds the claim of a request of the caller's customer.
 func (g *Gateway) ownRequest(w http.ResponseWriter, r *http.Request) (state.Claim, bool) {
 	id := fleet.RequestID(r.PathValue("request"))
 	var key state.Key
@@ -200,7 +200,7 @@
 		problem{Status: http.StatusServiceUnavailable, Outcome: fleet.Unknown, Detail: "this entry has lost touch with the committed state", RetryFor: retrySeconds}.write(w)
 	case key.ID == "":
 		problem{Status: http.StatusUnauthorized, Outcome: fleet.Unknown, Detail: "the key is missing, wrong or withdrawn"}.write(w)
-	case !found || claim.Team != key.Team:
+	case !found || claim.Customer != key.Customer:
 		problem{Status: http.StatusNotFound, Outcome: fleet.Unknown, Detail: "no such request"}.write(w)
 	default:
 		return claim, true
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -110,8 +110,8 @@
 
 // KeyGrant is the body of a request to grant a key; the secret itself never leaves the operator.
 type KeyGrant struct {
-	Team fleet.TeamID `json:"team"`
-	Hash string       `json:"sha-256"`
+	Customer fleet.CustomerID `json:"customer"`
+	Hash     string           `json:"sha-256"`
 }
 
 func (g *Gateway) putKey(w http.ResponseWriter, r *http.Request) {
@@ -126,13 +126,13 @@
 		return
 	}
 	id := state.KeyID(r.PathValue("key"))
-	event.KeyChanged.Info(g.options.Logger, zap.String("key", string(id)), zap.String("team", string(grant.Team)), zap.String("change", "grant"))
-	g.commit(w, r, state.GrantKey{ID: id, Hash: hash, Team: grant.Team})
+	event.KeyChanged.Info(g.options.Logger, zap.String("key", string(id)), zap.String("customer", string(grant.Customer)), zap.String("change", "grant"))
+	g.commit(w, r, state.GrantKey{ID: id, Hash: hash, Customer: grant.Customer})
 }
 
 func (g *Gateway) deleteKey(w http.ResponseWriter, r *http.Request) {
 	id := state.KeyID(r.PathValue("key"))
-	event.KeyChanged.Info(g.options.Logger, zap.String("key", string(id)), zap.String("team", ""), zap.String("change", "withdraw"))
+	event.KeyChanged.Info(g.options.Logger, zap.String("key", string(id)), zap.String("customer", ""), zap.String("change", "withdraw"))
 	g.commit(w, r, state.WithdrawKey{ID: id})
 }
 
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -38,7 +38,7 @@
 	digest  []byte
 }
 
-// admit checks key, queue, team and headers of a request.
+// admit checks key, queue, customer and headers of a request.
 func (g *Gateway) admit(r *http.Request) (*order, *problem) {
 	if g.draining.Load() {
 		return nil, new(notRun(http.StatusServiceUnavailable, "this entry is shutting down"))
@@ -53,8 +53,8 @@
 	if !found {
 		return nil, new(notRun(http.StatusNotFound, fmt.Sprintf("queue %q does not exist", r.PathValue("queue"))))
 	}
-	if !queue.Open && queue.Team != key.Team {
-		return nil, new(notRun(http.StatusForbidden, fmt.Sprintf("queue %q belongs to another team", queue.Name)))
+	if !queue.Open && queue.Customer != key.Customer {
+		return nil, new(notRun(http.StatusForbidden, fmt.Sprintf("queue %q belongs to another customer", queue.Name)))
 	}
 	if r.ContentLength > int64(queue.BodyLimit) {
 		return nil, new(notRun(http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is larger than %d bytes", queue.BodyLimit)))
@@ -69,7 +69,7 @@
 	}
 	return &order{
 		job: carrier.Job{
-			ID: fleet.RequestID(string(g.options.Entry) + "." + identity.Random(12)), Team: key.Team, Queue: queue,
+			ID: fleet.RequestID(string(g.options.Entry) + "." + identity.Random(12)), Customer: key.Customer, Queue: queue,
 			Type: r.Header.Get("Content-Type"), Length: r.ContentLength,
 		},
 		timeout: timeout,
@@ -120,7 +120,7 @@
 	}
 	g.accepted.Inc(1)
 	event.RequestAccepted.Info(g.options.Logger, zap.String("request", string(o.job.ID)),
-		zap.String("queue", string(o.job.Queue.Name)), zap.String("team", string(o.job.Team)))
+		zap.String("queue", string(o.job.Queue.Name)), zap.String("customer", string(o.job.Customer)))
 	if o.key != "" || o.async {
 		g.serveClaimed(w, r, o)
 		return
@@ -131,7 +131,7 @@
 func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, p problem) {
 	g.refused.Inc(1)
 	event.RequestRefused.Info(g.options.Logger, zap.String("request", string(p.Request)), zap.String("queue", r.PathValue("queue")),
-		zap.String("team", ""), zap.Int("status", p.Status), zap.String("reason", p.Detail))
+		zap.String("customer", ""), zap.Int("status", p.Status), zap.String("reason", p.Detail))
 	p.write(w)
 }
 
--- a/internal/generator/generator.go
+++ b/internal/generator/generator.go
@@ -204,14 +204,14 @@
 }
 
 func (g *Generator) request(at time.Duration, q configuration.Queue) {
-	team := q.Team
+	customer := q.Customer
 	if q.Open {
-		team = g.config.Teams[g.rng.IntN(len(g.config.Teams))].Name
+		customer = g.config.Customers[g.rng.IntN(len(g.config.Customers))].Name
 	}
 	g.count++
 	run := time.Duration(float64(meanRun) * math.Exp(0.5*g.rng.NormFloat64()-0.125))
 	g.add(at, tracer.Event{
-		Kind: tracer.RequestArrives, Request: fleet.RequestID(fmt.Sprintf("r%d", g.count)), Queue: q.Name, Team: team,
+		Kind: tracer.RequestArrives, Request: fleet.RequestID(fmt.Sprintf("r%d", g.count)), Queue: q.Name, Customer: customer,
 		RunMillis: max(run.Milliseconds(), 1), TimeoutMillis: q.Timeout.Milliseconds(),
 		Entry: fleet.EntryID(fmt.Sprintf("entry-%d", 1+g.rng.IntN(entriesCount))),
 	})
--- a/internal/leader/explain.go
+++ b/internal/leader/explain.go
@@ -81,7 +81,7 @@
 	case state.Own:
 		return event.OwnerAssigned, string(c.Pool), []zap.Field{zap.String("pool", string(c.Pool)), zap.String("entry", string(c.Entry)), zap.Uint64("epoch", c.Epoch)}
 	case state.Allot:
-		return event.PermitAllotted, fmt.Sprintf("%s %s", c.Team, c.Pool), []zap.Field{zap.String("team", string(c.Team)), zap.String("pool", string(c.Pool)), zap.Int("granted", c.Granted), zap.Int("ceiling", c.Ceiling)}
+		return event.PermitAllotted, fmt.Sprintf("%s %s", c.Customer, c.Pool), []zap.Field{zap.String("customer", string(c.Customer)), zap.String("pool", string(c.Pool)), zap.Int("granted", c.Granted), zap.Int("ceiling", c.Ceiling)}
 	case state.Adopt:
 		return event.InstanceAdopted, string(c.Instance), []zap.Field{zap.String("instance", string(c.Instance)), zap.String("pool", string(c.Pool))}
 	case state.Disrupt:
@@ -135,7 +135,7 @@
 		dispatcher.Placed: "task placed", dispatcher.Refused: "request refused", dispatcher.Pressed: "task over its share",
 		dispatcher.Isolated: "instance isolated", dispatcher.Released: "instance released", dispatcher.Adopted: "task adopted", dispatcher.Ended: "task ended",
 	}
-	subject := fmt.Sprintf("%s %s %s %s %s", d.Request.ID, d.Request.Attempt, d.Request.Team, d.Instance, pool)
+	subject := fmt.Sprintf("%s %s %s %s %s", d.Request.ID, d.Request.Attempt, d.Request.Customer, d.Instance, pool)
 	l.history.add(gateway.Decision{At: time.Now(), Event: names[d.Code], Subject: subject, Reason: d.Reason})
 }
 
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -1,4 +1,4 @@
-// Package limiter divides a team's upper limit among the pools that ask for a part of it.
+// Package limiter divides a customer's upper limit among the pools that ask for a part of it.
 package limiter
 
 import (
--- a/internal/owner/ask.go
+++ b/internal/owner/ask.go
@@ -125,7 +125,7 @@
 	}
 	p.waiting[a.Request] = answer
 	p.logic.Ask(now, dispatcher.Request{
-		ID: a.Request, Attempt: a.Attempt, Queue: a.Queue, Team: a.Team, Entry: from, Deadline: now + a.Left, Avoid: a.Avoid,
+		ID: a.Request, Attempt: a.Attempt, Queue: a.Queue, Customer: a.Customer, Entry: from, Deadline: now + a.Left, Avoid: a.Avoid,
 	})
 	p.logic.Place(now)
 	w.publish(p)
--- a/internal/owner/message.go
+++ b/internal/owner/message.go
@@ -17,13 +17,13 @@
 
 // Ask is an entry's request for a placement.
 type Ask struct {
-	Pool    fleet.PoolID       `cbor:"1,keyasint"`
-	Request fleet.RequestID    `cbor:"2,keyasint"`
-	Attempt fleet.AttemptID    `cbor:"3,keyasint"`
-	Queue   fleet.QueueID      `cbor:"4,keyasint"`
-	Team    fleet.TeamID       `cbor:"5,keyasint"`
-	Left    time.Duration      `cbor:"6,keyasint"`
-	Avoid   []fleet.InstanceID `cbor:"7,keyasint,omitempty"`
+	Pool     fleet.PoolID       `cbor:"1,keyasint"`
+	Request  fleet.RequestID    `cbor:"2,keyasint"`
+	Attempt  fleet.AttemptID    `cbor:"3,keyasint"`
+	Queue    fleet.QueueID      `cbor:"4,keyasint"`
+	Customer fleet.CustomerID   `cbor:"5,keyasint"`
+	Left     time.Duration      `cbor:"6,keyasint"`
+	Avoid    []fleet.InstanceID `cbor:"7,keyasint,omitempty"`
 	// Stamp is the entry's clock when it asked.
 	Stamp time.Duration `cbor:"8,keyasint"`
 }
@@ -53,7 +53,7 @@
 	Request  fleet.RequestID  `cbor:"1,keyasint"`
 	Attempt  fleet.AttemptID  `cbor:"2,keyasint"`
 	Queue    fleet.QueueID    `cbor:"3,keyasint"`
-	Team     fleet.TeamID     `cbor:"4,keyasint"`
+	Customer fleet.CustomerID `cbor:"4,keyasint"`
 	Instance fleet.InstanceID `cbor:"5,keyasint"`
 	Pool     fleet.PoolID     `cbor:"6,keyasint"`
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -93,7 +93,7 @@
 	applied uint64
 	logic   *dispatcher.Dispatcher
 	waiting map[fleet.RequestID]chan Ticket
-	acting  map[fleet.TeamID]uint64
+	acting  map[fleet.CustomerID]uint64
 	sick    map[fleet.InstanceID]bool
 	config  *configuration.Configuration
 }
@@ -182,7 +182,7 @@
 func (w *Owner) takeOver(now time.Duration, id fleet.PoolID, epoch uint64) *pool {
 	p := &pool{
 		id: id, epoch: epoch, logic: dispatcher.New(id, now, dispatcher.WithRebuild()),
-		waiting: map[fleet.RequestID]chan Ticket{}, acting: map[fleet.TeamID]uint64{}, sick: map[fleet.InstanceID]bool{},
+		waiting: map[fleet.RequestID]chan Ticket{}, acting: map[fleet.CustomerID]uint64{}, sick: map[fleet.InstanceID]bool{},
 	}
 	adopted := 0
 	for _, c := range w.carried {
@@ -196,7 +196,7 @@
 }
 
 func (p *pool) adopt(now time.Duration, entry fleet.EntryID, c Carried) {
-	q := dispatcher.Request{ID: c.Request, Attempt: c.Attempt, Queue: c.Queue, Team: c.Team, Entry: entry}
+	q := dispatcher.Request{ID: c.Request, Attempt: c.Attempt, Queue: c.Queue, Customer: c.Customer, Entry: entry}
 	p.logic.Adopt(now, q, c.Instance)
 }
 
@@ -234,10 +234,10 @@
 		p.config = s.Configuration()
 		p.logic.Configure(p.config)
 	}
-	for team, pools := range s.Permits {
+	for customer, pools := range s.Permits {
 		permit := pools[p.id]
-		p.logic.SetPermit(team, permit.Usable())
-		p.acting[team] = permit.Revision
+		p.logic.SetPermit(customer, permit.Usable())
+		p.acting[customer] = permit.Revision
 	}
 	present := map[fleet.InstanceID]bool{}
 	for id, a := range s.Instances {
@@ -269,17 +269,17 @@
 func (w *Owner) carryOut(p *pool, d dispatcher.Decision) {
 	logger := w.options.Logger
 	attempt, instance := zap.String("attempt", string(d.Request.Attempt)), zap.String("instance", string(d.Instance))
-	pool, team := zap.String("pool", string(p.id)), zap.String("team", string(d.Request.Team))
+	pool, customer := zap.String("pool", string(p.id)), zap.String("customer", string(d.Request.Customer))
 	switch d.Code {
 	case dispatcher.Placed:
-		event.TaskPlaced.Info(logger, zap.String("request", string(d.Request.ID)), attempt, pool, team, instance, zap.String("reason", d.Reason))
+		event.TaskPlaced.Info(logger, zap.String("request", string(d.Request.ID)), attempt, pool, customer, instance, zap.String("reason", d.Reason))
 		life := min(fleet.TicketLife, w.options.Replica.LeaseLeft())
 		p.reply(d.Request.ID, Ticket{
 			Instance: d.Instance, Address: d.Address, Echo: w.stamps[d.Request.Entry], Life: life, Reason: d.Reason,
 		})
 	case dispatcher.Refused:
 		event.RequestRefused.Info(logger, zap.String("request", string(d.Request.ID)), zap.String("queue", string(d.Request.Queue)),
-			team, zap.Int("status", 0), zap.String("reason", d.Reason))
+			customer, zap.Int("status", 0), zap.String("reason", d.Reason))
 		p.reply(d.Request.ID, Ticket{Cause: d.Cause, Reason: d.Reason})
 	case dispatcher.Pressed:
 		event.TaskPressed.Info(logger, attempt, instance, zap.String("action", string(d.Action)))
@@ -291,7 +291,7 @@
 		delete(p.sick, d.Instance)
 		event.InstanceProbed.Info(logger, instance)
 	case dispatcher.Adopted:
-		event.TaskAdopted.Info(logger, attempt, pool, team, instance)
+		event.TaskAdopted.Info(logger, attempt, pool, customer, instance)
 	case dispatcher.Ended:
 		event.TaskEnded.Info(logger, attempt, pool, instance, zap.Bool("success", false), zap.Duration("took", d.Waited))
 	}
@@ -327,17 +327,17 @@
 func (p *pool) report(now time.Duration, entry fleet.EntryID) planner.Report {
 	r := planner.Report{
 		Pool: p.id, Entry: entry, Epoch: p.epoch, Applied: p.applied, EndRate: p.logic.EndRate(now),
-		Teams: map[fleet.TeamID]planner.TeamReport{}, Busy: map[fleet.InstanceID]int{}, Sick: map[fleet.InstanceID]bool{},
+		Customers: map[fleet.CustomerID]planner.CustomerReport{}, Busy: map[fleet.InstanceID]int{}, Sick: map[fleet.InstanceID]bool{},
 	}
 	loads := p.logic.Loads()
 	unlearned := p.logic.Unlearned(now)
-	for team, revision := range p.acting {
-		load, _ := loads.Get(team)
-		r.Teams[team] = planner.TeamReport{Load: load, Revision: revision, Unlearned: unlearned}
+	for customer, revision := range p.acting {
+		load, _ := loads.Get(customer)
+		r.Customers[customer] = planner.CustomerReport{Load: load, Revision: revision, Unlearned: unlearned}
 	}
-	for team, load := range loads.All() {
-		if _, listed := r.Teams[team]; !listed {
-			r.Teams[team] = planner.TeamReport{Load: load, Unlearned: unlearned}
+	for customer, load := range loads.All() {
+		if _, listed := r.Customers[customer]; !listed {
+			r.Customers[customer] = planner.CustomerReport{Load: load, Unlearned: unlearned}
 		}
 	}
 	for _, id := range p.logic.Places() {
--- a/internal/planner/demand.go
+++ b/internal/planner/demand.go
@@ -107,7 +107,7 @@
 	}
 }
 
-// wantedSlots returns the slots that the pool's teams use, and those that would work off what waits within its
+// wantedSlots returns the slots that the pool's customers use, and those that would work off what waits within its
 // permits in the time that urgent work may wait.
 func wantedSlots(v *View, pool fleet.PoolID) float64 {
 	r, ok := v.Reports.Get(pool)
@@ -115,9 +115,9 @@
 		return 0
 	}
 	running, waiting := 0, 0
-	for team, load := range r.Teams {
+	for customer, load := range r.Customers {
 		running += load.Running
-		waiting += min(load.Waiting, max(v.State.Permits[team][pool].Usable()-load.Running, 0))
+		waiting += min(load.Waiting, max(v.State.Permits[customer][pool].Usable()-load.Running, 0))
 	}
 	if waiting == 0 || r.EndRate <= 0 {
 		return float64(running + waiting)
--- a/internal/planner/permits.go
+++ b/internal/planner/permits.go
@@ -14,22 +14,22 @@
 // headroomStep is the least increase of a permit that is worth a commit while no request waits for it.
 const headroomStep = 4
 
-// permits divides the limit of each team among the pools it uses.
+// permits divides the limit of each customer among the pools it uses.
 func (p *Planner) permits(v *View, c *configuration.Configuration) []Step {
 	var steps []Step
-	for _, t := range c.Teams {
+	for _, t := range c.Customers {
 		steps = append(steps, p.permitsOf(v, c, t)...)
 	}
-	for _, id := range sortedTeams(v.State.Permits) {
-		if _, configured := c.Team(id); !configured {
-			steps = append(steps, p.permitsOf(v, c, configuration.Team{Name: id})...)
+	for _, id := range sortedCustomers(v.State.Permits) {
+		if _, configured := c.Customer(id); !configured {
+			steps = append(steps, p.permitsOf(v, c, configuration.Customer{Name: id})...)
 		}
 	}
 	return steps
 }
 
-func sortedTeams(m map[fleet.TeamID]map[fleet.PoolID]state.Permit) []fleet.TeamID {
-	list := make([]fleet.TeamID, 0, len(m))
+func sortedCustomers(m map[fleet.CustomerID]map[fleet.PoolID]state.Permit) []fleet.CustomerID {
+	list := make([]fleet.CustomerID, 0, len(m))
 	for id := range m {
 		list = append(list, id)
 	}
@@ -37,7 +37,7 @@
 	return list
 }
 
-func (p *Planner) permitsOf(v *View, c *configuration.Configuration, t configuration.Team) []Step {
+func (p *Planner) permitsOf(v *View, c *configuration.Configuration, t configuration.Customer) []Step {
 	pools := poolsOf(v, c, t.Name)
 	claims := make([]limiter.Claim, 0, len(pools))
 	for _, pool := range pools {
@@ -66,10 +66,10 @@
 }
 
 // permitStep returns the change of one permit, and how much of the free limit it takes.
-func permitStep(v *View, t configuration.Team, pool fleet.PoolID, wanted, free int, hungry bool) ([]Step, int) {
+func permitStep(v *View, t configuration.Customer, pool fleet.PoolID, wanted, free int, hungry bool) ([]Step, int) {
 	held := v.State.Permits[t.Name][pool]
 	report, load := v.State.Owners[pool], reportOf(v, pool, t.Name)
-	step := state.Allot{Team: t.Name, Pool: pool, Revision: held.Revision, Epoch: report.Epoch}
+	step := state.Allot{Customer: t.Name, Pool: pool, Revision: held.Revision, Epoch: report.Epoch}
 	reason := fmt.Sprintf("demand %d of limit %d", load.Running+load.Waiting, t.Limit)
 	switch {
 	case held.Granted > held.Ceiling && stillHeld(v, pool, t.Name, held) < held.Granted:
@@ -92,32 +92,32 @@
 
 // stillHeld returns what a pool needs of its grant: an owner that acts on the lowered ceiling starts nothing above
 // it, so that its running tasks, and those it may not know of yet, only become fewer.
-func stillHeld(v *View, pool fleet.PoolID, team fleet.TeamID, held state.Permit) int {
+func stillHeld(v *View, pool fleet.PoolID, customer fleet.CustomerID, held state.Permit) int {
 	r, ok := v.Reports.Get(pool)
 	if !ok || r.Epoch != v.State.Owners[pool].Epoch || r.Entry != v.State.Owners[pool].Entry {
 		return held.Granted
 	}
-	t, listed := r.Teams[team]
+	t, listed := r.Customers[customer]
 	if !listed || t.Revision != held.Revision {
 		return held.Granted
 	}
 	return max(held.Ceiling, t.Running+t.Unlearned)
 }
 
-func reportOf(v *View, pool fleet.PoolID, team fleet.TeamID) TeamReport {
+func reportOf(v *View, pool fleet.PoolID, customer fleet.CustomerID) CustomerReport {
 	r, _ := v.Reports.Get(pool)
-	return r.Teams[team]
+	return r.Customers[customer]
 }
 
-// poolsOf returns the pools where a team may ask for work or still holds a permit, in order.
-func poolsOf(v *View, c *configuration.Configuration, team fleet.TeamID) []fleet.PoolID {
+// poolsOf returns the pools where a customer may ask for work or still holds a permit, in order.
+func poolsOf(v *View, c *configuration.Configuration, customer fleet.CustomerID) []fleet.PoolID {
 	set := map[fleet.PoolID]bool{}
 	for _, q := range c.Queues {
-		if q.Open || q.Team == team {
+		if q.Open || q.Customer == customer {
 			set[q.Pool] = true
 		}
 	}
-	for pool := range v.State.Permits[team] {
+	for pool := range v.State.Permits[customer] {
 		set[pool] = true
 	}
 	list := make([]fleet.PoolID, 0, len(set))
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -29,14 +29,14 @@
 	// Applied is the log index that the owner acted on.
 	Applied uint64 `cbor:"7,keyasint"`
 	// EndRate is the number of tasks that end in a second.
-	EndRate float64                     `cbor:"8,keyasint"`
-	Teams   map[fleet.TeamID]TeamReport `cbor:"4,keyasint"`
-	Busy    map[fleet.InstanceID]int    `cbor:"5,keyasint"`
-	Sick    map[fleet.InstanceID]bool   `cbor:"6,keyasint"`
+	EndRate   float64                             `cbor:"8,keyasint"`
+	Customers map[fleet.CustomerID]CustomerReport `cbor:"4,keyasint"`
+	Busy      map[fleet.InstanceID]int            `cbor:"5,keyasint"`
+	Sick      map[fleet.InstanceID]bool           `cbor:"6,keyasint"`
 }
 
-// TeamReport is the use of one team in a pool and the permit revision that the owner acts on.
-type TeamReport struct {
+// CustomerReport is the use of one customer in a pool and the permit revision that the owner acts on.
+type CustomerReport struct {
 	dispatcher.Load
 	Revision uint64 `cbor:"4,keyasint"`
 	// Unlearned is the number of tasks that may run unseen.
--- a/internal/planner/planner_bench_test.go
+++ b/internal/planner/planner_bench_test.go
@@ -15,13 +15,13 @@
 	"github.com/sapphiresail/sapphiresail/internal/table"
 )
 
-// fleetOf returns a view of instances spread over pools of about eighty, with teams that use them.
+// fleetOf returns a view of instances spread over pools of about eighty, with customers that use them.
 func fleetOf(t testing.TB, instances int) *planner.View {
 	pools := max(instances/81, 1)
-	teams := min(170, max(6, instances/90))
-	text := "version: 1\nsite: big\ndata-centres: [{name: dc-0, region: r}]\nteams:\n"
-	for i := range teams {
-		text += fmt.Sprintf("- {name: t%d, share: 1, limit: %d}\n", i, 8*instances/teams)
+	customers := min(170, max(6, instances/90))
+	text := "version: 1\nsite: big\ndata-centres: [{name: dc-0, region: r}]\ncustomers:\n"
+	for i := range customers {
+		text += fmt.Sprintf("- {name: t%d, share: 1, limit: %d}\n", i, 8*instances/customers)
 	}
 	text += "pools:\n"
 	for i := range pools {
@@ -29,7 +29,7 @@
 	}
 	text += "queues:\n"
 	for i := range pools {
-		text += fmt.Sprintf("- {name: q%d, pool: p%d, team: t%d}\n", i, i, i%teams)
+		text += fmt.Sprintf("- {name: q%d, pool: p%d, customer: t%d}\n", i, i, i%customers)
 	}
 	s := state.New()
 	assert.NilError(t, s.Run(1, state.Configure{Text: []byte(text)}).Err())
@@ -51,8 +51,8 @@
 	for i := range pools {
 		pool := fleet.PoolID(fmt.Sprintf("p%d", i))
 		s.Run(uint64(instances+i+3), state.Own{Pool: pool, Entry: "e", Epoch: 1})
-		v.Reports.Put(pool, planner.Report{Pool: pool, Entry: "e", Epoch: 1, Teams: map[fleet.TeamID]planner.TeamReport{
-			fleet.TeamID(fmt.Sprintf("t%d", i%teams)): {Load: dispatcher.Load{Running: 40, Waiting: 4}},
+		v.Reports.Put(pool, planner.Report{Pool: pool, Entry: "e", Epoch: 1, Customers: map[fleet.CustomerID]planner.CustomerReport{
+			fleet.CustomerID(fmt.Sprintf("t%d", i%customers)): {Load: dispatcher.Load{Running: 40, Waiting: 4}},
 		}})
 	}
 	return v
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -69,14 +69,14 @@
 }
 
 // Request notes a request that was answered, with the time that its task took.
-func (r *Recorder) Request(arrived time.Time, id fleet.RequestID, queue fleet.QueueID, team fleet.TeamID, ran, timeout time.Duration) {
+func (r *Recorder) Request(arrived time.Time, id fleet.RequestID, queue fleet.QueueID, customer fleet.CustomerID, ran, timeout time.Duration) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.version == 0 {
 		return
 	}
 	r.write(arrived, tracer.Event{
-		Kind: tracer.RequestArrives, Request: id, Queue: queue, Team: team, Entry: r.entry,
+		Kind: tracer.RequestArrives, Request: id, Queue: queue, Customer: customer, Entry: r.entry,
 		RunMillis: max(ran.Milliseconds(), 1), TimeoutMillis: timeout.Milliseconds(),
 	})
 }
--- a/internal/replayer/flight.go
+++ b/internal/replayer/flight.go
@@ -38,7 +38,7 @@
 	t, _ := r.targets.Get(x.Instance)
 	c.waiting = false
 	c.attempts++
-	f := &flight{caller: c, attempt: x.Request.Attempt, target: t, team: x.Request.Team, started: r.now, ends: r.now + time.Duration(c.event.RunMillis)*time.Millisecond}
+	f := &flight{caller: c, attempt: x.Request.Attempt, target: t, customer: x.Request.Customer, started: r.now, ends: r.now + time.Duration(c.event.RunMillis)*time.Millisecond}
 	c.flight = f
 	r.flights[f.attempt] = f
 	r.measure.start(r, c, t)
--- a/internal/replayer/measure.go
+++ b/internal/replayer/measure.go
@@ -36,15 +36,15 @@
 	limitBroken, budgetBroken, cutByStops, doubled, lateWork                      int
 	buffer, need, largest                                                         float64
 	samples                                                                       int
-	got, entitled                                                                 map[fleet.TeamID]float64
+	got, entitled                                                                 map[fleet.CustomerID]float64
 	full                                                                          float64
-	use                                                                           map[fleet.TeamID][]float64
+	use                                                                           map[fleet.CustomerID][]float64
 }
 
 func newMeasure() *measure {
 	return &measure{
-		causes: map[string]int{}, stops: map[fleet.PoolID]int{}, got: map[fleet.TeamID]float64{}, entitled: map[fleet.TeamID]float64{},
-		use: map[fleet.TeamID][]float64{},
+		causes: map[string]int{}, stops: map[fleet.PoolID]int{}, got: map[fleet.CustomerID]float64{}, entitled: map[fleet.CustomerID]float64{},
+		use: map[fleet.CustomerID][]float64{},
 	}
 }
 
@@ -53,7 +53,7 @@
 	m.causes[cause.String()]++
 }
 
-// refuseUrgent counts urgent work that is refused while its team has less than its share of the pool.
+// refuseUrgent counts urgent work that is refused while its customer has less than its share of the pool.
 func (m *measure) refuseUrgent(r *Replayer, d *dispatcher.Dispatcher, c *caller, cause dispatcher.Cause) {
 	q, _ := r.config.Queue(c.event.Queue)
 	if !q.Urgent || cause != dispatcher.CauseFull && cause != dispatcher.CauseDeadline {
@@ -61,13 +61,13 @@
 	}
 	loads, shares, running := d.Loads(), 0.0, 0
 	for id, l := range loads.All() {
-		t, _ := r.config.Team(id)
+		t, _ := r.config.Customer(id)
 		shares += t.Share
 		running += l.Running
 	}
-	own, _ := loads.Get(c.event.Team)
-	team, _ := r.config.Team(c.event.Team)
-	if float64(own.Running+1) < float64(running)*team.Share/max(shares, team.Share) {
+	own, _ := loads.Get(c.event.Customer)
+	customer, _ := r.config.Customer(c.event.Customer)
+	if float64(own.Running+1) < float64(running)*customer.Share/max(shares, customer.Share) {
 		m.urgentStarved++
 	}
 }
@@ -89,11 +89,11 @@
 	}
 	running := 0
 	for _, f := range r.flights {
-		if f.team == c.event.Team {
+		if f.customer == c.event.Customer {
 			running++
 		}
 	}
-	if team, _ := r.config.Team(c.event.Team); running > team.Limit {
+	if customer, _ := r.config.Customer(c.event.Customer); running > customer.Limit {
 		m.limitBroken++
 	}
 }
@@ -127,11 +127,11 @@
 func (r *Replayer) sample() {
 	m := r.measure
 	m.halted = r.state.Halted != ""
-	running := map[fleet.TeamID]int{}
+	running := map[fleet.CustomerID]int{}
 	for _, f := range r.flights {
-		running[f.team]++
+		running[f.customer]++
 	}
-	for _, t := range r.config.Teams {
+	for _, t := range r.config.Customers {
 		m.use[t.Name] = append(m.use[t.Name], float64(running[t.Name]))
 	}
 	for pool, d := range r.pools.All() {
@@ -140,7 +140,7 @@
 	m.samples++
 }
 
-// samplePool adds the buffer of a pool, and what its teams get of it while it is full.
+// samplePool adds the buffer of a pool, and what its customers get of it while it is full.
 func (r *Replayer) samplePool(pool fleet.PoolID, d *dispatcher.Dispatcher) {
 	m := r.measure
 	p, _ := r.config.Pool(pool)
@@ -174,30 +174,30 @@
 	}
 	m.full += float64(slots)
 	used := 0
-	asks := map[fleet.TeamID]float64{}
-	for team, l := range loads.All() {
+	asks := map[fleet.CustomerID]float64{}
+	for customer, l := range loads.All() {
 		used += l.Running
-		m.got[team] += float64(l.Running)
-		asks[team] = float64(min(l.Running+l.Waiting, max(r.state.Permits[team][pool].Usable(), l.Running)))
+		m.got[customer] += float64(l.Running)
+		asks[customer] = float64(min(l.Running+l.Waiting, max(r.state.Permits[customer][pool].Usable(), l.Running)))
 	}
-	for team, e := range r.fairParts(asks, float64(used)) {
-		m.entitled[team] += e
+	for customer, e := range r.fairParts(asks, float64(used)) {
+		m.entitled[customer] += e
 	}
 }
 
-// fairParts divides slots by shares among teams, none getting more than it asks.
-func (r *Replayer) fairParts(asks map[fleet.TeamID]float64, slots float64) map[fleet.TeamID]float64 {
-	parts := map[fleet.TeamID]float64{}
+// fairParts divides slots by shares among customers, none getting more than it asks.
+func (r *Replayer) fairParts(asks map[fleet.CustomerID]float64, slots float64) map[fleet.CustomerID]float64 {
+	parts := map[fleet.CustomerID]float64{}
 	open := slices.Sorted(maps.Keys(asks))
 	for len(open) > 0 {
 		sum := 0.0
 		for _, id := range open {
-			t, _ := r.config.Team(id)
+			t, _ := r.config.Customer(id)
 			sum += t.Share
 		}
 		level := slots / sum
-		rest := slices.DeleteFunc(slices.Clone(open), func(id fleet.TeamID) bool {
-			t, _ := r.config.Team(id)
+		rest := slices.DeleteFunc(slices.Clone(open), func(id fleet.CustomerID) bool {
+			t, _ := r.config.Customer(id)
 			if asks[id] > level*t.Share {
 				return false
 			}
@@ -206,7 +206,7 @@
 		})
 		if len(rest) == len(open) {
 			for _, id := range open {
-				t, _ := r.config.Team(id)
+				t, _ := r.config.Customer(id)
 				parts[id] = level * t.Share
 			}
 			return parts
@@ -279,7 +279,7 @@
 	UrgentP99       float64            `json:"urgent-start-p99-seconds"`
 	UrgentMax       float64            `json:"urgent-start-max-seconds"`
 	Broken          []string           `json:"broken"`
-	use             map[fleet.TeamID][]float64
+	use             map[fleet.CustomerID][]float64
 }
 
 func (m *measure) result(r *Replayer) *Result {
@@ -300,7 +300,7 @@
 			x.RolloutOfLeast = round(float64(m.rolledOut-m.rollout) / float64(least))
 		}
 	}
-	for _, t := range r.config.Teams {
+	for _, t := range r.config.Customers {
 		if m.full > 0 {
 			deviation := (m.got[t.Name] - m.entitled[t.Name]) / m.full
 			x.ShareDeviation[string(t.Name)] = round(deviation)
@@ -325,7 +325,7 @@
 	count("availability budget broken", m.budgetBroken)
 	count("requests cut by planned stops", m.cutByStops)
 	count("unrepeatable requests run twice", m.doubled)
-	count("urgent work refused below the share of its team", m.urgentStarved)
+	count("urgent work refused below the share of its customer", m.urgentStarved)
 	count("work for targets that left 3 s ago", m.lateWork)
 	if x.UrgentMax > urgentBound.Seconds() {
 		list = append(list, fmt.Sprintf("urgent start within 2 s: %.3f s", x.UrgentMax))
--- a/internal/replayer/picture.go
+++ b/internal/replayer/picture.go
@@ -17,31 +17,31 @@
 	legendStep    = 150
 )
 
-var teamColours = []string{"#4e79a7", "#f28e2b", "#59a14f", "#e15759", "#b07aa1", "#9c755f", "#76b7b2", "#edc948"}
+var customerColours = []string{"#4e79a7", "#f28e2b", "#59a14f", "#e15759", "#b07aa1", "#9c755f", "#76b7b2", "#edc948"}
 
-// Draw writes an SVG of the slots that each team uses over time, stacked.
+// Draw writes an SVG of the slots that each customer uses over time, stacked.
 func (x *Result) Draw(w io.Writer) {
-	teams := slices.Sorted(maps.Keys(x.use))
+	customers := slices.Sorted(maps.Keys(x.use))
 	samples := 0
-	for _, t := range teams {
+	for _, t := range customers {
 		samples = max(samples, len(x.use[t]))
 	}
 	canvas := svg.New(w)
 	canvas.Start(pictureWidth, pictureHeight)
 	defer canvas.End()
 	canvas.Rect(0, 0, pictureWidth, pictureHeight, "fill:white")
-	canvas.Text(pictureMargin, pictureMargin/2, "slots in use by team over time, "+x.Policy, "font-size:14px;font-family:sans-serif")
+	canvas.Text(pictureMargin, pictureMargin/2, "slots in use by customer over time, "+x.Policy, "font-size:14px;font-family:sans-serif")
 	if samples < 2 {
 		return
 	}
 	base := make([]float64, samples)
 	highest := stackHeight(x, samples)
-	for i, t := range teams {
+	for i, t := range customers {
 		top := slices.Clone(base)
 		for n, v := range x.use[t] {
 			top[n] += v
 		}
-		colour := teamColours[i%len(teamColours)]
+		colour := customerColours[i%len(customerColours)]
 		xs, ys := outline(base, top, highest)
 		canvas.Polygon(xs, ys, "stroke:none;fill:"+colour)
 		canvas.Text(pictureMargin+i*legendStep, pictureHeight-pictureMargin/4, string(t), fmt.Sprintf("font-size:12px;font-family:sans-serif;fill:%s", colour))
--- a/internal/replayer/plan.go
+++ b/internal/replayer/plan.go
@@ -50,15 +50,15 @@
 	for pool, d := range r.pools.All() {
 		report := planner.Report{
 			Pool: pool, Entry: owner, Epoch: r.state.Owners[pool].Epoch, Applied: r.index, EndRate: d.EndRate(r.now),
-			Teams: map[fleet.TeamID]planner.TeamReport{}, Busy: map[fleet.InstanceID]int{}, Sick: map[fleet.InstanceID]bool{},
+			Customers: map[fleet.CustomerID]planner.CustomerReport{}, Busy: map[fleet.InstanceID]int{}, Sick: map[fleet.InstanceID]bool{},
 		}
 		loads := d.Loads()
-		for team := range r.state.Permits {
-			load, _ := loads.Get(team)
-			report.Teams[team] = planner.TeamReport{Load: load, Revision: r.state.Permits[team][pool].Revision}
+		for customer := range r.state.Permits {
+			load, _ := loads.Get(customer)
+			report.Customers[customer] = planner.CustomerReport{Load: load, Revision: r.state.Permits[customer][pool].Revision}
 		}
-		for team, load := range loads.All() {
-			report.Teams[team] = planner.TeamReport{Load: load, Revision: r.state.Permits[team][pool].Revision}
+		for customer, load := range loads.All() {
+			report.Customers[customer] = planner.CustomerReport{Load: load, Revision: r.state.Permits[customer][pool].Revision}
 		}
 		for _, id := range d.Places() {
 			if n := d.RunningOn(id); n > 0 {
--- a/internal/replayer/replayer.go
+++ b/internal/replayer/replayer.go
@@ -251,7 +251,7 @@
 	attempt := fleet.AttemptID(fmt.Sprintf("a%07d", r.attempts))
 	d := r.dispatcherOf(c.event.Queue)
 	d.Ask(r.now, dispatcher.Request{
-		ID: c.event.Request, Attempt: attempt, Queue: c.event.Queue, Team: c.event.Team, Entry: c.event.Entry, Deadline: c.deadline, Avoid: c.avoid,
+		ID: c.event.Request, Attempt: attempt, Queue: c.event.Queue, Customer: c.event.Customer, Entry: c.event.Entry, Deadline: c.deadline, Avoid: c.avoid,
 	})
 	d.Place(r.now)
 	r.carryOut(d)
@@ -280,8 +280,8 @@
 }
 
 func (r *Replayer) update(pool fleet.PoolID, d *dispatcher.Dispatcher) {
-	for team, pools := range r.state.Permits {
-		d.SetPermit(team, pools[pool].Usable())
+	for customer, pools := range r.state.Permits {
+		d.SetPermit(customer, pools[pool].Usable())
 	}
 	present := map[fleet.InstanceID]bool{}
 	for id, t := range r.targets.All() {
--- a/internal/replayer/world.go
+++ b/internal/replayer/world.go
@@ -27,14 +27,14 @@
 
 // flight is one attempt from its ticket to its end.
 type flight struct {
-	caller  *caller
-	attempt fleet.AttemptID
-	target  *target
-	team    fleet.TeamID
-	started time.Duration
-	ends    time.Duration
-	fails   bool
-	dead    bool
+	caller   *caller
+	attempt  fleet.AttemptID
+	target   *target
+	customer fleet.CustomerID
+	started  time.Duration
+	ends     time.Duration
+	fails    bool
+	dead     bool
 }
 
 // caller is the fake of one caller and of the entry's part in its request.
@@ -68,7 +68,7 @@
 	t.told = t.instance
 	t.told.Tasks = nil
 	for _, f := range t.running {
-		task := fleet.Task{Attempt: f.attempt, Team: f.team, Queue: f.caller.event.Queue}
+		task := fleet.Task{Attempt: f.attempt, Customer: f.customer, Queue: f.caller.event.Queue}
 		if f.caller.event.Usage != nil {
 			task.Usage = *f.caller.event.Usage
 		}
--- a/internal/sharer/sharer_test.go
+++ b/internal/sharer/sharer_test.go
@@ -24,7 +24,7 @@
 		Offers: fleet.Resources{Processors: 64, Memory: 128 << 30, Slots: 8, Connections: 64}, Boot: "b0", Sequence: uint64(sequence), Condition: fleet.Ready,
 	}
 	for k := range tasks {
-		i.Tasks = append(i.Tasks, fleet.Task{Attempt: fleet.AttemptID(fmt.Sprintf("%024d", k)), Team: "quality-lab", Queue: "cure-check"})
+		i.Tasks = append(i.Tasks, fleet.Task{Attempt: fleet.AttemptID(fmt.Sprintf("%024d", k)), Customer: "quality-lab", Queue: "cure-check"})
 	}
 	return i
 }
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -10,8 +10,8 @@
 type Ledger struct {
 	mutex   sync.Mutex
 	runs    map[string]int
-	running map[fleet.TeamID]int
-	most    map[fleet.TeamID]int
+	running map[fleet.CustomerID]int
+	most    map[fleet.CustomerID]int
 	cut     int
 	late    int
 	ran     int
@@ -19,22 +19,22 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{runs: map[string]int{}, running: map[fleet.TeamID]int{}, most: map[fleet.TeamID]int{}}
+	return &Ledger{runs: map[string]int{}, running: map[fleet.CustomerID]int{}, most: map[fleet.CustomerID]int{}}
 }
 
-func (l *Ledger) begin(team fleet.TeamID, nonce string) {
+func (l *Ledger) begin(customer fleet.CustomerID, nonce string) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.ran++
 	l.runs[nonce]++
-	l.running[team]++
-	l.most[team] = max(l.most[team], l.running[team])
+	l.running[customer]++
+	l.most[customer] = max(l.most[customer], l.running[customer])
 }
 
-func (l *Ledger) end(team fleet.TeamID) {
+func (l *Ledger) end(customer fleet.CustomerID) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.running[team]--
+	l.running[customer]--
 }
 
 func (l *Ledger) count(counter *int, n int) {
@@ -50,11 +50,11 @@
 	return l.runs[nonce]
 }
 
-// Most returns the largest number of tasks that a team had running at once.
-func (l *Ledger) Most(team fleet.TeamID) int {
+// Most returns the largest number of tasks that a customer had running at once.
+func (l *Ledger) Most(customer fleet.CustomerID) int {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.most[team]
+	return l.most[customer]
 }
 
 // Totals returns the tasks begun, those cut by reboots and those that came to a target long after it began to leave.
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -214,9 +214,9 @@
 // run takes one task, works on it and answers.
 func (t *Target) run(w http.ResponseWriter, r *http.Request) {
 	attempt := fleet.AttemptID(r.PathValue("attempt"))
-	team := fleet.TeamID(r.Header.Get(carrier.HeaderTeam))
+	customer := fleet.CustomerID(r.Header.Get(carrier.HeaderCustomer))
 	w.Header().Set(carrier.HeaderAttempt, string(attempt))
-	session, refusal := t.begin(attempt, team, fleet.QueueID(r.Header.Get(carrier.HeaderQueue)))
+	session, refusal := t.begin(attempt, customer, fleet.QueueID(r.Header.Get(carrier.HeaderQueue)))
 	if refusal != "" {
 		w.Header().Set(carrier.HeaderOutcome, string(fleet.NotRun))
 		http.Error(w, refusal, http.StatusServiceUnavailable)
@@ -229,8 +229,8 @@
 	}
 	var work Work
 	_ = json.Unmarshal(body, &work)
-	t.ledger.begin(team, work.Nonce)
-	defer t.ledger.end(team)
+	t.ledger.begin(customer, work.Nonce)
+	defer t.ledger.end(customer)
 	select {
 	case <-time.After(time.Duration(work.Millis) * time.Millisecond):
 	case <-session.Done():
@@ -244,7 +244,7 @@
 }
 
 // begin takes a task unless the target is broken, leaving or full.
-func (t *Target) begin(attempt fleet.AttemptID, team fleet.TeamID, queue fleet.QueueID) (context.Context, string) {
+func (t *Target) begin(attempt fleet.AttemptID, customer fleet.CustomerID, queue fleet.QueueID) (context.Context, string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if !t.leaving.IsZero() && time.Since(t.leaving) > lateAfter {
@@ -258,7 +258,7 @@
 	case len(t.tasks) >= t.instance.Offers.Slots:
 		return nil, "full"
 	}
-	t.tasks[attempt] = fleet.Task{Attempt: attempt, Team: team, Queue: queue, Usage: t.usage}
+	t.tasks[attempt] = fleet.Task{Attempt: attempt, Customer: customer, Queue: queue, Usage: t.usage}
 	return t.session, ""
 }
 
--- a/internal/state/claims.go
+++ b/internal/state/claims.go
@@ -7,17 +7,19 @@
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
 )
 
-// ClaimKey is a team's idempotency key.
+// ClaimKey is a customer's idempotency key.
 type ClaimKey string
 
-// NewClaimKey returns the key of a claim: idempotency keys of different teams never meet.
-func NewClaimKey(team fleet.TeamID, key string) ClaimKey { return ClaimKey(string(team) + "/" + key) }
+// NewClaimKey returns the key of a claim: idempotency keys of different customers never meet.
+func NewClaimKey(customer fleet.CustomerID, key string) ClaimKey {
+	return ClaimKey(string(customer) + "/" + key)
+}
 
 // Claim is the committed record of a request that must not run twice.
 type Claim struct {
 	Key      ClaimKey         `json:"key"`
 	Request  fleet.RequestID  `json:"request"`
-	Team     fleet.TeamID     `json:"team"`
+	Customer fleet.CustomerID `json:"customer"`
 	Queue    fleet.QueueID    `json:"queue"`
 	Digest   []byte           `json:"digest"`
 	Entry    fleet.EntryID    `json:"entry"`
--- a/internal/state/configure.go
+++ b/internal/state/configure.go
@@ -51,17 +51,17 @@
 	return nil
 }
 
-// lowerCeilings stops new work of every team that holds more than its limit, until enough is given back.
+// lowerCeilings stops new work of every customer that holds more than its limit, until enough is given back.
 func (s *State) lowerCeilings() {
-	for _, team := range sortedKeys(s.Permits) {
-		t, _ := s.config.Team(team)
-		if s.Granted(team) <= t.Limit {
+	for _, customer := range sortedKeys(s.Permits) {
+		t, _ := s.config.Customer(customer)
+		if s.Granted(customer) <= t.Limit {
 			continue
 		}
-		for pool, p := range s.Permits[team] {
+		for pool, p := range s.Permits[customer] {
 			p.Ceiling = 0
 			p.Revision++
-			s.Permits[team][pool] = p
+			s.Permits[customer][pool] = p
 		}
 	}
 }
@@ -72,32 +72,32 @@
 	return sum[:]
 }
 
-// GrantKey gives a team a key; a resend with equal content is accepted.
+// GrantKey gives a customer a key; a resend with equal content is accepted.
 type GrantKey struct {
-	ID   KeyID
-	Hash []byte
-	Team fleet.TeamID
+	ID       KeyID
+	Hash     []byte
+	Customer fleet.CustomerID
 }
 
 func (c GrantKey) apply(s *State) (Reply, error) {
 	if len(c.Hash) != sha256.Size || c.ID == "" {
 		return Reply{}, refuse("grant key", KindInvalid, "a key needs an id and a hash of %d bytes", sha256.Size)
 	}
-	if _, ok := s.config.Team(c.Team); !ok {
-		return Reply{}, refuse("grant key", KindUnknown, "team %q is not configured", c.Team)
+	if _, ok := s.config.Customer(c.Customer); !ok {
+		return Reply{}, refuse("grant key", KindUnknown, "customer %q is not configured", c.Customer)
 	}
 	old, taken := s.Keys[c.ID]
-	if taken && old.Team == c.Team && string(old.Hash) == string(c.Hash) && !old.Withdrawn {
+	if taken && old.Customer == c.Customer && string(old.Hash) == string(c.Hash) && !old.Withdrawn {
 		return Reply{}, nil
 	}
 	if taken {
 		return Reply{}, refuse("grant key", KindConflict, "key %q exists; a withdrawn key is never granted again", c.ID)
 	}
-	if _, used := s.teamsByHash[string(c.Hash)]; used {
+	if _, used := s.customersByHash[string(c.Hash)]; used {
 		return Reply{}, refuse("grant key", KindConflict, "this secret was granted before")
 	}
-	s.Keys[c.ID] = Key{ID: c.ID, Hash: c.Hash, Team: c.Team}
-	s.teamsByHash[string(c.Hash)] = c.ID
+	s.Keys[c.ID] = Key{ID: c.ID, Hash: c.Hash, Customer: c.Customer}
+	s.customersByHash[string(c.Hash)] = c.ID
 	return Reply{}, nil
 }
 
@@ -119,12 +119,12 @@
 // Authenticate returns the key whose secret is given; the comparison takes constant time.
 func (s *State) Authenticate(secret string) (Key, bool) {
 	hash := HashKey(secret)
-	k, ok := s.Keys[s.teamsByHash[string(hash)]]
+	k, ok := s.Keys[s.customersByHash[string(hash)]]
 	same := subtle.ConstantTimeCompare(hash, k.Hash) == 1
 	if !ok || !same || k.Withdrawn {
 		return Key{}, false
 	}
-	if _, configured := s.config.Team(k.Team); !configured {
+	if _, configured := s.config.Customer(k.Customer); !configured {
 		return Key{}, false
 	}
 	return k, true
--- a/internal/state/permits.go
+++ b/internal/state/permits.go
@@ -26,12 +26,12 @@
 	return Reply{}, nil
 }
 
-// Allot changes the permit that a pool holds of a team's limit.
+// Allot changes the permit that a pool holds of a customer's limit.
 //
 // A grant is lowered only on the word of the owner that acted on the given revision, so that no task
 // started under an older ceiling is forgotten.
 type Allot struct {
-	Team     fleet.TeamID
+	Customer fleet.CustomerID
 	Pool     fleet.PoolID
 	Granted  int
 	Ceiling  int
@@ -40,41 +40,41 @@
 }
 
 func (c Allot) apply(s *State) (Reply, error) {
-	team, ok := s.config.Team(c.Team)
-	if !ok && c.Granted > s.Permits[c.Team][c.Pool].Granted {
-		return Reply{}, refuse("allot", KindUnknown, "team %q is not configured", c.Team)
+	customer, ok := s.config.Customer(c.Customer)
+	if !ok && c.Granted > s.Permits[c.Customer][c.Pool].Granted {
+		return Reply{}, refuse("allot", KindUnknown, "customer %q is not configured", c.Customer)
 	}
-	old := s.Permits[c.Team][c.Pool]
+	old := s.Permits[c.Customer][c.Pool]
 	if c.Granted < 0 || c.Ceiling < 0 {
 		return Reply{}, refuse("allot", KindInvalid, "negative permit")
 	}
 	if c.Revision != old.Revision {
-		return Reply{}, refuse("allot", KindStale, "permit of %q in %q is at revision %d", c.Team, c.Pool, old.Revision)
+		return Reply{}, refuse("allot", KindStale, "permit of %q in %q is at revision %d", c.Customer, c.Pool, old.Revision)
 	}
 	if c.Granted < old.Granted && c.Epoch != s.Owners[c.Pool].Epoch {
 		return Reply{}, refuse("allot", KindStale, "pool %q is at epoch %d", c.Pool, s.Owners[c.Pool].Epoch)
 	}
-	if sum := s.Granted(c.Team) - old.Granted + c.Granted; c.Granted > old.Granted && sum > team.Limit {
-		return Reply{}, refuse("allot", KindLimit, "team %q would hold %d of %d", c.Team, sum, team.Limit)
+	if sum := s.Granted(c.Customer) - old.Granted + c.Granted; c.Granted > old.Granted && sum > customer.Limit {
+		return Reply{}, refuse("allot", KindLimit, "customer %q would hold %d of %d", c.Customer, sum, customer.Limit)
 	}
 	next := Permit{Granted: c.Granted, Ceiling: c.Ceiling, Revision: old.Revision}
-	if sum := s.Granted(c.Team) - old.Granted + c.Granted; next.Usable() > old.Usable() && sum > team.Limit {
-		return Reply{}, refuse("allot", KindLimit, "team %q holds %d of %d until more is given back", c.Team, sum, team.Limit)
+	if sum := s.Granted(c.Customer) - old.Granted + c.Granted; next.Usable() > old.Usable() && sum > customer.Limit {
+		return Reply{}, refuse("allot", KindLimit, "customer %q holds %d of %d until more is given back", c.Customer, sum, customer.Limit)
 	}
 	if next.Ceiling != old.Ceiling || next.Granted > old.Granted {
 		next.Revision++
 	}
-	if s.Permits[c.Team] == nil {
-		s.Permits[c.Team] = map[fleet.PoolID]Permit{}
+	if s.Permits[c.Customer] == nil {
+		s.Permits[c.Customer] = map[fleet.PoolID]Permit{}
 	}
-	s.Permits[c.Team][c.Pool] = next
+	s.Permits[c.Customer][c.Pool] = next
 	return Reply{}, nil
 }
 
-// Granted returns the sum of what all pools hold of a team's limit.
-func (s *State) Granted(team fleet.TeamID) int {
+// Granted returns the sum of what all pools hold of a customer's limit.
+func (s *State) Granted(customer fleet.CustomerID) int {
 	sum := 0
-	for _, p := range s.Permits[team] {
+	for _, p := range s.Permits[customer] {
 		sum += p.Granted
 	}
 	return sum
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -49,12 +49,12 @@
 // KeyID names a key without revealing it.
 type KeyID string
 
-// Key is the right of a team to ask for work; the secret is kept as a hash only.
+// Key is the right of a customer to ask for work; the secret is kept as a hash only.
 type Key struct {
-	ID        KeyID        `json:"id"`
-	Hash      []byte       `json:"-" cbor:"hash"`
-	Team      fleet.TeamID `json:"team"`
-	Withdrawn bool         `json:"withdrawn"`
+	ID        KeyID            `json:"id"`
+	Hash      []byte           `json:"-" cbor:"hash"`
+	Customer  fleet.CustomerID `json:"customer"`
+	Withdrawn bool             `json:"withdrawn"`
 }
 
 // Phase is the step of planned work that an instance is in.
@@ -107,7 +107,7 @@
 	Epoch uint64        `json:"epoch"`
 }
 
-// Permit is the part of a team's upper limit that one pool holds.
+// Permit is the part of a customer's upper limit that one pool holds.
 type Permit struct {
 	// Granted counts against the limit.
 	Granted int `json:"granted"`
@@ -132,25 +132,25 @@
 
 // State is the whole committed state.
 type State struct {
-	Text       []byte                                   `json:"text"`
-	Version    uint64                                   `json:"version"`
-	Digest     string                                   `json:"digest"`
-	Keys       map[KeyID]Key                            `json:"keys"`
-	Instances  map[fleet.InstanceID]Assignment          `json:"instances"`
-	Owners     map[fleet.PoolID]Ownership               `json:"owners"`
-	Permits    map[fleet.TeamID]map[fleet.PoolID]Permit `json:"permits"`
-	Claims     map[ClaimKey]Claim                       `json:"claims"`
-	ClaimBytes int                                      `json:"claim-bytes"`
-	Members    map[fleet.EntryID]Member                 `json:"members"`
-	Halted     string                                   `json:"halted"`
-	WaveFailed int                                      `json:"wave-failed"`
+	Text       []byte                                       `json:"text"`
+	Version    uint64                                       `json:"version"`
+	Digest     string                                       `json:"digest"`
+	Keys       map[KeyID]Key                                `json:"keys"`
+	Instances  map[fleet.InstanceID]Assignment              `json:"instances"`
+	Owners     map[fleet.PoolID]Ownership                   `json:"owners"`
+	Permits    map[fleet.CustomerID]map[fleet.PoolID]Permit `json:"permits"`
+	Claims     map[ClaimKey]Claim                           `json:"claims"`
+	ClaimBytes int                                          `json:"claim-bytes"`
+	Members    map[fleet.EntryID]Member                     `json:"members"`
+	Halted     string                                       `json:"halted"`
+	WaveFailed int                                          `json:"wave-failed"`
 	// RolloutAt is when an operator last asked for maintenance of every instance.
 	RolloutAt Moment `json:"rollout-at"`
 	// Current is the log index of the latest command.
-	Current     uint64 `json:"current"`
-	config      *configuration.Configuration
-	teamsByHash map[string]KeyID
-	requests    map[fleet.RequestID]ClaimKey
+	Current         uint64 `json:"current"`
+	config          *configuration.Configuration
+	customersByHash map[string]KeyID
+	requests        map[fleet.RequestID]ClaimKey
 }
 
 // New returns the empty state.
@@ -168,9 +168,9 @@
 	s.Permits = orEmpty(s.Permits)
 	s.Claims = orEmpty(s.Claims)
 	s.Members = orEmpty(s.Members)
-	s.teamsByHash = map[string]KeyID{}
+	s.customersByHash = map[string]KeyID{}
 	for id, k := range s.Keys {
-		s.teamsByHash[string(k.Hash)] = id
+		s.customersByHash[string(k.Hash)] = id
 	}
 	s.requests = map[fleet.RequestID]ClaimKey{}
 	for key, c := range s.Claims {
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -16,9 +16,9 @@
 	return fmt.Appendf(nil, `version: %d
 site: test
 data-centres: [{name: dc-1, region: r}]
-teams: [{name: a, share: 1, limit: %d}, {name: b, share: 2, limit: 9}]
+customers: [{name: a, share: 1, limit: %d}, {name: b, share: 2, limit: 9}]
 pools: [{name: p, minimum-available: %d}, {name: q, minimum-available: 1}, {name: s, minimum-available: 0, spare: true}]
-queues: [{name: qa, pool: p, team: a}]
+queues: [{name: qa, pool: p, customer: a}]
 `, version, limit, minimum)
 }
 
@@ -137,7 +137,7 @@
 // allot proposes any change; a grant is lowered only as its owner reports.
 func (o *oracle) allot(t *rapid.T, p fleet.PoolID) {
 	held := o.s.Permits["a"][p]
-	c := state.Allot{Team: "a", Pool: p, Granted: rapid.IntRange(0, 12).Draw(t, "granted"), Ceiling: rapid.IntRange(0, 12).Draw(t, "ceiling"), Revision: held.Revision, Epoch: o.s.Owners[p].Epoch}
+	c := state.Allot{Customer: "a", Pool: p, Granted: rapid.IntRange(0, 12).Draw(t, "granted"), Ceiling: rapid.IntRange(0, 12).Draw(t, "ceiling"), Revision: held.Revision, Epoch: o.s.Owners[p].Epoch}
 	if c.Granted < held.Granted && (o.running[p] > c.Granted || c.Granted < held.Ceiling) {
 		return
 	}
@@ -147,7 +147,7 @@
 	}
 }
 
-// startTask starts a task where the permit allows it; then the whole team must be within its limit.
+// startTask starts a task where the permit allows it; then the whole customer must be within its limit.
 func (o *oracle) startTask(t *rapid.T, p fleet.PoolID) {
 	if o.running[p] >= o.s.Permits["a"][p].Usable() {
 		return
@@ -169,7 +169,7 @@
 	attempt := fleet.AttemptID(fmt.Sprint("t", o.index))
 	switch rapid.IntRange(0, 2).Draw(t, "step") {
 	case 0:
-		o.run(t, state.Open{Claim: state.Claim{Key: key, Request: request, Team: "a"}})
+		o.run(t, state.Open{Claim: state.Claim{Key: key, Request: request, Customer: "a"}})
 	case 1:
 		if o.run(t, state.Dispatch{Key: key, Request: request, Attempt: attempt}).Err() == nil {
 			o.runs[fleet.RequestID(key)]++
@@ -183,7 +183,7 @@
 
 func (o *oracle) grant(t *rapid.T) {
 	id := state.KeyID(rapid.SampledFrom([]string{"x", "y"}).Draw(t, "key"))
-	o.run(t, state.GrantKey{ID: id, Hash: state.HashKey(string(id)), Team: "a"})
+	o.run(t, state.GrantKey{ID: id, Hash: state.HashKey(string(id)), Customer: "a"})
 }
 
 func (o *oracle) withdraw(t *rapid.T) {
--- a/internal/tracer/tracer.go
+++ b/internal/tracer/tracer.go
@@ -77,11 +77,11 @@
 
 // Event is one input.
 type Event struct {
-	AtMillis int64           `json:"at"`
-	Kind     EventKind       `json:"kind"`
-	Request  fleet.RequestID `json:"request,omitempty"`
-	Queue    fleet.QueueID   `json:"queue,omitempty"`
-	Team     fleet.TeamID    `json:"team,omitempty"`
+	AtMillis int64            `json:"at"`
+	Kind     EventKind        `json:"kind"`
+	Request  fleet.RequestID  `json:"request,omitempty"`
+	Queue    fleet.QueueID    `json:"queue,omitempty"`
+	Customer fleet.CustomerID `json:"customer,omitempty"`
 	// RunMillis is how long the task really runs, TimeoutMillis how long its caller waits.
 	RunMillis     int64 `json:"run,omitempty"`
 	TimeoutMillis int64 `json:"timeout,omitempty"`
--- a/pkg/composer/composer.go
+++ b/pkg/composer/composer.go
@@ -56,10 +56,10 @@
 	}
 }
 
-// Team adds a team with its share of a full fleet and its upper limit of running tasks.
-func Team(name string, share float64, limit int) Option {
+// Customer adds a customer with its share of a full fleet and its upper limit of running tasks.
+func Customer(name string, share float64, limit int) Option {
 	return func(c *Composer) {
-		c.configuration.Teams = append(c.configuration.Teams, configuration.Team{Name: fleet.TeamID(name), Share: share, Limit: limit})
+		c.configuration.Customers = append(c.configuration.Customers, configuration.Customer{Name: fleet.CustomerID(name), Share: share, Limit: limit})
 	}
 }
 
@@ -80,10 +80,10 @@
 // QueueOption sets a property of a queue.
 type QueueOption func(*configuration.Queue)
 
-// Queue adds a queue of a team that is served by a pool.
-func Queue(name, pool, team string, options ...QueueOption) Option {
+// Queue adds a queue of a customer that is served by a pool.
+func Queue(name, pool, customer string, options ...QueueOption) Option {
 	return func(c *Composer) {
-		q := configuration.Queue{Name: fleet.QueueID(name), Pool: fleet.PoolID(pool), Team: fleet.TeamID(team)}
+		q := configuration.Queue{Name: fleet.QueueID(name), Pool: fleet.PoolID(pool), Customer: fleet.CustomerID(customer)}
 		for _, o := range options {
 			o(&q)
 		}
@@ -91,7 +91,7 @@
 	}
 }
 
-// OpenQueue adds a queue that serves every team.
+// OpenQueue adds a queue that serves every customer.
 func OpenQueue(name, pool string, options ...QueueOption) Option {
 	return Queue(name, pool, "", append(options, func(q *configuration.Queue) { q.Open = true })...)
 }
--- a/pkg/composer/composer_test.go
+++ b/pkg/composer/composer_test.go
@@ -16,7 +16,7 @@
 func ExampleNew() {
 	c := composer.New("lowell", 1,
 		composer.DataCentre("lowell-1", "new-england"),
-		composer.Team("quality-lab", 2, 40),
+		composer.Customer("quality-lab", 2, 40),
 		composer.Pool("cure", 6),
 		composer.SparePool("office", 2),
 		composer.Queue("cure-check", "cure", "quality-lab", composer.Urgent(), composer.Repeatable(), composer.Timeout(20*time.Second)),
@@ -28,7 +28,7 @@
 	// data-centres:
 	// - name: lowell-1
 	//   region: new-england
-	// teams:
+	// customers:
 	// - name: quality-lab
 	//   share: 2.0
 	//   limit: 40
@@ -41,7 +41,7 @@
 	// queues:
 	// - name: cure-check
 	//   pool: cure
-	//   team: quality-lab
+	//   customer: quality-lab
 	//   urgent: true
 	//   repeatable: true
 	//   timeout: 20s
@@ -57,8 +57,8 @@
 	for _, d := range c.DataCentres {
 		out.Add(composer.DataCentre(string(d.Name), d.Region))
 	}
-	for _, x := range c.Teams {
-		out.Add(composer.Team(string(x.Name), x.Share, x.Limit))
+	for _, x := range c.Customers {
+		out.Add(composer.Customer(string(x.Name), x.Share, x.Limit))
 	}
 	for _, p := range c.Pools {
 		if p.Spare {
@@ -78,7 +78,7 @@
 		if q.Open {
 			out.Add(composer.OpenQueue(string(q.Name), string(q.Pool), options...))
 		} else {
-			out.Add(composer.Queue(string(q.Name), string(q.Pool), string(q.Team), options...))
+			out.Add(composer.Queue(string(q.Name), string(q.Pool), string(q.Customer), options...))
 		}
 	}
 	for _, p := range c.Peaks {
