--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -80,7 +80,7 @@
 	flags.StringVar(&c.url, "entry", "http://127.0.0.1:8080", "URL of an entry")
 	flags.StringVar(&c.keyFile, "operator-key-file", "", "file that holds the operators' key")
 	flags.StringVarP(&c.output, "output", "o", "table", "output format: table, yaml or json")
-	root.AddCommand(c.serve(), c.demo(), c.validate(), c.apply(), c.get(), c.key(), c.instance(), c.maintenance(), c.member(), c.status(), c.explain(), c.replay(), c.trace(), c.standIn(), c.load())
+	root.AddCommand(c.serve(), c.role("entry", "Run a process that serves callers on a platform."), c.role("keeper", "Run a process that keeps the state and decides on a platform."), c.demo(), c.validate(), c.apply(), c.get(), c.key(), c.instance(), c.maintenance(), c.member(), c.status(), c.explain(), c.replay(), c.trace(), c.standIn(), c.load())
 	for _, sub := range root.Commands() {
 		checkArgs(sub)
 	}
--- /dev/null
+++ b/internal/commander/deploy.go
@@ -0,0 +1,64 @@
+package commander
+
+import (
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/sapphiresail/sapphiresail/internal/linewriter"
+	"github.com/sapphiresail/sapphiresail/internal/process"
+)
+
+// settingsVariable names the settings file where no flag does.
+const settingsVariable = "SAPPHIRESAIL_SETTINGS"
+
+// role runs a process of a deployment until it is told to stop.
+func (c *Commander) role(name, short string) *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use: name, Short: short, Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if file == "" {
+				file = os.Getenv(settingsVariable)
+			}
+			if file == "" {
+				return usageError{errors.New("name a settings file with --settings or " + settingsVariable)}
+			}
+			out := linewriter.New(os.Stdout)
+			defer func() { _ = out.Close() }()
+			return runProcess(cmd, file, structuredLogger(out))
+		},
+	}
+	cmd.Flags().StringVar(&file, "settings", "", "settings file")
+	return cmd
+}
+
+func structuredLogger(out *linewriter.Writer) *zap.Logger {
+	encoding := zap.NewProductionEncoderConfig()
+	encoding.EncodeTime = zapcore.EpochMillisTimeEncoder
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoding), out, zapcore.InfoLevel))
+}
+
+func runProcess(cmd *cobra.Command, file string, logger *zap.Logger) error {
+	p, err := process.Start(file, logger)
+	if err != nil {
+		logger.Error("process did not start", zap.Error(err))
+		return err
+	}
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	for {
+		select {
+		case <-reload:
+			p.Reload()
+		case <-cmd.Context().Done():
+			return p.Shutdown()
+		}
+	}
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -64,6 +64,30 @@
 	InstanceProbed  = define(224, "instance released from isolation", "instance")
 )
 
+// Events of jobs.
+var (
+	LeaderFollowed     = define(400, "leader followed", "leader")
+	LeadershipBegun    = define(401, "leadership begun", "term", "jobs", "instances")
+	LeadershipEnded    = define(402, "leadership ended", "term", "reason")
+	SchedulingSettled  = define(403, "inherited runs accounted for", "term")
+	JobAccepted        = define(410, "job accepted", "job", "queue", "customer", "tasks", "version")
+	JobRefused         = define(411, "job refused", "job", "host", "path", "reason", "version")
+	JobCancelled       = define(412, "job cancelled", "job")
+	JobFailed          = define(413, "job failed", "job")
+	RunDecided         = define(420, "run decided", "what", "task", "run", "instance", "reason")
+	OrderAnswered      = define(421, "order answered", "order", "task", "run", "instance", "outcome", "took", "error")
+	LookMissed         = define(422, "look missed", "instance", "outcome", "error")
+	InstanceEnrolled   = define(423, "instance enrolled", "instance", "pool", "machine", "address")
+	InstanceDraining   = define(424, "instance draining", "instance", "left")
+	CataloguePublished = define(430, "catalogue published", "version", "sent-version")
+	CatalogueRefused   = define(431, "catalogue refused", "sent-version", "reason")
+	WaveOpened         = define(432, "wave opened", "wave", "machines", "at-once", "within")
+	MachineOrdered     = define(433, "machine order answered", "machine", "wave", "outcome", "error")
+	CallFailed         = define(440, "call failed", "subject", "host", "path", "reason", "took")
+	SettingsReloaded   = define(441, "settings reloaded", "seeds")
+	LinesDropped       = define(442, "log lines dropped", "count")
+)
+
 // Events of planning.
 var (
 	PermitAllotted    = define(300, "permit allotted", "customer", "pool", "granted", "ceiling", "reason")
--- /dev/null
+++ b/internal/forwarder/forwarder.go
@@ -0,0 +1,301 @@
+// Package forwarder carries the calls of callers, instances and operators to the leading keeper.
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/sapphiresail/sapphiresail/internal/event"
+	"github.com/sapphiresail/sapphiresail/internal/fault"
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/messenger"
+	"github.com/sapphiresail/sapphiresail/internal/workload"
+)
+
+// Kind is a kind of error of this package.
+type Kind uint8
+
+// Kinds of errors.
+const (
+	// KindNotSent calls reached no leader and changed nothing.
+	KindNotSent Kind = iota + 1
+	// KindUncertain calls may have been carried out.
+	KindUncertain
+)
+
+// Error names the kind.
+func (k Kind) Error() string { return [...]string{"none", "no leader was reached", "outcome is not known"}[k] }
+
+// Error is a failed operation of this package.
+type Error = fault.Error[Kind]
+
+// Topics of this package; those below 16 belong to the replicator.
+const (
+	TopicAsk messenger.Topic = iota + 200
+	TopicWho
+)
+
+// Subject is what a call is about.
+type Subject uint8
+
+// Subjects of calls.
+const (
+	SubmitJob Subject = iota + 1
+	CancelJob
+	InspectJob
+	CountJobs
+	Announce
+	Depart
+	Publish
+	FetchCatalogue
+	OpenWave
+	InspectWave
+)
+
+// Ask is one call.
+type Ask struct {
+	Subject   Subject             `cbor:"1,keyasint"`
+	Host      string              `cbor:"2,keyasint,omitempty"`
+	Path      string              `cbor:"3,keyasint,omitempty"`
+	Key       string              `cbor:"4,keyasint,omitempty"`
+	Job       *workload.Job       `cbor:"5,keyasint,omitempty"`
+	Instance  *workload.Instance  `cbor:"6,keyasint,omitempty"`
+	Catalogue *workload.Catalogue `cbor:"7,keyasint,omitempty"`
+	Source    []byte              `cbor:"8,keyasint,omitempty"`
+	Wave      *workload.Wave      `cbor:"9,keyasint,omitempty"`
+}
+
+// Verdict is what became of a call.
+type Verdict uint8
+
+// Verdicts on calls.
+const (
+	Done Verdict = iota + 1
+	// NotLeading means that nothing was done and another keeper may lead.
+	NotLeading
+	// Uncertain means that the call may yet be carried out.
+	Uncertain
+	UnknownQueue
+	UnknownJob
+	BadKey
+	Invalid
+	// Refused calls were not carried out and never will be.
+	Refused
+)
+
+// Answer is the answer to a call.
+type Answer struct {
+	Verdict  Verdict        `cbor:"1,keyasint"`
+	Phase    workload.Phase `cbor:"2,keyasint,omitempty"`
+	Pending  int            `cbor:"3,keyasint,omitempty"`
+	Source   []byte         `cbor:"4,keyasint,omitempty"`
+	Detail   string         `cbor:"5,keyasint,omitempty"`
+	Finished bool           `cbor:"6,keyasint,omitempty"`
+	// Leader is the keeper that leads, as far as the answering one knows.
+	Leader fleet.EntryID `cbor:"7,keyasint,omitempty"`
+	// RetryAfter tells a refused caller when to return.
+	RetryAfter time.Duration `cbor:"8,keyasint,omitempty"`
+}
+
+// Standing tells who leads.
+type Standing struct {
+	Leads   bool            `cbor:"1,keyasint,omitempty"`
+	Leader  fleet.EntryID   `cbor:"2,keyasint,omitempty"`
+	Keepers []fleet.EntryID `cbor:"3,keyasint,omitempty"`
+	// Ready is set once a catalogue is in force.
+	Ready bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Timing of calls to the leader.
+const (
+	attemptTimeout = 900 * time.Millisecond // a commit takes two syncs of up to 30 ms; an election takes longer anyway
+	attemptPause   = 40 * time.Millisecond  // a leader is elected within two seconds, so callers hardly wait for the pause
+	watchInterval  = 500 * time.Millisecond // an idle entry costs two small calls a second
+	whoTimeout     = 400 * time.Millisecond // a hundred round trips
+	freshFor       = 3 * time.Second        // an entry without contact for longer takes no callers
+)
+
+// Forwarder finds the leader and calls it.
+type Forwarder struct {
+	self      fleet.EntryID
+	messenger *messenger.Messenger
+	logger    *zap.Logger
+	ctx       context.Context
+	cancel    context.CancelFunc
+	wait      sync.WaitGroup
+
+	mutex   sync.Mutex
+	keepers []fleet.EntryID
+	leader  fleet.EntryID
+	heard   time.Time
+	ready   bool
+}
+
+// Start follows the leader among the keepers until Close.
+func Start(self fleet.EntryID, m *messenger.Messenger, keepers []fleet.EntryID, logger *zap.Logger) *Forwarder {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &Forwarder{self: self, messenger: m, logger: logger, ctx: ctx, cancel: cancel, keepers: slices.Clone(keepers)}
+	f.wait.Go(f.watch)
+	return f
+}
+
+// Close stops following and waits.
+func (f *Forwarder) Close() error {
+	f.cancel()
+	f.wait.Wait()
+	return nil
+}
+
+// AddKeepers names further keepers.
+func (f *Forwarder) AddKeepers(keepers []fleet.EntryID) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, k := range keepers {
+		if k != "" && !slices.Contains(f.keepers, k) {
+			f.keepers = append(f.keepers, k)
+		}
+	}
+}
+
+// Leader returns the keeper that led when last heard of.
+func (f *Forwarder) Leader() fleet.EntryID {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.leader
+}
+
+// Ready reports whether a leader with a catalogue was heard of lately.
+func (f *Forwarder) Ready() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.ready && time.Since(f.heard) < freshFor
+}
+
+func (f *Forwarder) watch() {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		f.locate()
+		select {
+		case <-f.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// locate asks the leader whether it still leads, and all keepers where it does not answer.
+func (f *Forwarder) locate() {
+	if leader := f.Leader(); leader != "" && f.who(leader) {
+		return
+	}
+	f.mutex.Lock()
+	keepers := slices.Clone(f.keepers)
+	f.mutex.Unlock()
+	var calls sync.WaitGroup
+	for _, k := range keepers {
+		if k != f.self {
+			calls.Go(func() { f.who(k) })
+		}
+	}
+	calls.Wait()
+}
+
+func (f *Forwarder) who(keeper fleet.EntryID) bool {
+	ctx, cancel := context.WithTimeout(f.ctx, whoTimeout)
+	defer cancel()
+	var s Standing
+	if err := f.messenger.Call(ctx, keeper, TopicWho, true, &s); err != nil {
+		return false
+	}
+	f.AddKeepers(s.Keepers)
+	if !s.Leads {
+		return false
+	}
+	f.mutex.Lock()
+	changed := f.leader != keeper
+	f.leader = keeper
+	f.heard = time.Now()
+	f.ready = f.ready || s.Ready
+	f.mutex.Unlock()
+	if changed {
+		event.LeaderFollowed.Info(f.logger, zap.String("leader", string(keeper)))
+	}
+	return true
+}
+
+// next returns the keeper to try, the leader first.
+func (f *Forwarder) next(tried fleet.EntryID) fleet.EntryID {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.leader != "" && f.leader != tried {
+		return f.leader
+	}
+	if len(f.keepers) == 0 {
+		return ""
+	}
+	i := slices.Index(f.keepers, tried)
+	for n := 1; n <= len(f.keepers); n++ {
+		if k := f.keepers[(i+n+len(f.keepers))%len(f.keepers)]; k != f.self {
+			return k
+		}
+	}
+	return ""
+}
+
+func (f *Forwarder) follow(leader fleet.EntryID) {
+	if leader == "" {
+		return
+	}
+	f.AddKeepers([]fleet.EntryID{leader})
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.leader = leader
+}
+
+// Call carries a call to the leader and tries again elsewhere until ctx ends; all calls may be repeated.
+func (f *Forwarder) Call(ctx context.Context, ask Ask) (Answer, error) {
+	kind := KindNotSent
+	target := f.Leader()
+	if target == "" {
+		target = f.next("")
+	}
+	for {
+		answer, err := f.attempt(ctx, target, ask)
+		switch {
+		case errors.Is(err, messenger.KindUnsent):
+		case err != nil:
+			kind = KindUncertain
+		case answer.Verdict == Uncertain:
+			kind = KindUncertain
+		case answer.Verdict != NotLeading:
+			return answer, nil
+		default:
+			f.follow(answer.Leader)
+		}
+		select {
+		case <-ctx.Done():
+			return Answer{}, &Error{Op: "call", Kind: kind, Err: ctx.Err()}
+		case <-f.ctx.Done():
+			return Answer{}, &Error{Op: "call", Kind: kind, Err: f.ctx.Err()}
+		case <-time.After(attemptPause):
+		}
+		target = f.next(target)
+	}
+}
+
+func (f *Forwarder) attempt(ctx context.Context, target fleet.EntryID, ask Ask) (Answer, error) {
+	if target == "" {
+		return Answer{Verdict: NotLeading}, nil
+	}
+	calling, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	var a Answer
+	err := f.messenger.Call(calling, target, TopicAsk, ask, &a)
+	return a, err
+}
--- /dev/null
+++ b/internal/linewriter/linewriter.go
@@ -0,0 +1,77 @@
+// Package linewriter writes log lines without ever blocking their writer: it drops and counts what the reader is too slow for.
+package linewriter
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+)
+
+const queueLength = 2048 // about two seconds of a busy leader's lines, half a megabyte
+
+// Writer hands lines to a slow writer through a bounded queue.
+type Writer struct {
+	out     io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+	done    chan struct{}
+	once    sync.Once
+}
+
+// New returns a writer to out; Close writes what is queued.
+func New(out io.Writer) *Writer {
+	w := &Writer{out: out, lines: make(chan []byte, queueLength), done: make(chan struct{})}
+	go w.run()
+	return w
+}
+
+// Write queues a line, or drops it when the queue is full.
+func (w *Writer) Write(line []byte) (int, error) {
+	select {
+	case w.lines <- bytes.Clone(line):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Sync does nothing, because a caller must not wait for the reader.
+func (w *Writer) Sync() error { return nil }
+
+// Dropped returns how many lines were dropped.
+func (w *Writer) Dropped() int64 { return w.dropped.Load() }
+
+func (w *Writer) run() {
+	defer close(w.done)
+	reported := int64(0)
+	for line := range w.lines {
+		if _, err := w.out.Write(w.gather(line)); err != nil {
+			w.dropped.Add(1) // nobody reads; go on so that the queue stays empty
+		}
+		if n := w.dropped.Load(); n > reported {
+			reported = n
+			_, _ = fmt.Fprintf(w.out, `{"level":"warn","msg":"log lines dropped","event":442,"count":%d}`+"\n", n)
+		}
+	}
+}
+
+// gather appends the lines that wait behind the first, so that one call writes many.
+func (w *Writer) gather(line []byte) []byte {
+	for range len(w.lines) {
+		next, ok := <-w.lines
+		if !ok {
+			break
+		}
+		line = append(line, next...)
+	}
+	return line
+}
+
+// Close writes the queued lines and waits; nothing may be written afterwards.
+func (w *Writer) Close() error {
+	w.once.Do(func() { close(w.lines) })
+	<-w.done
+	return nil
+}
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -28,11 +28,13 @@
 	KindRemote
 	KindClosed
 	KindListen
+	// KindUnsent messages never left this process.
+	KindUnsent
 )
 
 // Error names the kind.
 func (k Kind) Error() string {
-	return [...]string{"none", "peer cannot be reached", "peer refused", "messenger is closed", "cannot listen"}[k]
+	return [...]string{"none", "peer cannot be reached", "peer refused", "messenger is closed", "cannot listen", "message was not sent"}[k]
 }
 
 // Error is a failed operation of this package.
@@ -46,9 +48,9 @@
 
 // Limits of connections.
 const (
-	dialTimeout   = 2 * time.Second
-	idleTimeout   = 4 * time.Second
-	keepAlive     = time.Second
+	dialTimeout   = time.Second            // a handshake takes two round trips of milliseconds
+	idleTimeout   = 2 * time.Second        // finds a silent link within the time that peers allow for contact
+	keepAlive     = 700 * time.Millisecond // two lost keep-alives leave the link up
 	redialPause   = 200 * time.Millisecond
 	queueLength   = 4096
 	maxFrameBytes = 16 << 20
@@ -74,6 +76,7 @@
 	peers    map[fleet.EntryID]*peer
 	handlers map[Topic]Handler
 	blocked  map[fleet.EntryID]bool
+	resolver func(fleet.EntryID) (string, bool)
 	sent     metrics.Counter
 	received metrics.Counter
 }
@@ -143,6 +146,13 @@
 	m.peers[id] = m.startPeer(id, address)
 }
 
+// Resolve sets a function that finds the address of a peer that was not set.
+func (m *Messenger) Resolve(resolver func(fleet.EntryID) (string, bool)) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.resolver = resolver
+}
+
 // Block drops all traffic with a peer while on; tests and the demo use it to cut links.
 func (m *Messenger) Block(id fleet.EntryID, on bool) {
 	m.mutex.Lock()
@@ -175,13 +185,13 @@
 	}
 	p, ok := m.peer(to)
 	if !ok {
-		return fault.New("call", KindUnreachable, "%s has no known address", to)
+		return unsent("%s has no known address", to)
 	}
 	id := m.nextCall.Add(1)
 	answer := p.register(id)
 	defer p.forget(id)
 	if !p.offer(frame{ID: id, Topic: topic, Payload: payload}) {
-		return fault.New("call", KindUnreachable, "%s: the queue is full or the link is down", to)
+		return unsent("%s: the queue is full or the link is down", to)
 	}
 	select {
 	case f := <-answer:
@@ -194,6 +204,11 @@
 	}
 }
 
+// unsent returns the error of a call that certainly never left this process.
+func unsent(format string, to fleet.EntryID) error {
+	return &Error{Op: "call", Kind: KindUnreachable, Err: fault.New("send", KindUnsent, format, to)}
+}
+
 func finish(f frame, reply any) error {
 	if f.Lost {
 		return fault.New("call", KindUnreachable, "the link was lost")
@@ -214,7 +229,16 @@
 		return nil, false
 	}
 	p, ok := m.peers[id]
-	return p, ok
+	if ok || m.resolver == nil || id == m.self || m.ctx.Err() != nil {
+		return p, ok
+	}
+	address, found := m.resolver(id)
+	if !found {
+		return nil, false
+	}
+	p = m.startPeer(id, address)
+	m.peers[id] = p
+	return p, true
 }
 
 func (m *Messenger) handler(topic Topic) Handler {
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,282 @@
+// Package process assembles the processes of a deployment: entries, which serve callers, and keepers, which decide.
+package process
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/sapphiresail/sapphiresail/internal/event"
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/forwarder"
+	"github.com/sapphiresail/sapphiresail/internal/identity"
+	"github.com/sapphiresail/sapphiresail/internal/journaler"
+	"github.com/sapphiresail/sapphiresail/internal/messenger"
+	"github.com/sapphiresail/sapphiresail/internal/replicator"
+	"github.com/sapphiresail/sapphiresail/internal/settings"
+	"github.com/sapphiresail/sapphiresail/internal/supervisor"
+	"github.com/sapphiresail/sapphiresail/platform"
+)
+
+// Timing of processes.
+const (
+	leaseShare    = 0.9                     // a tenth of the longest lease is left for the delivery of an order
+	retainJobs    = 150 * time.Second       // callers may ask for two minutes after a job is over
+	reloadPause   = time.Second             // a changed settings file is found within a second
+	balancerNotes = 2300 * time.Millisecond // the balancer asks every second and needs two misses
+	handOverWait  = 400 * time.Millisecond  // keepers elect the next leader within this when they are asked to
+	stopMargin    = 700 * time.Millisecond
+)
+
+// Process is one running process of a deployment.
+type Process struct {
+	settings   settings.Deployment
+	file       string
+	logger     *zap.Logger
+	messenger  *messenger.Messenger
+	journal    *journaler.Journaler
+	replicator *replicator.Replicator
+	supervisor *supervisor.Supervisor
+	forwarder  *forwarder.Forwarder
+	servers    []*platform.Server
+	ctx        context.Context
+	cancel     context.CancelFunc
+	watching   chan struct{}
+	stopping   chan struct{}
+	closing    []io.Closer
+}
+
+// Start runs the process that the settings file describes until Close.
+func Start(file string, logger *zap.Logger) (*Process, error) {
+	d, err := settings.LoadDeployment(file)
+	if err != nil {
+		return nil, err
+	}
+	p := &Process{settings: *d, file: file, logger: logger.With(zap.String("entry", d.Process)), watching: make(chan struct{}), stopping: make(chan struct{})}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	if err := p.start(); err != nil {
+		close(p.watching)
+		return nil, errors.Join(err, p.Close())
+	}
+	go p.watchSettings()
+	event.ProcessStarted.Info(p.logger, zap.String("data-centre", string(d.DataCentre)), zap.String("http-address", d.Callers+d.Control),
+		zap.String("peer-address", p.messenger.Address()), zap.Bool("keeper", d.DataFolder != ""))
+	return p, nil
+}
+
+// Self returns the name of this process among its peers.
+func (p *Process) self() fleet.EntryID { return fleet.EntryID(p.settings.Address) }
+
+func (p *Process) start() error {
+	id, err := identity.New(string(p.self()), p.settings.FleetKey)
+	if err != nil {
+		return err
+	}
+	registry := metrics.NewRegistry()
+	address := net.JoinHostPort(p.settings.Address, strconv.Itoa(p.settings.PeerPort))
+	if p.messenger, err = messenger.New(id, address, registry); err != nil {
+		return err
+	}
+	p.closing = append(p.closing, p.messenger)
+	p.messenger.Resolve(func(id fleet.EntryID) (string, bool) {
+		return net.JoinHostPort(string(id), strconv.Itoa(p.settings.PeerPort)), net.ParseIP(string(id)) != nil
+	})
+	if p.settings.DataFolder != "" {
+		if err := p.startKeeper(registry); err != nil {
+			return err
+		}
+	}
+	p.forwarder = forwarder.Start(p.self(), p.messenger, p.settings.SeedEntries(), p.logger)
+	p.closing = append(p.closing, p.forwarder)
+	return p.serve()
+}
+
+// startKeeper runs the member of the consensus group and the supervisor on it.
+func (p *Process) startKeeper(registry metrics.Registry) error {
+	var err error
+	if p.journal, err = journaler.Open(p.settings.DataFolder); err != nil {
+		return err
+	}
+	p.closing = append(p.closing, p.journal)
+	var founders []fleet.EntryID
+	if p.settings.FirstStart {
+		founders = p.settings.SeedEntries()
+	}
+	p.replicator, err = replicator.Start(replicator.Options{
+		Entry: p.self(), Messenger: p.messenger, Journal: p.journal, Keepers: founders, Peers: p.settings.SeedEntries(),
+		Logger: p.logger, Voters: p.settings.Voters,
+	})
+	if err != nil {
+		return err
+	}
+	p.closing = append(p.closing, p.replicator)
+	client := platform.NewClient(p.settings.PlatformAddress)
+	p.closing = append(p.closing, client)
+	p.supervisor = supervisor.Start(supervisor.Options{
+		Entry: p.self(), Replica: p.replicator, Instances: client, Machines: client,
+		Lease: time.Duration(leaseShare * float64(p.settings.Lease())), MaxLease: p.settings.Lease(), Retain: retainJobs,
+		Logger: p.logger, Metrics: registry,
+	})
+	p.closing = append(p.closing, p.supervisor)
+	p.messenger.Handle(forwarder.TopicAsk, p.takeAsk)
+	p.messenger.Handle(forwarder.TopicWho, p.takeWho)
+	return nil
+}
+
+func (p *Process) takeAsk(ctx context.Context, _ fleet.EntryID, payload []byte) (any, error) {
+	var ask forwarder.Ask
+	if err := messenger.Codec.Decode(payload, &ask); err != nil {
+		return nil, fmt.Errorf("read call: %w", err)
+	}
+	a := p.supervisor.Answer(ctx, ask)
+	if a.Verdict == forwarder.NotLeading {
+		a.Leader = p.replicator.Status().Leader
+	}
+	return a, nil
+}
+
+func (p *Process) takeWho(context.Context, fleet.EntryID, []byte) (any, error) {
+	leads, ready := p.supervisor.Leads()
+	return forwarder.Standing{Leads: leads, Leader: p.replicator.Status().Leader, Keepers: p.replicator.Peers(), Ready: ready}, nil
+}
+
+// Call answers a call here where this process leads, and at the leader otherwise.
+func (p *Process) Call(ctx context.Context, ask forwarder.Ask) (forwarder.Answer, error) {
+	if p.supervisor != nil {
+		a := p.supervisor.Answer(ctx, ask)
+		switch a.Verdict {
+		case forwarder.NotLeading:
+		case forwarder.Uncertain:
+			return a, &forwarder.Error{Op: "call", Kind: forwarder.KindUncertain}
+		default:
+			return a, nil
+		}
+	}
+	return p.forwarder.Call(ctx, ask)
+}
+
+func (p *Process) serve() error {
+	if p.settings.Callers != "" {
+		if err := p.listen(p.settings.Callers, func() (*platform.Server, error) {
+			return platform.Serve(p.settings.Callers, platform.Callers(p, p.logger), p.logger)
+		}); err != nil {
+			return err
+		}
+	}
+	if p.settings.Readiness != "" {
+		if err := p.listen(p.settings.Readiness, func() (*platform.Server, error) {
+			return platform.Serve(p.settings.Readiness, platform.Readiness(p.ready), p.logger)
+		}); err != nil {
+			return err
+		}
+	}
+	if p.settings.Control == "" {
+		return nil
+	}
+	_, port, err := net.SplitHostPort(p.settings.Control)
+	if err != nil {
+		return fmt.Errorf("control: %w", err)
+	}
+	return p.listen(p.settings.Control, func() (*platform.Server, error) {
+		return platform.Serve(p.settings.Control, platform.Control(p, port, p.logger), p.logger)
+	})
+}
+
+func (p *Process) listen(_ string, serve func() (*platform.Server, error)) error {
+	s, err := serve()
+	if err != nil {
+		return err
+	}
+	p.servers = append(p.servers, s)
+	p.closing = append(p.closing, s)
+	return nil
+}
+
+// ready reports whether the balancer may send callers here.
+func (p *Process) ready() bool {
+	select {
+	case <-p.stopping:
+		return false
+	default:
+		return p.forwarder.Ready()
+	}
+}
+
+// watchSettings takes new seeds from the settings file as it changes.
+func (p *Process) watchSettings() {
+	defer close(p.watching)
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-time.After(reloadPause):
+			p.Reload()
+		}
+	}
+}
+
+// Reload takes new seeds from the settings file.
+func (p *Process) Reload() {
+	d, err := settings.LoadDeployment(p.file)
+	if err != nil {
+		p.logger.Warn("settings not reloaded", zap.Error(err))
+		return
+	}
+	if fmt.Sprint(d.Seeds) == fmt.Sprint(p.settings.Seeds) {
+		return
+	}
+	p.settings.Seeds = d.Seeds
+	event.SettingsReloaded.Info(p.logger, zap.Strings("seeds", d.Seeds))
+	p.forwarder.AddKeepers(d.SeedEntries())
+	if p.replicator != nil {
+		p.replicator.AddPeers(d.SeedEntries())
+	}
+}
+
+// Shutdown leaves the balancer and hands the lead over, answers open calls, then closes.
+func (p *Process) Shutdown() error {
+	event.ProcessStopping.Info(p.logger, zap.String("reason", "asked to stop"))
+	grace := time.Duration(p.settings.Grace*float64(time.Second)) - stopMargin
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	close(p.stopping)
+	if p.replicator != nil {
+		p.replicator.HandOver()
+		p.sleep(ctx, handOverWait)
+	}
+	if p.settings.Callers != "" {
+		p.sleep(ctx, balancerNotes)
+	}
+	var errs []error
+	for _, s := range p.servers {
+		errs = append(errs, s.Drain(ctx))
+	}
+	return errors.Join(append(errs, p.Close())...)
+}
+
+func (p *Process) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// Close stops all parts and waits for them.
+func (p *Process) Close() error {
+	p.cancel()
+	<-p.watching
+	var errs []error
+	for i := len(p.closing) - 1; i >= 0; i-- {
+		errs = append(errs, p.closing[i].Close())
+	}
+	p.closing = nil
+	event.ProcessStopped.Info(p.logger)
+	return errors.Join(errs...)
+}
--- a/internal/raft/lease.go
+++ b/internal/raft/lease.go
@@ -26,15 +26,18 @@
 }
 
 // LeaseValid reports whether no other leader can exist at clock now.
-func (r *Raft) LeaseValid(now time.Duration) bool {
+func (r *Raft) LeaseValid(now time.Duration) bool { return now < r.LeaseUntil() }
+
+// LeaseUntil returns the moment until which no other leader can exist, or zero for a member that does not lead.
+func (r *Raft) LeaseUntil() time.Duration {
 	if r.role != Leader || r.transfer != "" {
-		return false
+		return 0
 	}
 	if t, _ := r.log.term(r.hard.Commit); t != r.hard.Term {
-		return false
+		return 0
 	}
 	span := time.Duration(float64(r.election) * (1 - 2*r.drift))
-	return now < r.quorumStamp()+span
+	return r.quorumStamp() + span
 }
 
 // grant returns the echo that renews the peer's state lease, or zero when no lease may be granted.
--- a/internal/replicator/loop.go
+++ b/internal/replicator/loop.go
@@ -38,6 +38,7 @@
 func (r *Replicator) tick() {
 	now := r.clock()
 	r.core.Tick(now)
+	r.recruit(now)
 	if r.core.Role() == raft.Leader || now-r.lastHello < helloInterval {
 		return
 	}
@@ -66,6 +67,9 @@
 	for id := range r.state.Members {
 		names[id] = true
 	}
+	for _, v := range r.core.Voters() {
+		names[EntryOf(v)] = true
+	}
 	delete(names, r.options.Entry)
 	list := make([]fleet.EntryID, 0, len(names))
 	for n := range names {
@@ -222,6 +226,7 @@
 func (r *Replicator) publish() {
 	r.noteRole()
 	r.noteLease()
+	r.noteLead()
 	now := r.clock()
 	s := &Status{
 		Entry: r.options.Entry, Incarnation: string(r.id), Role: r.core.Role().String(), Term: r.core.Term(),
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/sapphiresail/sapphiresail/internal/bootclock"
 	"github.com/sapphiresail/sapphiresail/internal/event"
 	"github.com/sapphiresail/sapphiresail/internal/fault"
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
@@ -71,13 +72,15 @@
 	// Peers are all other processes that may know the leader.
 	Peers  []fleet.EntryID
 	Logger *zap.Logger
+	// Voters is how many voters the leader recruits by itself; zero leaves the membership to operators.
+	Voters int
 }
 
 // Replicator is a running member.
 type Replicator struct {
 	options Options
 	id      raft.ID
-	start   time.Time
+	start   time.Duration
 	core    *raft.Raft
 	inbox   chan input
 	ctx     context.Context
@@ -86,6 +89,7 @@
 	waiters map[uint64]waiter
 
 	lastHello    time.Duration
+	lastRecruit  time.Duration
 	lastSnapshot uint64
 	role         raft.Role
 	leaderSeen   raft.ID
@@ -95,6 +99,7 @@
 	applied uint64
 	changed chan struct{}
 	lease   atomic.Int64
+	lead    atomic.Pointer[leadership]
 	status  atomic.Pointer[Status]
 	failed  atomic.Pointer[error]
 }
@@ -126,7 +131,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Replicator{
 		options: o,
-		start:   time.Now(),
+		start:   bootclock.Now(),
 		inbox:   make(chan input, inboxLength),
 		ctx:     ctx,
 		cancel:  cancel,
@@ -193,7 +198,8 @@
 	return fleet.EntryID(name)
 }
 
-func (r *Replicator) clock() time.Duration { return time.Since(r.start) + time.Nanosecond }
+// clock counts suspended time, because leases must run out while the instance is suspended.
+func (r *Replicator) clock() time.Duration { return bootclock.Now() - r.start + time.Nanosecond }
 
 // View calls read with the applied state, which must not be changed or kept.
 func (r *Replicator) View(read func(s *state.State)) {
@@ -227,7 +233,7 @@
 
 // Close stops the member and waits for its loop; a leader hands over first.
 func (r *Replicator) Close() error {
-	r.handOver()
+	r.HandOver()
 	r.Kill()
 	return nil
 }
@@ -238,7 +244,8 @@
 	<-r.done
 }
 
-func (r *Replicator) handOver() {
+// HandOver asks another voter to lead and waits until it does or an election would be over.
+func (r *Replicator) HandOver() {
 	if !r.Status().Leading {
 		return
 	}
--- /dev/null
+++ b/internal/scheduler/job.go
@@ -0,0 +1,205 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/state"
+	"github.com/sapphiresail/sapphiresail/internal/workload"
+)
+
+// job is what the scheduler knows of one job.
+type job struct {
+	workload.Job
+	queue    fleet.QueueID
+	pool     fleet.PoolID
+	customer fleet.CustomerID
+	priority int
+	attempts int
+	// due is the end of the latency objective.
+	due       time.Duration
+	objective time.Duration
+	old       bool
+	over      bool
+	begun     bool
+	placed    int
+	left      int
+	rounds    []*round
+	parted    []workload.Step
+}
+
+// round is one occurrence of the steps of a job.
+type round struct {
+	dueWall int64
+	steps   []*stage
+}
+
+// stage is one step of a round.
+type stage struct {
+	step  int
+	tasks []task
+	done  int
+}
+
+// task is one task of a stage.
+type task struct {
+	run        *run
+	on         *instance
+	last       fleet.InstanceID
+	leftAt     time.Duration
+	done       bool
+	checkpoint string
+	failures   []workload.Run
+	notBefore  time.Duration
+}
+
+func (j *job) step(p workload.Place) *workload.Step { return &j.Steps[p.Step()] }
+
+func (j *job) stage(p workload.Place) *stage { return j.rounds[p.Occurrence()].steps[p.Step()] }
+
+func (j *job) task(p workload.Place) *task { return &j.stage(p).tasks[p.Index()] }
+
+// holds reports whether the job has a task at the place.
+func (j *job) holds(p workload.Place) bool {
+	return p.Occurrence() < len(j.rounds) && p.Step() < len(j.Steps) && p.Index() < j.Steps[p.Step()].Count
+}
+
+// AddJob takes a committed job; old jobs may already run somewhere.
+func (s *Scheduler) AddJob(now time.Duration, wall int64, r *state.JobRecord, old bool) {
+	s.now = now
+	s.wall = wall
+	if s.jobs[r.Job.ID] != nil || !r.Active() {
+		return
+	}
+	j := &job{Job: r.Job, queue: r.Queue, customer: r.Customer, attempts: defaultTries, old: old, left: r.Job.Tasks()}
+	for k := range r.Job.Occurrences() {
+		j.rounds = append(j.rounds, newRound(&j.Job, k))
+	}
+	s.route(j)
+	j.due = now - time.Duration(wall-int64(r.At))*time.Millisecond + j.objective
+	for p := range r.Done {
+		if j.holds(p) {
+			s.markDone(j, p)
+		}
+	}
+	for p, runs := range r.Failures {
+		if j.holds(p) {
+			j.task(p).failures = append(j.task(p).failures, runs...)
+		}
+	}
+	j.begun = len(r.Done) > 0 || len(r.Failures) > 0
+	s.jobs[j.ID] = j
+}
+
+func newRound(j *workload.Job, k int) *round {
+	r := &round{}
+	if j.Times > 0 {
+		r.dueWall = j.FirstDue + int64(k)*j.Interval.Milliseconds()
+	}
+	for i, st := range j.Steps {
+		r.steps = append(r.steps, &stage{step: i, tasks: make([]task, st.Count)})
+	}
+	return r
+}
+
+// route takes the pool, priority and objective of the job's queue; a job of a removed queue keeps them.
+func (s *Scheduler) route(j *job) {
+	q, ok := s.catalogue.Named(j.queue)
+	if !ok {
+		return
+	}
+	j.pool = q.Pool
+	j.priority = q.Priority
+	j.attempts = max(1, q.Attempts)
+	j.objective = time.Duration(q.Stretch*float64(chain(&j.Job))) + q.Objective
+}
+
+// chain returns the estimate of the longest chain of steps.
+func chain(j *workload.Job) time.Duration {
+	ends := make([]time.Duration, len(j.Steps))
+	longest := time.Duration(0)
+	for i, st := range j.Steps {
+		start := time.Duration(0)
+		for _, a := range st.After {
+			start = max(start, ends[a])
+		}
+		estimate := st.Estimate
+		if estimate == 0 {
+			estimate = fallbackChain
+		}
+		ends[i] = start + estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+func (s *Scheduler) markDone(j *job, p workload.Place) {
+	t := j.task(p)
+	if t.done {
+		return
+	}
+	t.done = true
+	j.stage(p).done++
+	j.left--
+}
+
+// Cancel stops a job.
+func (s *Scheduler) Cancel(now time.Duration, id workload.JobID) {
+	s.now = now
+	if j := s.jobs[id]; j != nil {
+		s.end(j, "cancelled")
+	}
+}
+
+// end stops all runs of a job that needs no more of them.
+func (s *Scheduler) end(j *job, reason string) {
+	j.over = true
+	for _, ro := range j.rounds {
+		for _, st := range ro.steps {
+			for i := range st.tasks {
+				if t := &st.tasks[i]; t.run != nil {
+					s.stop(t.on, t.run, reason)
+				}
+			}
+		}
+	}
+	s.sweepJob(j)
+}
+
+// sweepJob forgets a job once nothing of it can run any more.
+func (s *Scheduler) sweepJob(j *job) {
+	if j.over && j.placed == 0 {
+		delete(s.jobs, j.ID)
+	}
+}
+
+// Begun reports whether a task of the job has started; ok is false for a job that is not active.
+func (s *Scheduler) Begun(id workload.JobID) (begun, ok bool) {
+	j := s.jobs[id]
+	if j == nil {
+		return false, false
+	}
+	return j.begun, true
+}
+
+// Pending counts the jobs of a queue of which no task has started.
+func (s *Scheduler) Pending(queue fleet.QueueID) int {
+	n := 0
+	for _, j := range s.jobs {
+		if j.queue == queue && !j.begun && !j.over {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *Scheduler) keepCheckpoint(r *run) {
+	if !r.job.step(r.task.Place).Gang {
+		r.job.task(r.task.Place).checkpoint = r.saved
+		return
+	}
+	st := r.job.stage(r.task.Place)
+	for i := range st.tasks {
+		st.tasks[i].checkpoint = r.saved
+	}
+}
--- /dev/null
+++ b/internal/scheduler/place.go
@@ -0,0 +1,317 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/workload"
+)
+
+// class orders work of different kinds in a full pool.
+type class int
+
+const (
+	classServing class = iota
+	classTimely
+	classFilling
+	classLate
+	classHopeless
+)
+
+// candidate is a stage with tasks that wait for an instance.
+type candidate struct {
+	job   *job
+	round int
+	stage *stage
+	class class
+}
+
+// Tick makes all decisions that are due.
+func (s *Scheduler) Tick(now time.Duration, wall int64) {
+	s.now = now
+	s.wall = wall
+	s.age()
+	s.retryStops()
+	s.stopStandstills()
+	s.tickWaves()
+	s.place()
+}
+
+func (s *Scheduler) place() {
+	pools := s.openInstances()
+	for _, c := range s.candidates() {
+		if c.stage.isGang(c.job) {
+			s.placeGang(c, pools[c.job.pool])
+			continue
+		}
+		s.placeTasks(c, pools[c.job.pool])
+	}
+}
+
+func (s *Scheduler) openInstances() map[fleet.PoolID][]*instance {
+	pools := map[fleet.PoolID][]*instance{}
+	for _, in := range s.instances {
+		if s.open(in) {
+			pools[in.Pool] = append(pools[in.Pool], in)
+		}
+	}
+	for _, list := range pools {
+		slices.SortFunc(list, func(a, b *instance) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return pools
+}
+
+// candidates returns the stages that wait, in the order in which they are served: work that lasts, then what can
+// still meet its objective by priority and due time, then what is late.
+func (s *Scheduler) candidates() []candidate {
+	var list []candidate
+	for _, j := range s.jobs {
+		if j.over || j.old && !s.Settled() {
+			continue
+		}
+		for k, ro := range j.rounds {
+			if ro.dueWall > s.wall {
+				continue
+			}
+			for _, st := range ro.steps {
+				if st.done < len(st.tasks) && ro.ready(j, st.step) {
+					list = append(list, candidate{job: j, round: k, stage: st, class: s.classOf(j, st)})
+				}
+			}
+		}
+	}
+	slices.SortFunc(list, compareCandidates)
+	return list
+}
+
+func compareCandidates(a, b candidate) int {
+	return cmp.Or(
+		cmp.Compare(a.class, b.class),
+		cmp.Compare(a.job.priority, b.job.priority),
+		cmp.Compare(a.job.due, b.job.due),
+		cmp.Compare(a.job.ID, b.job.ID),
+		cmp.Compare(a.stage.step, b.stage.step),
+	)
+}
+
+func (s *Scheduler) classOf(j *job, st *stage) class {
+	step := j.Steps[st.step]
+	switch {
+	case step.Standing && step.Fills:
+		return classFilling
+	case step.Standing:
+		return classServing
+	case s.now < j.due:
+		return classTimely
+	case s.now < j.due+(lateFactor-1)*j.objective:
+		return classLate
+	default:
+		return classHopeless
+	}
+}
+
+// ready reports whether the steps before a step are done.
+func (ro *round) ready(j *job, step int) bool {
+	for _, a := range j.Steps[step].After {
+		if ro.steps[a].done < len(ro.steps[a].tasks) {
+			return false
+		}
+	}
+	return true
+}
+
+func (st *stage) isGang(j *job) bool { return j.Steps[st.step].Gang }
+
+func (s *Scheduler) placeTasks(c candidate, instances []*instance) {
+	for i := range c.stage.tasks {
+		t := &c.stage.tasks[i]
+		if t.done || t.run != nil || s.now < t.notBefore {
+			continue
+		}
+		if !s.inLimit(c.job, c.job.Steps[c.stage.step].Need) {
+			return
+		}
+		in := s.choose(c, t, instances)
+		if in == nil {
+			return
+		}
+		id := workload.TaskID{Job: c.job.ID, Place: workload.At(c.round, c.stage.step, i)}
+		r := &run{task: id, number: s.nextRun()}
+		s.start(in, c.job, r)
+		s.note("run placed", r, in, "room")
+	}
+}
+
+// inLimit reports whether a customer may have one more need running; an instance that was not seen yet may be full of its work.
+func (s *Scheduler) inLimit(j *job, n workload.Need) bool {
+	total := s.usage[j.customer].Add(n)
+	for id := range s.unsettled {
+		total = total.Add(s.instances[id].Capacity)
+	}
+	return total.Within(s.catalogue.Limit(j.customer))
+}
+
+// choose returns the instance that suits a task best, or nil.
+func (s *Scheduler) choose(c candidate, t *task, instances []*instance) *instance {
+	step := &c.job.Steps[c.stage.step]
+	var best *instance
+	bestScore := 0.0
+	for _, in := range instances {
+		if !in.admits(c, step) {
+			continue
+		}
+		score := in.score(c, step, t)
+		if best == nil || score > bestScore {
+			best, bestScore = in, score
+		}
+	}
+	return best
+}
+
+// admits reports whether a task of the step may start on the instance.
+func (in *instance) admits(c candidate, step *workload.Step) bool {
+	if !in.free().Fits(step.Claim()) || step.Fills && in.Capacity.Processors < step.Need.Processors {
+		return false
+	}
+	if step.Label != "" && !slices.Contains(in.Labels, step.Label) {
+		return false
+	}
+	return step.PerInstance == 0 || in.count(c) < step.PerInstance
+}
+
+// count returns how many tasks of the candidate's stage are on the instance.
+func (in *instance) count(c candidate) int {
+	n := 0
+	for id := range in.runs {
+		if id.Job == c.job.ID && id.Place.Step() == c.stage.step && id.Place.Occurrence() == c.round {
+			n++
+		}
+	}
+	return n
+}
+
+// Weights of a placement, in parts of a whole instance.
+const (
+	weightData    = 100.0 // away from its data a task takes two to three times as long
+	weightFault   = 20.0  // an instance that failed tasks lately is the last choice
+	weightLast    = 10.0  // a run that was lost or failed is tried elsewhere
+	weightDisturb = 5.0   // filling and serving tasks disturb each other
+	weightPack    = 1.0   // packed instances leave others empty for maintenance and moves
+)
+
+func (in *instance) score(c candidate, step *workload.Step, t *task) float64 {
+	score := 0.0
+	if step.DataRack != "" && in.Rack == step.DataRack {
+		score += weightData
+	}
+	score -= weightFault * float64(min(in.faults, 3))
+	if t.last == in.ID {
+		score -= weightLast
+	}
+	load := float64(in.used.Processors) / float64(max(1, in.Capacity.Processors))
+	if !step.Standing {
+		return score + weightPack*load
+	}
+	for _, r := range in.runs {
+		other := r.job.step(r.task.Place)
+		if step.TailTarget > 0 && other.Fills || step.Fills && other.TailTarget > 0 || step.TailTarget > 0 && other.TailTarget > 0 {
+			score -= weightDisturb
+		}
+	}
+	return score - weightPack*load
+}
+
+// placeGang starts all tasks of a stage with one run number, or none.
+func (s *Scheduler) placeGang(c candidate, instances []*instance) {
+	step := &c.job.Steps[c.stage.step]
+	total := workload.Need{}
+	for i := range c.stage.tasks {
+		t := &c.stage.tasks[i]
+		if t.run != nil || s.now < t.notBefore {
+			return
+		}
+		total = total.Add(step.Need)
+	}
+	if !s.inLimit(c.job, total) {
+		return
+	}
+	places := fitGang(c, step, instances)
+	if places == nil {
+		return
+	}
+	number := s.nextRun()
+	for i, in := range places {
+		r := &run{task: workload.TaskID{Job: c.job.ID, Place: workload.At(c.round, c.stage.step, i)}, number: number}
+		s.start(in, c.job, r)
+		s.note("run placed", r, in, "gang")
+	}
+}
+
+// fitGang returns an instance for each task of the stage, in one rack where that is asked for and possible.
+func fitGang(c candidate, step *workload.Step, instances []*instance) []*instance {
+	racks := map[string][]*instance{}
+	var names []string
+	for _, in := range instances {
+		if racks[in.Rack] == nil {
+			names = append(names, in.Rack)
+		}
+		racks[in.Rack] = append(racks[in.Rack], in)
+	}
+	slices.SortStableFunc(names, func(a, b string) int {
+		return cmp.Compare(boolRank(b == step.DataRack), boolRank(a == step.DataRack))
+	})
+	for _, name := range names {
+		if places := fillGang(c, step, racks[name]); places != nil {
+			return places
+		}
+	}
+	if step.SameRack && c.job.due > 0 && len(names) > 1 {
+		return nil
+	}
+	return fillGang(c, step, instances)
+}
+
+func boolRank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func fillGang(c candidate, step *workload.Step, instances []*instance) []*instance {
+	var places []*instance
+	want := len(c.stage.tasks)
+	for _, in := range instances {
+		if !in.admits(c, step) {
+			continue
+		}
+		room := in.free()
+		for n := in.count(c); room.Fits(step.Claim()) && len(places) < want && (step.PerInstance == 0 || n < step.PerInstance); n++ {
+			room = room.Sub(step.Claim())
+			places = append(places, in)
+		}
+	}
+	if len(places) < want {
+		return nil
+	}
+	return places
+}
+
+// stopStandstills stops tasks that make no progress, so that they run elsewhere.
+func (s *Scheduler) stopStandstills() {
+	for _, in := range s.instances {
+		if in.misses > 0 || !in.looked {
+			continue
+		}
+		for _, r := range in.runs {
+			step := r.job.step(r.task.Place)
+			if r.progress != running || r.stopping || r.percent >= 100 || step.Gang || in.heard-r.moved < standstill || r.pace < 100 {
+				continue
+			}
+			in.faults++
+			s.stop(in, r, "stands still")
+		}
+	}
+}
--- /dev/null
+++ b/internal/scheduler/scheduler.go
@@ -0,0 +1,220 @@
+// Package scheduler decides which task runs on which instance: a pure state machine that takes what callers,
+// instances and the committed state say, with a clock, and hands out orders and ends to commit.
+package scheduler
+
+import (
+	"time"
+
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/state"
+	"github.com/sapphiresail/sapphiresail/internal/workload"
+)
+
+// OrderKind tells orders to instances apart.
+type OrderKind uint8
+
+// Kinds of orders.
+const (
+	Start OrderKind = iota + 1
+	Stop
+	Pace
+	// Glance asks for a look that does not wait.
+	Glance
+)
+
+// String names the kind.
+func (k OrderKind) String() string { return [...]string{"none", "start", "stop", "pace", "glance"}[k] }
+
+// Order is one thing to tell an instance.
+type Order struct {
+	Kind       OrderKind
+	Instance   fleet.InstanceID
+	Address    string
+	Task       workload.TaskID
+	Run        workload.Run
+	Spec       string
+	Checkpoint string
+	// Deadline is on the clock of the instance.
+	Deadline time.Duration
+	Fence    uint64
+	Percent  int
+	// Reason tells why, for the log.
+	Reason string
+}
+
+// Outcome is what is known of an order after it was sent.
+type Outcome uint8
+
+// Outcomes of an order.
+const (
+	// Accepted orders were carried out.
+	Accepted Outcome = iota + 1
+	// Fenced orders were refused because a newer leader has spoken.
+	Fenced
+	// Rejected orders were refused and never run.
+	Rejected
+	// Unhealthy instances have done nothing.
+	Unhealthy
+	// Mismatched orders met another boot at the address.
+	Mismatched
+	// Refused connections reached no process.
+	Refused
+	// Uncertain orders may still be carried out.
+	Uncertain
+)
+
+// String names the outcome.
+func (o Outcome) String() string {
+	return [...]string{"none", "accepted", "fenced", "rejected", "unhealthy", "mismatched", "refused", "uncertain"}[o]
+}
+
+// Timing of decisions.
+const (
+	clockDrift     = fleet.ClockDrift       // stated bound on the clocks of instances
+	outliveMargin  = 250 * time.Millisecond // delivery of an order that was under way, and the kill at the lapse
+	retryPause     = 250 * time.Millisecond // an instance answers within milliseconds, so a lost order is repeated soon
+	roomPause      = 100 * time.Millisecond // one look settles what an instance really runs
+	forgetSilent   = 20 * time.Second       // instances announce themselves every 1.5 s
+	fallbackChain  = 500 * time.Millisecond // work of a step without an estimate
+	defaultTries   = 3                      // attempts of a queue that is no longer configured
+	lateFactor     = 3                      // beyond three times its objective a job earns nothing
+	maxEndsCommit  = 500                    // ends of one commit, the most that one look lists
+	refuseSilence  = 1                      // failed looks after which an instance gets no work
+	runsPerFence   = 1_000_000              // run numbers of one leadership
+	quickLook      = 700 * time.Millisecond // finds tasks that stand still within two looks
+	slowLook       = 2 * time.Second        // the longest wait that instances allow
+	standstill     = 1500 * time.Millisecond
+	unhealthyPause = 2 * time.Second
+)
+
+// Options are the bounds that the deployment sets.
+type Options struct {
+	// Fence is the fencing token of this leadership, higher than any before.
+	Fence uint64
+	// Lease is how long tasks outlive the last contact.
+	Lease time.Duration
+	// MaxLease is the longest lease that instances grant.
+	MaxLease time.Duration
+	// Led is when the leadership began.
+	Led time.Duration
+}
+
+// Scheduler places the tasks of all jobs.
+type Scheduler struct {
+	options    Options
+	now        time.Duration
+	wall       int64 // milliseconds since 1970
+	catalogue  *workload.Catalogue
+	instances  map[fleet.InstanceID]*instance
+	jobs       map[workload.JobID]*job
+	usage      map[fleet.CustomerID]workload.Need
+	counter    uint64
+	orders     []Order
+	ends       []state.End
+	failed     []workload.JobID
+	struck     []fleet.InstanceID
+	batch      uint64
+	committed  uint64
+	superseded bool
+	unsettled  map[fleet.InstanceID]bool
+	decisions  []Decision
+	waves      map[uint64]*wave
+	machines   []MachineOrder
+}
+
+// Decision is one line for the log.
+type Decision struct {
+	What     string
+	Task     workload.TaskID
+	Run      workload.Run
+	Instance fleet.InstanceID
+	Reason   string
+}
+
+// New returns a scheduler for one leadership, with what the committed state holds.
+func New(now time.Duration, wall int64, o Options, w *state.Workload) *Scheduler {
+	catalogue := w.Catalogue
+	s := &Scheduler{
+		options:   o,
+		now:       now,
+		wall:      wall,
+		catalogue: &catalogue,
+		instances: map[fleet.InstanceID]*instance{},
+		jobs:      map[workload.JobID]*job{},
+		usage:     map[fleet.CustomerID]workload.Need{},
+		unsettled: map[fleet.InstanceID]bool{},
+		waves:     map[uint64]*wave{},
+	}
+	for id, e := range w.Enrolled {
+		in := s.addInstance(e)
+		in.enrolled = true
+		in.heard = o.Led
+		in.inherited = true
+		s.unsettled[id] = true
+	}
+	for _, r := range w.Jobs {
+		s.AddJob(now, wall, r, true)
+	}
+	for _, r := range w.Waves {
+		s.AddWave(now, wall, r)
+	}
+	return s
+}
+
+// SetCatalogue puts a new catalogue in force.
+func (s *Scheduler) SetCatalogue(c *workload.Catalogue) {
+	s.catalogue = c
+	for _, j := range s.jobs {
+		s.route(j)
+	}
+}
+
+// Superseded reports whether an instance has seen a newer leader.
+func (s *Scheduler) Superseded() bool { return s.superseded }
+
+// Orders returns the orders made since the last call.
+func (s *Scheduler) Orders() []Order {
+	list := s.orders
+	s.orders = nil
+	return list
+}
+
+// Decisions returns the log lines made since the last call.
+func (s *Scheduler) Decisions() []Decision {
+	list := s.decisions
+	s.decisions = nil
+	return list
+}
+
+// Ends returns ends to commit and the number of their batch; Committed takes that number back.
+func (s *Scheduler) Ends() (ends []state.End, failed []workload.JobID, batch uint64) {
+	if len(s.ends) == 0 && len(s.failed) == 0 {
+		return nil, nil, 0
+	}
+	ends, failed = s.ends, s.failed
+	s.ends, s.failed = nil, nil
+	s.batch++
+	return ends, failed, s.batch
+}
+
+// Committed records that a batch of ends is committed; batches are committed in order.
+func (s *Scheduler) Committed(batch uint64) { s.committed = max(s.committed, batch) }
+
+// Struck returns instances that run nothing any more and may leave the committed state.
+func (s *Scheduler) Struck() []fleet.InstanceID {
+	list := s.struck
+	s.struck = nil
+	return list
+}
+
+// Settled reports whether it is known where every task that an earlier leader started runs.
+func (s *Scheduler) Settled() bool { return len(s.unsettled) == 0 }
+
+func (s *Scheduler) nextRun() workload.Run {
+	s.counter++
+	return workload.Run(s.options.Fence*runsPerFence + s.counter)
+}
+
+func (s *Scheduler) note(what string, r *run, in *instance, reason string) {
+	s.decisions = append(s.decisions, Decision{What: what, Task: r.task, Run: r.number, Instance: in.ID, Reason: reason})
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -146,6 +146,8 @@
 	WaveFailed int                                          `json:"wave-failed"`
 	// RolloutAt is when an operator last asked for maintenance of every instance.
 	RolloutAt Moment `json:"rollout-at"`
+	// Work is what jobs need.
+	Work Workload `json:"work"`
 	// Current is the log index of the latest command.
 	Current         uint64 `json:"current"`
 	config          *configuration.Configuration
@@ -168,6 +170,7 @@
 	s.Permits = orEmpty(s.Permits)
 	s.Claims = orEmpty(s.Claims)
 	s.Members = orEmpty(s.Members)
+	s.Work.index()
 	s.customersByHash = map[string]KeyID{}
 	for id, k := range s.Keys {
 		s.customersByHash[string(k.Hash)] = id
@@ -228,6 +231,7 @@
 var commands = registered(
 	Configure{}, GrantKey{}, WithdrawKey{}, Adopt{}, Disrupt{}, Advance{}, Move{}, Restore{}, Lose{}, Retire{},
 	Own{}, Allot{}, Register{}, Forget{}, Open{}, Dispatch{}, Settle{}, Expire{}, Halt{}, Resume{}, Isolate{}, Roll{}, Fade{},
+	Publish{}, Submit{}, Cancel{}, NoteEnds{}, ReleaseJobs{}, Enrol{}, Strike{}, OpenWave{}, BeginUpkeep{},
 )
 
 func registered(samples ...any) *codec.Codec {
--- /dev/null
+++ b/internal/supervisor/lane.go
@@ -0,0 +1,123 @@
+package supervisor
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/sapphiresail/sapphiresail/internal/event"
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/scheduler"
+	"github.com/sapphiresail/sapphiresail/internal/state"
+)
+
+// Timeouts of calls to instances and to the platform.
+const (
+	orderTimeout  = 700 * time.Millisecond // an instance answers within milliseconds; a lost packet is sent again after 200 ms
+	lookSlack     = 700 * time.Millisecond // beyond the wait that the look asks for
+	upkeepTimeout = 3 * time.Second        // the platform may be slow
+)
+
+// follow looks at an enrolled instance until it is struck.
+func (t *term) follow(id fleet.InstanceID) {
+	if t.lanes[id] != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(t.ctx)
+	t.lanes[id] = &lane{slots: make(chan struct{}, laneParallel), cancel: cancel}
+	t.spawn(func() { t.look(ctx, id) })
+}
+
+func (t *term) look(ctx context.Context, id fleet.InstanceID) {
+	for ctx.Err() == nil {
+		began := time.Now()
+		if !t.lookOnce(ctx, id, true) {
+			pause(ctx, missPause)
+		} else if gap := lookGap - time.Since(began); gap > 0 {
+			pause(ctx, gap)
+		}
+	}
+}
+
+// lookOnce asks an instance what runs there and reports whether it answered.
+func (t *term) lookOnce(ctx context.Context, id fleet.InstanceID, wait bool) bool {
+	var q scheduler.Inquiry
+	known := false
+	if !t.ask(ctx, func() { q, known = t.scheduler.Inquire(clock(), id, wait) }) || !known || !t.leads() {
+		return false
+	}
+	sent := clock()
+	calling, cancel := context.WithTimeout(ctx, q.Wait+lookSlack)
+	defer cancel()
+	look, outcome, err := t.options.Instances.Look(calling, q)
+	if ctx.Err() != nil {
+		return false
+	}
+	if outcome == scheduler.Accepted {
+		t.post(func() { t.scheduler.Looked(clock(), id, sent, look) })
+		return true
+	}
+	event.LookMissed.Info(t.options.Logger, zap.String("instance", string(id)), zap.Stringer("outcome", outcome), zap.NamedError("error", err))
+	t.post(func() { t.scheduler.Missed(clock(), id, outcome) })
+	return false
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// send carries an order to its instance.
+func (t *term) send(o scheduler.Order) {
+	l := t.lanes[o.Instance]
+	if l == nil {
+		return
+	}
+	t.spawn(func() {
+		select {
+		case l.slots <- struct{}{}:
+		case <-t.ctx.Done():
+			return
+		}
+		defer func() { <-l.slots }()
+		if o.Kind == scheduler.Glance {
+			t.lookOnce(t.ctx, o.Instance, false)
+			return
+		}
+		t.order(o)
+	})
+}
+
+func (t *term) order(o scheduler.Order) {
+	if !t.leads() {
+		return
+	}
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
+	defer cancel()
+	outcome, err := t.options.Instances.Order(ctx, o)
+	if outcome != scheduler.Accepted {
+		event.OrderAnswered.Info(t.options.Logger, zap.Stringer("order", o.Kind), zap.Stringer("task", o.Task), zap.Uint64("run", uint64(o.Run)),
+			zap.String("instance", string(o.Instance)), zap.Stringer("outcome", outcome), zap.Duration("took", time.Since(began)), zap.NamedError("error", err))
+	}
+	t.post(func() { t.scheduler.Answered(clock(), o, outcome) })
+}
+
+func (t *term) upkeep(o scheduler.MachineOrder) {
+	if !t.leads() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(t.ctx, upkeepTimeout)
+	defer cancel()
+	outcome, err := t.options.Machines.Upkeep(ctx, t.options.Entry, t.number, o)
+	event.MachineOrdered.Info(t.options.Logger, zap.String("machine", o.Machine), zap.Uint64("wave", o.Wave),
+		zap.Int("outcome", int(outcome)), zap.NamedError("error", err))
+	t.post(func() {
+		if t.scheduler.MachineAnswered(clock(), o, outcome) {
+			t.commit(state.BeginUpkeep{Wave: o.Wave, Machine: o.Machine}, func(state.Reply, error) {})
+		}
+	})
+}
--- /dev/null
+++ b/internal/supervisor/supervisor.go
@@ -0,0 +1,123 @@
+// Package supervisor runs the scheduler on the leading keeper: it answers calls, commits, and carries orders to instances.
+package supervisor
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/sapphiresail/sapphiresail/internal/bootclock"
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/forwarder"
+	"github.com/sapphiresail/sapphiresail/internal/scheduler"
+	"github.com/sapphiresail/sapphiresail/internal/state"
+)
+
+// Replica is the member of the consensus group that the supervisor leads with.
+type Replica interface {
+	// Leads returns the term that this member leads at this very moment.
+	Leads() (term uint64, ok bool)
+	View(read func(s *state.State))
+	CommitAll(ctx context.Context, commands []state.Command) ([]state.Reply, []error)
+}
+
+// Instances carries orders and looks to instances.
+type Instances interface {
+	Order(ctx context.Context, o scheduler.Order) (scheduler.Outcome, error)
+	Look(ctx context.Context, q scheduler.Inquiry) (scheduler.Look, scheduler.Outcome, error)
+}
+
+// Machines asks the platform for planned work.
+type Machines interface {
+	Upkeep(ctx context.Context, holder fleet.EntryID, fence uint64, o scheduler.MachineOrder) (scheduler.MachineOutcome, error)
+}
+
+// Options are what a supervisor needs to start.
+type Options struct {
+	Entry     fleet.EntryID
+	Replica   Replica
+	Instances Instances
+	Machines  Machines
+	// Lease is how long tasks outlive the last contact, MaxLease the longest that instances grant.
+	Lease    time.Duration
+	MaxLease time.Duration
+	// Retain is how long the state of a job that is over is kept.
+	Retain  time.Duration
+	Logger  *zap.Logger
+	Metrics metrics.Registry
+}
+
+const leadInterval = 20 * time.Millisecond // a new leader orders within two of these
+
+// Supervisor leads while its replica does.
+type Supervisor struct {
+	options Options
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wait    sync.WaitGroup
+	term    atomic.Pointer[term]
+}
+
+// Start runs a supervisor until Close.
+func Start(o Options) *Supervisor {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Supervisor{options: o, ctx: ctx, cancel: cancel}
+	s.wait.Go(s.run)
+	return s
+}
+
+// Close ends the leadership and waits for everything that it started.
+func (s *Supervisor) Close() error {
+	s.cancel()
+	s.wait.Wait()
+	return nil
+}
+
+func (s *Supervisor) run() {
+	ticker := time.NewTicker(leadInterval)
+	defer ticker.Stop()
+	for {
+		if number, ok := s.options.Replica.Leads(); ok {
+			s.lead(number)
+		}
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// lead runs one term until it is over.
+func (s *Supervisor) lead(number uint64) {
+	t := newTerm(s.ctx, &s.options, number)
+	s.term.Store(t)
+	t.run()
+	s.term.Store(nil)
+}
+
+// Answer answers a call; it is NotLeading where another keeper must be asked.
+func (s *Supervisor) Answer(ctx context.Context, ask forwarder.Ask) forwarder.Answer {
+	t := s.term.Load()
+	if t == nil || !t.leads() {
+		return forwarder.Answer{Verdict: forwarder.NotLeading}
+	}
+	return t.answer(ctx, ask)
+}
+
+// Leads reports whether this process leads and has a catalogue in force.
+func (s *Supervisor) Leads() (leads, ready bool) {
+	t := s.term.Load()
+	if t == nil || !t.leads() {
+		return false, false
+	}
+	return true, t.ready.Load()
+}
+
+func clock() time.Duration { return bootclock.Now() }
+
+func wall() int64 { return time.Now().UnixMilli() }
--- /dev/null
+++ b/internal/supervisor/term.go
@@ -0,0 +1,275 @@
+package supervisor
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/sapphiresail/sapphiresail/internal/event"
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/scheduler"
+	"github.com/sapphiresail/sapphiresail/internal/state"
+	"github.com/sapphiresail/sapphiresail/internal/workload"
+)
+
+// Timing of the loop of a term.
+const (
+	inboxLength  = 4096
+	maxDrain     = 256
+	planDelay    = 4 * time.Millisecond   // gathers what arrives together; a commit takes longer
+	idleInterval = 50 * time.Millisecond  // due times, leases and retries are checked this often
+	tidyInterval = 2 * time.Second        // released jobs only cost memory
+	logPerSecond = 400                    // lines of decisions; a burst of a thousand starts is sampled
+	laneParallel = 3                      // orders at once to one instance, so that few connections are opened
+	lookGap      = 30 * time.Millisecond  // ends that come together are taken with one look
+	missPause    = 200 * time.Millisecond // a silent instance is asked five times a second
+)
+
+// term is one leadership of this process.
+type term struct {
+	options *Options
+	number  uint64
+	ctx     context.Context
+	cancel  context.CancelFunc
+	inbox   chan func()
+	ready   atomic.Bool
+	mutex   sync.Mutex
+	wait    sync.WaitGroup
+	over    bool
+
+	// The rest belongs to the loop.
+	scheduler *scheduler.Scheduler
+	lanes     map[fleet.InstanceID]*lane
+	noting    bool
+	striking  bool
+	settled   bool
+	tidied    time.Duration
+	budget    int
+	budgetAt  time.Duration
+}
+
+// lane carries orders to one boot of an instance.
+type lane struct {
+	slots  chan struct{}
+	cancel context.CancelFunc
+}
+
+func newTerm(ctx context.Context, o *Options, number uint64) *term {
+	t := &term{options: o, number: number, inbox: make(chan func(), inboxLength), lanes: map[fleet.InstanceID]*lane{}}
+	t.ctx, t.cancel = context.WithCancel(ctx)
+	return t
+}
+
+func (t *term) leads() bool {
+	number, ok := t.options.Replica.Leads()
+	return ok && number == t.number && t.ctx.Err() == nil
+}
+
+// run schedules until another keeper may lead.
+func (t *term) run() {
+	t.begin()
+	reason := t.loop()
+	t.cancel()
+	t.close()
+	event.LeadershipEnded.Info(t.options.Logger, zap.Uint64("term", t.number), zap.String("reason", reason))
+}
+
+// spawn runs f until the term has ended; a term that is over starts nothing more.
+func (t *term) spawn(f func()) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if !t.over {
+		t.wait.Go(f)
+	}
+}
+
+func (t *term) close() {
+	t.mutex.Lock()
+	t.over = true
+	t.mutex.Unlock()
+	t.wait.Wait()
+}
+
+func (t *term) begin() {
+	now := clock()
+	jobs, instances := 0, 0
+	t.options.Replica.View(func(s *state.State) {
+		t.scheduler = scheduler.New(now, wall(), scheduler.Options{
+			Fence: t.number, Lease: t.options.Lease, MaxLease: t.options.MaxLease, Led: now,
+		}, &s.Work)
+		t.ready.Store(s.Work.Catalogue.Version > 0)
+		jobs, instances = len(s.Work.Jobs), len(s.Work.Enrolled)
+	})
+	event.LeadershipBegun.Info(t.options.Logger, zap.Uint64("term", t.number), zap.Int("jobs", jobs), zap.Int("instances", instances))
+	t.plan()
+}
+
+func (t *term) loop() (reason string) {
+	idle := time.NewTicker(idleInterval)
+	defer idle.Stop()
+	var due <-chan time.Time
+	for {
+		select {
+		case <-t.ctx.Done():
+			return "stopped"
+		case f := <-t.inbox:
+			f()
+			t.drain()
+			if due == nil {
+				due = time.After(planDelay)
+			}
+			continue
+		case <-due:
+			due = nil
+		case <-idle.C:
+		}
+		if !t.leads() {
+			return "lease is over"
+		}
+		t.plan()
+		if t.scheduler.Superseded() {
+			return "an instance has seen a newer leader"
+		}
+	}
+}
+
+func (t *term) drain() {
+	for range maxDrain {
+		select {
+		case f := <-t.inbox:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+// post hands f to the loop and reports whether the term still runs.
+func (t *term) post(f func()) bool {
+	select {
+	case t.inbox <- f:
+		return true
+	case <-t.ctx.Done():
+		return false
+	}
+}
+
+// ask runs f in the loop and waits for it.
+func (t *term) ask(ctx context.Context, f func()) bool {
+	done := make(chan struct{})
+	if !t.post(func() { f(); close(done) }) {
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+	case <-t.ctx.Done():
+	}
+	return false
+}
+
+// plan lets the scheduler decide and carries out what it decided.
+func (t *term) plan() {
+	now := clock()
+	t.scheduler.Tick(now, wall())
+	for _, id := range t.scheduler.Followed() {
+		t.follow(id)
+	}
+	for _, o := range t.scheduler.Orders() {
+		t.send(o)
+	}
+	for _, o := range t.scheduler.MachineOrders() {
+		t.spawn(func() { t.upkeep(o) })
+	}
+	t.commitEnds()
+	t.strike()
+	t.log(now)
+	t.tidy(now)
+	if !t.settled && t.scheduler.Settled() {
+		t.settled = true
+		event.SchedulingSettled.Info(t.options.Logger, zap.Uint64("term", t.number))
+	}
+}
+
+// commit proposes a command and calls then in the loop with the outcome, however long that takes.
+func (t *term) commit(c state.Command, then func(reply state.Reply, err error)) {
+	t.spawn(func() {
+		replies, errs := t.options.Replica.CommitAll(t.ctx, []state.Command{c})
+		t.post(func() { then(replies[0], errs[0]) })
+	})
+}
+
+// commitEnds commits what has ended, one batch at a time so that cursors move in order.
+func (t *term) commitEnds() {
+	if t.noting {
+		return
+	}
+	ends, failed, batch := t.scheduler.Ends()
+	if batch == 0 {
+		return
+	}
+	t.noting = true
+	for _, id := range failed {
+		event.JobFailed.Info(t.options.Logger, zap.String("job", string(id)))
+	}
+	t.commit(state.NoteEnds{Ends: ends, Failed: failed, At: state.Moment(wall())}, func(_ state.Reply, err error) {
+		if err != nil {
+			t.cancel()
+			return
+		}
+		t.noting = false
+		t.scheduler.Committed(batch)
+	})
+}
+
+func (t *term) strike() {
+	for _, id := range t.scheduler.Struck() {
+		if l := t.lanes[id]; l != nil {
+			l.cancel()
+			delete(t.lanes, id)
+		}
+		t.commit(state.Strike{Instances: []fleet.InstanceID{id}}, func(state.Reply, error) {})
+	}
+}
+
+// tidy releases jobs that nobody may ask for any more.
+func (t *term) tidy(now time.Duration) {
+	if now-t.tidied < tidyInterval {
+		return
+	}
+	t.tidied = now
+	var jobs []workload.JobID
+	before := state.Moment(wall() - t.options.Retain.Milliseconds())
+	t.options.Replica.View(func(s *state.State) {
+		for id, r := range s.Work.Jobs {
+			if !r.Active() && r.Over < before {
+				jobs = append(jobs, id)
+			}
+		}
+	})
+	if len(jobs) > 0 {
+		t.commit(state.ReleaseJobs{Jobs: jobs}, func(state.Reply, error) {})
+	}
+}
+
+// log writes decisions within a budget of lines a second.
+func (t *term) log(now time.Duration) {
+	if now-t.budgetAt > time.Second {
+		if t.budget < 0 {
+			event.LinesDropped.Warn(t.options.Logger, zap.Int("count", -t.budget))
+		}
+		t.budget, t.budgetAt = logPerSecond, now
+	}
+	for _, d := range t.scheduler.Decisions() {
+		t.budget--
+		if t.budget < 0 {
+			continue
+		}
+		event.RunDecided.Info(t.options.Logger, zap.String("what", d.What), zap.Stringer("task", d.Task),
+			zap.Uint64("run", uint64(d.Run)), zap.String("instance", string(d.Instance)), zap.String("reason", d.Reason))
+	}
+}
--- /dev/null
+++ b/internal/workload/workload.go
@@ -0,0 +1,255 @@
+// Package workload holds the plain types of jobs: what callers hand in, what queues allow and what instances run.
+package workload
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
+)
+
+// JobID names a job; the caller chooses it.
+type JobID string
+
+// Run numbers the starts of one task; a later start has a higher number.
+type Run uint64
+
+// Need is the part of an instance that a task takes.
+type Need struct {
+	// Processors is in thousandths of a processor.
+	Processors int64 `cbor:"1,keyasint,omitempty"`
+	// Memory is in MiB.
+	Memory       int64 `cbor:"2,keyasint,omitempty"`
+	Accelerators int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Add returns the sum of two needs.
+func (n Need) Add(o Need) Need {
+	return Need{n.Processors + o.Processors, n.Memory + o.Memory, n.Accelerators + o.Accelerators}
+}
+
+// Sub returns the difference of two needs.
+func (n Need) Sub(o Need) Need {
+	return Need{n.Processors - o.Processors, n.Memory - o.Memory, n.Accelerators - o.Accelerators}
+}
+
+// Fits reports whether o can be taken from n.
+func (n Need) Fits(o Need) bool {
+	return o.Processors <= n.Processors && o.Memory <= n.Memory && o.Accelerators <= n.Accelerators
+}
+
+// Within reports whether n stays within a limit in which zero means no limit.
+func (n Need) Within(limit Need) bool {
+	return (limit.Processors == 0 || n.Processors <= limit.Processors) &&
+		(limit.Memory == 0 || n.Memory <= limit.Memory) &&
+		(limit.Accelerators == 0 || n.Accelerators <= limit.Accelerators)
+}
+
+// Step is a set of equal tasks of a job.
+type Step struct {
+	Count    int           `cbor:"1,keyasint"`
+	Need     Need          `cbor:"2,keyasint"`
+	Estimate time.Duration `cbor:"3,keyasint,omitempty"`
+	// After lists earlier steps that must be done before this one starts.
+	After       []int  `cbor:"4,keyasint,omitempty"`
+	Checkpoints bool   `cbor:"5,keyasint,omitempty"`
+	Gang        bool   `cbor:"6,keyasint,omitempty"`
+	SameRack    bool   `cbor:"7,keyasint,omitempty"`
+	Label       string `cbor:"8,keyasint,omitempty"`
+	// DataRack is the rack on which the tasks run fastest.
+	DataRack    string `cbor:"9,keyasint,omitempty"`
+	PerInstance int    `cbor:"10,keyasint,omitempty"`
+	Speculative bool   `cbor:"11,keyasint,omitempty"`
+	// Standing tasks run until the job is cancelled and are restarted however they end.
+	Standing bool   `cbor:"12,keyasint,omitempty"`
+	Image    string `cbor:"13,keyasint,omitempty"`
+	// TailTarget bounds the response times that a serving task gives its own users.
+	TailTarget time.Duration `cbor:"14,keyasint,omitempty"`
+	// Fills marks tasks that take only the processors that others leave unused.
+	Fills bool `cbor:"15,keyasint,omitempty"`
+	// MayMiss is how many tasks planned work may keep away at once.
+	MayMiss int `cbor:"16,keyasint,omitempty"`
+}
+
+// Claim returns what a task of the step takes of an instance's capacity.
+func (s Step) Claim() Need {
+	n := s.Need
+	if s.Fills {
+		n.Processors = 0
+	}
+	return n
+}
+
+// Job is what a caller hands in.
+type Job struct {
+	ID    JobID  `cbor:"1,keyasint"`
+	Spec  string `cbor:"2,keyasint,omitempty"`
+	Steps []Step `cbor:"3,keyasint"`
+	// Times is how often the steps run; zero stands for once, at once.
+	Times    int           `cbor:"4,keyasint,omitempty"`
+	FirstDue int64         `cbor:"5,keyasint,omitempty"` // milliseconds since 1970
+	Interval time.Duration `cbor:"6,keyasint,omitempty"`
+}
+
+// Occurrences returns how many times the steps run.
+func (j *Job) Occurrences() int { return max(1, j.Times) }
+
+// Tasks returns the number of tasks over all occurrences.
+func (j *Job) Tasks() int {
+	n := 0
+	for _, s := range j.Steps {
+		n += s.Count
+	}
+	return n * j.Occurrences()
+}
+
+// Limits of a job that is taken.
+const (
+	maxSpecBytes = 4000   // the platform's bound on a job's text
+	maxSteps     = 256    // far above the five that the deployments send
+	maxTasks     = 100000 // bounds the memory that one job can take
+)
+
+// Check returns the first fault of the job.
+func (j *Job) Check() error {
+	if len(j.Spec) > maxSpecBytes {
+		return fmt.Errorf("spec: %d bytes, want at most %d", len(j.Spec), maxSpecBytes)
+	}
+	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
+		return fmt.Errorf("steps: %d, want 1 to %d", len(j.Steps), maxSteps)
+	}
+	if j.Times < 0 || j.Interval < 0 || j.Times > 1 && j.Interval == 0 {
+		return fmt.Errorf("times: %d every %s", j.Times, j.Interval)
+	}
+	total := 0
+	for i, s := range j.Steps {
+		if err := s.check(i); err != nil {
+			return fmt.Errorf("steps[%d]: %w", i, err)
+		}
+		total += s.Count
+	}
+	if total*j.Occurrences() > maxTasks {
+		return fmt.Errorf("steps: %d tasks, want at most %d", total*j.Occurrences(), maxTasks)
+	}
+	return nil
+}
+
+func (s Step) check(position int) error {
+	if s.Count < 1 || s.Count > maxTasks {
+		return fmt.Errorf("count: %d, want 1 to %d", s.Count, maxTasks)
+	}
+	if s.Need.Processors < 0 || s.Need.Memory < 0 || s.Need.Accelerators < 0 || s.PerInstance < 0 || s.MayMiss < 0 {
+		return fmt.Errorf("a size is negative")
+	}
+	for _, a := range s.After {
+		if a < 0 || a >= position {
+			return fmt.Errorf("after: %d is no earlier step", a)
+		}
+	}
+	return nil
+}
+
+// Place is the position of a task within its job.
+type Place uint64
+
+const (
+	indexBits = 24
+	stepBits  = 16
+)
+
+// At returns the place of a task.
+func At(occurrence, step, index int) Place {
+	return Place(occurrence)<<(indexBits+stepBits) | Place(step)<<indexBits | Place(index)
+}
+
+// Occurrence returns the occurrence of the task.
+func (p Place) Occurrence() int { return int(p >> (indexBits + stepBits)) }
+
+// Step returns the step of the task.
+func (p Place) Step() int { return int(p>>indexBits) & (1<<stepBits - 1) }
+
+// Index returns the index of the task in its step.
+func (p Place) Index() int { return int(p) & (1<<indexBits - 1) }
+
+// TaskID names a task.
+type TaskID struct {
+	Job   JobID `cbor:"1,keyasint"`
+	Place Place `cbor:"2,keyasint"`
+}
+
+// String writes the id as job, occurrence, step and index.
+func (t TaskID) String() string {
+	return string(t.Job) + "." + strconv.Itoa(t.Place.Occurrence()) + "." + strconv.Itoa(t.Place.Step()) + "." +
+		strconv.Itoa(t.Place.Index())
+}
+
+// ParseTaskID reads an id that String wrote.
+func ParseTaskID(text string) (TaskID, error) {
+	parts := strings.Split(text, ".")
+	if len(parts) != 4 {
+		return TaskID{}, fmt.Errorf("task %q: want four parts", text)
+	}
+	limits := [...]int{1 << 24, 1 << stepBits, 1 << indexBits}
+	var numbers [3]int
+	for i, p := range parts[1:] {
+		n, err := strconv.Atoi(p)
+		if err != nil || n < 0 || n >= limits[i] {
+			return TaskID{}, fmt.Errorf("task %q: part %q is no position", text, p)
+		}
+		numbers[i] = n
+	}
+	return TaskID{Job: JobID(parts[0]), Place: At(numbers[0], numbers[1], numbers[2])}, nil
+}
+
+// Phase is how far a job has come.
+type Phase string
+
+// Phases of a job.
+const (
+	Queued    Phase = "queued"
+	Running   Phase = "running"
+	Completed Phase = "completed"
+	Failed    Phase = "failed"
+	Cancelled Phase = "cancelled"
+)
+
+// Ending is how a run ended.
+type Ending string
+
+// Endings of a run.
+const (
+	EndedDone    Ending = "done"
+	EndedFailed  Ending = "failed"
+	EndedStopped Ending = "stopped"
+	EndedLapsed  Ending = "lapsed"
+	EndedBroken  Ending = "broken"
+	EndedAlone   Ending = "alone"
+)
+
+// Instance is what an instance announces of one boot of itself.
+type Instance struct {
+	ID         fleet.InstanceID   `cbor:"1,keyasint"`
+	Boot       int64              `cbor:"2,keyasint,omitempty"` // start of the boot, milliseconds since 1970
+	Pool       fleet.PoolID       `cbor:"3,keyasint"`
+	Address    string             `cbor:"4,keyasint"`
+	DataCentre fleet.DataCentreID `cbor:"5,keyasint,omitempty"`
+	Machine    string             `cbor:"6,keyasint,omitempty"`
+	Capacity   Need               `cbor:"7,keyasint"`
+	Labels     []string           `cbor:"8,keyasint,omitempty"`
+	Draining   bool               `cbor:"9,keyasint,omitempty"`
+	// Left is the least time until a draining instance ends.
+	Left     time.Duration `cbor:"10,keyasint,omitempty"`
+	Sequence uint64        `cbor:"11,keyasint,omitempty"`
+	Clock    time.Duration `cbor:"12,keyasint,omitempty"`
+	Rack     string        `cbor:"13,keyasint,omitempty"`
+}
+
+// Wave asks for maintenance of machines within a time.
+type Wave struct {
+	Number   uint64        `cbor:"1,keyasint"`
+	Machines []string      `cbor:"2,keyasint"`
+	Within   time.Duration `cbor:"3,keyasint"`
+	AtOnce   int           `cbor:"4,keyasint"`
+}
