--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -29,7 +29,9 @@
 )
 
 // Error names the kind.
-func (k Kind) Error() string { return [...]string{"none", "no leader was reached", "outcome is not known"}[k] }
+func (k Kind) Error() string {
+	return [...]string{"none", "no leader was reached", "outcome is not known"}[k]
+}
 
 // Error is a failed operation of this package.
 type Error = fault.Error[Kind]
--- a/internal/scheduler/look.go
+++ b/internal/scheduler/look.go
@@ -70,7 +70,7 @@
 func (s *Scheduler) patience(in *instance) time.Duration {
 	for _, r := range in.runs {
 		st := r.job.step(r.task.Place)
-		if !st.Standing || st.Fills || r.progress != running || r.stopping {
+		if !st.Standing || r.percent < 100 || r.progress != running || r.stopping {
 			return quickLook
 		}
 	}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -306,12 +306,22 @@
 			continue
 		}
 		for _, r := range in.runs {
-			step := r.job.step(r.task.Place)
-			if r.progress != running || r.stopping || r.percent >= 100 || step.Gang || in.heard-r.moved < standstill || r.pace < 100 {
-				continue
+			if r.standsStill(in.heard) {
+				in.faults++
+				s.stop(in, r, "stands still")
 			}
-			in.faults++
-			s.stop(in, r, "stands still")
 		}
 	}
 }
+
+// standsStill reports whether looks until a moment have shown no progress for too long.
+func (r *run) standsStill(heard time.Duration) bool {
+	step := r.job.step(r.task.Place)
+	if r.progress != running || r.stopping || !r.begun || r.percent >= 100 || step.Gang || step.Fills {
+		return false
+	}
+	if step.Standing {
+		return heard-r.moved > standstillLong
+	}
+	return heard-r.moved > standstill
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -70,20 +70,21 @@
 
 // Timing of decisions.
 const (
-	clockDrift     = fleet.ClockDrift       // stated bound on the clocks of instances
-	outliveMargin  = 250 * time.Millisecond // delivery of an order that was under way, and the kill at the lapse
-	retryPause     = 250 * time.Millisecond // an instance answers within milliseconds, so a lost order is repeated soon
-	roomPause      = 100 * time.Millisecond // one look settles what an instance really runs
-	forgetSilent   = 20 * time.Second       // instances announce themselves every 1.5 s
-	fallbackChain  = 500 * time.Millisecond // work of a step without an estimate
-	defaultTries   = 3                      // attempts of a queue that is no longer configured
-	lateFactor     = 3                      // beyond three times its objective a job earns nothing
-	maxEndsCommit  = 500                    // ends of one commit, the most that one look lists
-	refuseSilence  = 1                      // failed looks after which an instance gets no work
-	runsPerFence   = 1_000_000              // run numbers of one leadership
-	quickLook      = 700 * time.Millisecond // finds tasks that stand still within two looks
-	slowLook       = 2 * time.Second        // the longest wait that instances allow
-	standstill     = 1500 * time.Millisecond
+	clockDrift     = fleet.ClockDrift        // stated bound on the clocks of instances
+	outliveMargin  = 250 * time.Millisecond  // delivery of an order that was under way, and the kill at the lapse
+	retryPause     = 250 * time.Millisecond  // an instance answers within milliseconds, so a lost order is repeated soon
+	roomPause      = 100 * time.Millisecond  // one look settles what an instance really runs
+	forgetSilent   = 20 * time.Second        // instances announce themselves every 1.5 s
+	fallbackChain  = 500 * time.Millisecond  // work of a step without an estimate
+	defaultTries   = 3                       // attempts of a queue that is no longer configured
+	lateFactor     = 3                       // beyond three times its objective a job earns nothing
+	maxEndsCommit  = 500                     // ends of one commit, the most that one look lists
+	refuseSilence  = 1                       // failed looks after which an instance gets no work
+	runsPerFence   = 1_000_000               // run numbers of one leadership
+	quickLook      = 700 * time.Millisecond  // finds tasks that stand still within two looks
+	slowLook       = 2 * time.Second         // the longest wait that instances allow
+	standstill     = 1500 * time.Millisecond // progress shows in steps of a hundredth of a task of seconds
+	standstillLong = 4 * time.Second         // a standing task shows no progress while it starts
 	unhealthyPause = 2 * time.Second
 )
 
