Resend a lost append once, send silent peers no entries, count a machine as back by its boot

Change: rejections of messages older than the last step back are ignored, a peer has at most 1024 entries unanswered, queues are bounded in bytes; the boot that an upkeep ended is taken when the platform has carried it out.

--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -34,9 +35,10 @@
 	queue   chan frame
 	cancel  context.CancelFunc
 
-	mutex sync.Mutex
-	up    bool
-	calls map[uint64]chan frame
+	mutex  sync.Mutex
+	up     bool
+	calls  map[uint64]chan frame
+	queued atomic.Int64
 }
 
 func (m *Messenger) startPeer(id fleet.EntryID, address string) *peer {
@@ -54,14 +56,21 @@
 	if !up {
 		return false
 	}
+	if p.queued.Add(f.size()) > maxQueuedBytes {
+		p.queued.Add(-f.size())
+		return false
+	}
 	select {
 	case p.queue <- f:
 		return true
 	default:
+		p.queued.Add(-f.size())
 		return false
 	}
 }
 
+func (f frame) size() int64 { return int64(len(f.Payload)) }
+
 func (p *peer) register(id uint64) chan frame {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -98,7 +107,7 @@
 		c <- frame{Lost: true}
 	}
 	for len(p.queue) > 0 {
-		<-p.queue
+		p.queued.Add(-(<-p.queue).size())
 	}
 }
 
@@ -143,7 +152,7 @@
 		defer done()
 		m.readReplies(p, stream)
 	})
-	m.write(linked, stream, p.queue, frame{Hello: m.advertise})
+	m.write(linked, stream, p.queue, frame{Hello: m.advertise}, func(f frame) { p.queued.Add(-f.size()) })
 	done()
 	stream.CancelRead(0)
 	readers.Wait()
@@ -163,7 +172,9 @@
 }
 
 // write sends queued frames until ctx ends, many in one write where they wait.
-func (m *Messenger) write(ctx context.Context, stream io.Writer, queue chan frame, first frame) {
+//
+// Each frame taken from the queue is handed to taken first.
+func (m *Messenger) write(ctx context.Context, stream io.Writer, queue chan frame, first frame, taken func(frame)) {
 	writer := bufio.NewWriterSize(stream, writeBuffer)
 	f := first
 	for {
@@ -172,6 +183,7 @@
 		}
 		select {
 		case f = <-queue:
+			taken(f)
 			continue
 		default:
 		}
@@ -180,6 +192,7 @@
 		}
 		select {
 		case f = <-queue:
+			taken(f)
 		case <-ctx.Done():
 			return
 		}
@@ -243,7 +256,7 @@
 	}
 	s := &session{messenger: m, from: from, replies: make(chan frame, queueLength), running: map[uint64]context.CancelFunc{}}
 	var writer sync.WaitGroup
-	writer.Go(func() { m.write(ctx, stream, s.replies, frame{}) })
+	writer.Go(func() { m.write(ctx, stream, s.replies, frame{}, func(frame) {}) })
 	s.read(ctx, stream)
 	cancel()
 	writer.Wait()
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -48,13 +48,15 @@
 
 // Limits of connections.
 const (
-	dialTimeout   = time.Second            // a handshake takes two round trips of milliseconds
-	idleTimeout   = 2 * time.Second        // finds a silent link within the time that peers allow for contact
-	keepAlive     = 700 * time.Millisecond // two lost keep-alives leave the link up
-	redialPause   = 200 * time.Millisecond
-	queueLength   = 4096
-	maxFrameBytes = 16 << 20
-	writeBuffer   = 64 << 10
+	dialTimeout = time.Second            // a handshake takes two round trips of milliseconds
+	idleTimeout = 2 * time.Second        // finds a silent link within the time that peers allow for contact
+	keepAlive   = 700 * time.Millisecond // two lost keep-alives leave the link up
+	redialPause = 200 * time.Millisecond
+	queueLength = 4096
+	// maxQueuedBytes waits for a peer at most; a tenth of a small process's memory.
+	maxQueuedBytes = 8 << 20
+	maxFrameBytes  = 16 << 20
+	writeBuffer    = 64 << 10
 )
 
 // Codec encodes the messages between processes.
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -80,7 +80,7 @@
 	r.peers = map[ID]*peer{}
 	for _, v := range r.voters {
 		if v != r.id {
-			r.peers[v] = &peer{next: r.log.last() + 1, stamp: never, seen: r.now}
+			r.peers[v] = &peer{next: r.log.last() + 1, stamp: never, seen: r.now, rolled: never}
 		}
 	}
 	r.log.add([]Entry{{Index: r.log.last() + 1, Term: r.hard.Term, Kind: EntryEmpty}})
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -42,7 +42,7 @@
 	r.recompute()
 	for _, v := range r.voters {
 		if v != r.id && r.peers[v] == nil {
-			r.peers[v] = &peer{next: r.log.last() + 1, stamp: never, seen: r.now}
+			r.peers[v] = &peer{next: r.log.last() + 1, stamp: never, seen: r.now, rolled: never}
 		}
 	}
 	r.broadcast()
--- /dev/null
+++ b/internal/raft/pipeline_test.go
@@ -0,0 +1,109 @@
+package raft_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sapphiresail/sapphiresail/internal/raft"
+)
+
+// work takes all outstanding work of a member and returns its messages.
+func work(r *raft.Raft) []raft.Message {
+	var messages []raft.Message
+	for r.HasReady() {
+		ready := r.Ready()
+		messages = append(messages, ready.Immediate...)
+		messages = append(messages, ready.Messages...)
+		r.Advance(ready)
+	}
+	return messages
+}
+
+// newLeader returns a leader of three voters and one of its followers, with everything between them delivered.
+func newLeader(t *testing.T) (leader, follower *raft.Raft, now time.Duration) {
+	t.Helper()
+	voters := []raft.ID{"a", "b", "c"}
+	leader = raft.New("a", 1, raft.HardState{}, nil, nil, raft.WithDurable())
+	follower = raft.New("b", 1, raft.HardState{}, nil, nil, raft.WithDurable(), raft.WithSeed(2))
+	assert.Assert(t, leader.Bootstrap(voters, nil))
+	assert.Assert(t, follower.Bootstrap(voters, nil))
+	work(follower)
+	now = 3 * time.Second
+	follower.Step(now, raft.Message{})
+	leader.Tick(now)
+	for range 20 {
+		for _, m := range work(leader) {
+			if m.To == "b" {
+				follower.Step(now, m)
+			}
+		}
+		for _, m := range work(follower) {
+			leader.Step(now, m)
+		}
+	}
+	assert.Equal(t, leader.Role(), raft.Leader)
+	return leader, follower, now
+}
+
+// entriesTo counts the entries in messages to a member.
+func entriesTo(id raft.ID, messages []raft.Message) int {
+	n := 0
+	for _, m := range messages {
+		if m.To == id {
+			n += len(m.Entries)
+		}
+	}
+	return n
+}
+
+// TestLostAppendIsSentAgainOnce answers a lossy link: all messages behind a lost one are rejected, and the entries
+// must not be sent again for each rejection.
+func TestLostAppendIsSentAgainOnce(t *testing.T) {
+	leader, follower, now := newLeader(t)
+	const proposals = 50
+	var rejections []raft.Message
+	for i := range proposals {
+		now += time.Millisecond
+		_, err := leader.Propose(now, []byte("command"))
+		assert.NilError(t, err)
+		for _, m := range work(leader) {
+			if m.To == "b" && i > 0 {
+				follower.Step(now, m)
+			}
+		}
+		rejections = append(rejections, work(follower)...)
+	}
+	sent := 0
+	for _, m := range rejections {
+		now += time.Millisecond
+		leader.Step(now, m)
+		sent += entriesTo("b", work(leader))
+	}
+	assert.Assert(t, sent >= proposals && sent < 2*proposals, "%d entries were sent again, want about %d", sent, proposals)
+}
+
+// TestSilentPeerIsOnlyAsked answers a cut: a peer that does not answer gets heartbeats and no entries.
+func TestSilentPeerIsOnlyAsked(t *testing.T) {
+	leader, follower, now := newLeader(t)
+	sent := 0
+	for range 40 {
+		now += 100 * time.Millisecond
+		_, err := leader.Propose(now, []byte("command"))
+		assert.NilError(t, err)
+		leader.Tick(now)
+		messages := work(leader)
+		sent += entriesTo("c", messages)
+		for _, m := range messages {
+			if m.To == "b" {
+				follower.Step(now, m)
+			}
+		}
+		for _, m := range work(follower) {
+			leader.Step(now, m)
+		}
+	}
+	assert.Equal(t, leader.Role(), raft.Leader)
+	assert.Assert(t, sent < 20, "%d entries were sent to a peer that is silent", sent)
+}
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -54,6 +54,7 @@
 	maxBatch         = 512
 	maxBatchBytes    = 256 << 10
 	maxWindow        = 8192
+	maxInFlight      = 1024 // entries that a peer may have unanswered; more only fills its queue
 	partBytes        = 64 << 10
 	peerForget       = 30 * time.Second
 )
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -19,6 +19,8 @@
 	granted time.Duration
 	durable bool
 	applied uint64
+	// rolled is when next was last moved back; rejections of older messages tell nothing new.
+	rolled time.Duration
 	// parting is the snapshot being sent and offset its next part.
 	parting *Snapshot
 	offset  uint64
@@ -73,8 +75,12 @@
 	}
 }
 
+// batch returns the next entries for a peer: none to one that is silent, and no more than it may have unanswered.
 func (r *Raft) batch(p *peer) []Entry {
-	last := min(r.log.last(), p.next+maxBatch-1, p.match+maxWindow)
+	if r.now-p.seen > r.election {
+		return nil
+	}
+	last := min(r.log.last(), p.next+maxBatch-1, p.match+maxInFlight)
 	entries := r.log.slice(p.next, last)
 	size := 0
 	for i, e := range entries {
@@ -132,9 +138,10 @@
 	}
 	r.noteReply(p, m)
 	if m.Reject {
-		if p.parting != nil || m.Index <= p.match {
+		if p.parting != nil || m.Index <= p.match || m.Sent < p.rolled {
 			return
 		}
+		p.rolled = r.now
 		p.next = max(min(m.Hint+1, p.next), p.match+1)
 		r.sendAppend(m.From, p, true)
 		return
@@ -207,7 +214,7 @@
 	}
 	p := r.peers[m.From]
 	if p == nil {
-		p = &peer{next: r.log.last() + 1, stamp: never}
+		p = &peer{next: r.log.last() + 1, stamp: never, rolled: never}
 		r.peers[m.From] = p
 	}
 	p.seen = r.now
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -223,9 +223,7 @@
 	case MachineDone:
 		u.done = true
 		u.since = now
-		if u.instance != nil && s.instances[u.instance.ID] == u.instance {
-			u.instance.departed = true
-		}
+		s.takenDown(u, o.Machine)
 	case MachineGone:
 		delete(w.current, o.Machine)
 	case MachineFenced:
@@ -237,3 +235,13 @@
 	w.begun[o.Machine] = true
 	return true
 }
+
+// takenDown notes the boot that ended, so that only a later one counts as the machine's return.
+func (s *Scheduler) takenDown(u *upkeep, machine string) {
+	for _, in := range s.instances {
+		if in.Machine == machine {
+			in.departed = true
+			u.boot = max(u.boot, in.Boot)
+		}
+	}
+}
