Move machines to the pools that need them and idle ones to standby

Change: demand of each pool with its rise, machines from standby first, then idle ones of other pools; idle ones to standby. Standing tasks are packed so that instances come free; a machine that is down no longer holds a place of its wave.

--- a/internal/scheduler/look.go
+++ b/internal/scheduler/look.go
@@ -155,6 +155,9 @@
 		}
 		s.decisions = append(s.decisions, Decision{What: "run ended", Task: e.Task, Run: e.Run, Instance: in.ID, Reason: string(e.How)})
 	}
+	if r != nil {
+		s.detach(in, r)
+	}
 	commit := false
 	switch {
 	case j == nil || !j.holds(e.Task.Place):
@@ -163,9 +166,6 @@
 	case e.How == workload.EndedFailed:
 		commit = s.takeFailure(in, j, e)
 	}
-	if r != nil {
-		s.detach(in, r)
-	}
 	return commit
 }
 
--- /dev/null
+++ b/internal/scheduler/machine.go
@@ -0,0 +1,108 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
+)
+
+// Machine is what the platform says of a machine.
+type Machine struct {
+	Name string
+	Pool fleet.PoolID
+	// Up machines can be moved and maintained.
+	Up bool
+}
+
+// MachineOrder asks the platform for planned work on a machine: a move where a pool is named, maintenance otherwise.
+type MachineOrder struct {
+	Machine string
+	Wave    uint64
+	Pool    fleet.PoolID
+}
+
+// MachineOutcome is what the platform said to a machine order.
+type MachineOutcome uint8
+
+// Outcomes of a machine order.
+const (
+	MachineDone MachineOutcome = iota + 1
+	MachineBusy
+	MachineFenced
+	MachineGone
+	MachineUncertain
+)
+
+// String names the outcome.
+func (o MachineOutcome) String() string {
+	return [...]string{"none", "done", "busy", "fenced", "gone", "uncertain"}[o]
+}
+
+// listInterval is how often the platform's list is read while machines are moved: each reading is paid for, and a
+// leader's own moves keep the table right between two readings.
+const listInterval = 15 * time.Second
+
+// machine is the book of one machine.
+type machine struct {
+	Machine
+	// rested is when a machine that could not be moved may be asked for again.
+	rested time.Duration
+}
+
+// barring is a pool that the platform does not let a machine join.
+type barring struct {
+	machine string
+	pool    fleet.PoolID
+}
+
+// WantMachines reports whether the platform's list of machines should be read now.
+func (s *Scheduler) WantMachines() bool {
+	if !s.movable() || s.now-s.listed < listInterval {
+		return false
+	}
+	s.listed = s.now
+	return true
+}
+
+// SetMachines takes the platform's list.
+func (s *Scheduler) SetMachines(list []Machine) {
+	for _, m := range list {
+		s.machineOf(m.Name).Machine = m
+	}
+}
+
+func (s *Scheduler) machineOf(name string) *machine {
+	m := s.machines[name]
+	if m == nil {
+		m = &machine{Machine: Machine{Name: name}}
+		s.machines[name] = m
+	}
+	return m
+}
+
+// onStandby reports whether a machine is off in a standby pool and free for planned work.
+func (s *Scheduler) onStandby(name string) bool {
+	m := s.machines[name]
+	return m != nil && m.Up && s.now >= m.rested && s.catalogue.Standby(m.Pool) && s.moves[name] == nil
+}
+
+// MachineOrders returns the machine orders made since the last call.
+func (s *Scheduler) MachineOrders() []MachineOrder {
+	list := s.machineOrders
+	s.machineOrders = nil
+	return list
+}
+
+// MachineAnswered takes the outcome of a machine order and reports whether the maintenance of a wave has begun.
+func (s *Scheduler) MachineAnswered(now time.Duration, o MachineOrder, outcome MachineOutcome) (begun bool) {
+	s.now = now
+	if outcome == MachineFenced {
+		s.superseded = true
+		return false
+	}
+	if o.Pool != "" {
+		s.moveAnswered(o, outcome)
+		return false
+	}
+	return s.upkeepAnswered(o, outcome)
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -37,6 +37,7 @@
 	s.stopStandstills()
 	s.tickWaves()
 	s.place()
+	s.planMoves()
 }
 
 func (s *Scheduler) place() {
@@ -198,6 +199,7 @@
 	weightFault   = 20.0  // an instance that failed tasks lately is the last choice
 	weightLast    = 10.0  // a run that was lost or failed is tried elsewhere
 	weightDisturb = 5.0   // filling and serving tasks disturb each other
+	weightSame    = 0.5   // a lost instance should take few tasks of one step
 	weightPack    = 1.0   // packed instances leave others empty for maintenance and moves
 )
 
@@ -220,7 +222,7 @@
 			score -= weightDisturb
 		}
 	}
-	return score - weightPack*load
+	return score + weightPack*load - weightSame*float64(in.count(c))
 }
 
 // placeGang starts all tasks of a stage with one run number, or none.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -102,25 +102,31 @@
 
 // Scheduler places the tasks of all jobs.
 type Scheduler struct {
-	options    Options
-	now        time.Duration
-	wall       int64 // milliseconds since 1970
-	catalogue  *workload.Catalogue
-	instances  map[fleet.InstanceID]*instance
-	jobs       map[workload.JobID]*job
-	usage      map[fleet.CustomerID]workload.Need
-	counter    uint64
-	orders     []Order
-	ends       []state.End
-	failed     []workload.JobID
-	struck     []fleet.InstanceID
-	batch      uint64
-	committed  uint64
-	superseded bool
-	unsettled  map[fleet.InstanceID]bool
-	decisions  []Decision
-	waves      map[uint64]*wave
-	machines   []MachineOrder
+	options       Options
+	now           time.Duration
+	wall          int64 // milliseconds since 1970
+	catalogue     *workload.Catalogue
+	instances     map[fleet.InstanceID]*instance
+	jobs          map[workload.JobID]*job
+	usage         map[fleet.CustomerID]workload.Need
+	counter       uint64
+	orders        []Order
+	ends          []state.End
+	failed        []workload.JobID
+	struck        []fleet.InstanceID
+	batch         uint64
+	committed     uint64
+	superseded    bool
+	unsettled     map[fleet.InstanceID]bool
+	decisions     []Decision
+	waves         map[uint64]*wave
+	machines      map[string]*machine
+	machineOrders []MachineOrder
+	moves         map[string]*move
+	demands       map[fleet.PoolID]*demand
+	barred        map[barring]bool
+	planned       time.Duration
+	listed        time.Duration
 }
 
 // Decision is one line for the log.
@@ -129,6 +135,7 @@
 	Task     workload.TaskID
 	Run      workload.Run
 	Instance fleet.InstanceID
+	Machine  string
 	Reason   string
 }
 
@@ -145,6 +152,11 @@
 		usage:     map[fleet.CustomerID]workload.Need{},
 		unsettled: map[fleet.InstanceID]bool{},
 		waves:     map[uint64]*wave{},
+		machines:  map[string]*machine{},
+		moves:     map[string]*move{},
+		demands:   map[fleet.PoolID]*demand{},
+		barred:    map[barring]bool{},
+		listed:    -listInterval,
 	}
 	for id, e := range w.Enrolled {
 		in := s.addInstance(e)
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -10,30 +10,13 @@
 	"github.com/sapphiresail/sapphiresail/internal/workload"
 )
 
-// MachineOrder asks the platform for planned work on a machine.
-type MachineOrder struct {
-	Machine string
-	Wave    uint64
-}
-
-// MachineOutcome is what the platform said to a machine order.
-type MachineOutcome uint8
-
-// Outcomes of a machine order.
-const (
-	MachineDone MachineOutcome = iota + 1
-	MachineBusy
-	MachineFenced
-	MachineGone
-	MachineUncertain
-)
-
 // Timing of maintenance.
 const (
 	waveSettle  = 4 * time.Second        // instances announce themselves every 1.5 s, so all of them are known by then
 	waveRetry   = 700 * time.Millisecond // the platform takes few calls a second
 	waveHurry   = 0.5                    // part of a wave's time that may pass before running work is stopped for it
 	waveUnknown = 8 * time.Second        // a machine that moves or restarts is back well before
+	waveAgain   = 3 * time.Second        // a machine that is down may be back after this
 )
 
 // wave is the progress of one maintenance wave.
@@ -42,6 +25,8 @@
 	since   time.Duration
 	begun   map[string]bool
 	current map[string]*upkeep
+	// again is when a machine that was busy is asked for next.
+	again map[string]time.Duration
 }
 
 // upkeep is the maintenance of one machine that is under way.
@@ -64,14 +49,7 @@
 	if begun == nil {
 		begun = map[string]bool{}
 	}
-	s.waves[r.Wave.Number] = &wave{Wave: r.Wave, since: since, begun: begun, current: map[string]*upkeep{}}
-}
-
-// MachineOrders returns the machine orders made since the last call.
-func (s *Scheduler) MachineOrders() []MachineOrder {
-	list := s.machines
-	s.machines = nil
-	return list
+	s.waves[r.Wave.Number] = &wave{Wave: r.Wave, since: since, begun: begun, current: map[string]*upkeep{}, again: map[string]time.Duration{}}
 }
 
 func (s *Scheduler) tickWaves() {
@@ -105,9 +83,12 @@
 func (s *Scheduler) nextMachine(w *wave) (string, *instance) {
 	var best *instance
 	for _, machine := range w.Machines {
-		if w.begun[machine] || w.current[machine] != nil {
+		if w.begun[machine] || w.current[machine] != nil || s.moves[machine] != nil || s.now < w.again[machine] {
 			continue
 		}
+		if s.onStandby(machine) {
+			return machine, nil
+		}
 		in := s.onMachine(machine)
 		if in == nil || !in.looked || in.misses > 0 || in.evacuate || in.Draining {
 			continue
@@ -128,7 +109,7 @@
 		return ""
 	}
 	for _, machine := range w.Machines {
-		if !w.begun[machine] && w.current[machine] == nil && s.onMachine(machine) == nil {
+		if !w.begun[machine] && w.current[machine] == nil && s.moves[machine] == nil && s.now >= w.again[machine] && s.onMachine(machine) == nil {
 			return machine
 		}
 	}
@@ -162,7 +143,7 @@
 	}
 	u.inFlight = true
 	u.asked = s.now
-	s.machines = append(s.machines, MachineOrder{Machine: machine, Wave: w.Number})
+	s.machineOrders = append(s.machineOrders, MachineOrder{Machine: machine, Wave: w.Number})
 }
 
 // evacuate moves work off an instance: what lasts within the availability budget of its step, other work by waiting
@@ -210,9 +191,8 @@
 	return false
 }
 
-// MachineAnswered takes the outcome of a machine order and reports whether its maintenance has begun.
-func (s *Scheduler) MachineAnswered(now time.Duration, o MachineOrder, outcome MachineOutcome) (begun bool) {
-	s.now = now
+// upkeepAnswered takes the outcome of an order of maintenance and reports whether it has begun.
+func (s *Scheduler) upkeepAnswered(o MachineOrder, outcome MachineOutcome) (begun bool) {
 	w := s.waves[o.Wave]
 	if w == nil || w.current[o.Machine] == nil {
 		return false
@@ -222,12 +202,15 @@
 	switch outcome {
 	case MachineDone:
 		u.done = true
-		u.since = now
-		s.takenDown(u, o.Machine)
+		u.since = s.now
+		u.boot = max(u.boot, s.takenDown(o.Machine))
 	case MachineGone:
 		delete(w.current, o.Machine)
-	case MachineFenced:
-		s.superseded = true
+	case MachineBusy:
+		w.again[o.Machine] = s.now + waveAgain
+		if u.instance == nil {
+			delete(w.current, o.Machine)
+		}
 		return false
 	default:
 		return false
@@ -236,12 +219,13 @@
 	return true
 }
 
-// takenDown notes the boot that ended, so that only a later one counts as the machine's return.
-func (s *Scheduler) takenDown(u *upkeep, machine string) {
+// takenDown notes the boot that a planned stop has ended, so that only a later one counts as the machine's return.
+func (s *Scheduler) takenDown(machine string) (boot int64) {
 	for _, in := range s.instances {
 		if in.Machine == machine {
 			in.departed = true
-			u.boot = max(u.boot, in.Boot)
+			boot = max(boot, in.Boot)
 		}
 	}
+	return boot
 }
--- a/internal/supervisor/lane.go
+++ b/internal/supervisor/lane.go
@@ -14,9 +14,9 @@
 
 // Timeouts of calls to instances and to the platform.
 const (
-	orderTimeout  = 700 * time.Millisecond // an instance answers within milliseconds; a lost packet is sent again after 200 ms
-	lookSlack     = 700 * time.Millisecond // beyond the wait that the look asks for
-	upkeepTimeout = 3 * time.Second        // the platform may be slow
+	orderTimeout    = 700 * time.Millisecond // an instance answers within milliseconds; a lost packet is sent again after 200 ms
+	lookSlack       = 700 * time.Millisecond // beyond the wait that the look asks for
+	platformTimeout = 3 * time.Second        // the platform may be slow
 )
 
 // follow looks at an enrolled instance until it is struck.
@@ -106,18 +106,30 @@
 	t.post(func() { t.scheduler.Answered(clock(), o, outcome) })
 }
 
-func (t *term) upkeep(o scheduler.MachineOrder) {
+// orderMachine asks the platform for planned work on a machine.
+func (t *term) orderMachine(o scheduler.MachineOrder) {
 	if !t.leads() {
 		return
 	}
-	ctx, cancel := context.WithTimeout(t.ctx, upkeepTimeout)
+	ctx, cancel := context.WithTimeout(t.ctx, platformTimeout)
 	defer cancel()
-	outcome, err := t.options.Machines.Upkeep(ctx, t.options.Entry, t.number, o)
+	outcome, err := t.options.Machines.OrderMachine(ctx, t.options.Entry, t.number, o)
 	event.MachineOrdered.Info(t.options.Logger, zap.String("machine", o.Machine), zap.Uint64("wave", o.Wave),
-		zap.Int("outcome", int(outcome)), zap.NamedError("error", err))
+		zap.String("pool", string(o.Pool)), zap.Stringer("outcome", outcome), zap.NamedError("error", err))
 	t.post(func() {
 		if t.scheduler.MachineAnswered(clock(), o, outcome) {
 			t.commit(state.BeginUpkeep{Wave: o.Wave, Machine: o.Machine}, func(state.Reply, error) {})
 		}
 	})
 }
+
+func (t *term) listMachines() {
+	ctx, cancel := context.WithTimeout(t.ctx, platformTimeout)
+	defer cancel()
+	list, err := t.options.Machines.ListMachines(ctx)
+	if err != nil {
+		event.MachinesUnknown.Warn(t.options.Logger, zap.NamedError("error", err))
+		return
+	}
+	t.post(func() { t.scheduler.SetMachines(list) })
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -31,9 +31,10 @@
 	Look(ctx context.Context, q scheduler.Inquiry) (scheduler.Look, scheduler.Outcome, error)
 }
 
-// Machines asks the platform for planned work.
+// Machines asks the platform for planned work on machines.
 type Machines interface {
-	Upkeep(ctx context.Context, holder fleet.EntryID, fence uint64, o scheduler.MachineOrder) (scheduler.MachineOutcome, error)
+	OrderMachine(ctx context.Context, holder fleet.EntryID, fence uint64, o scheduler.MachineOrder) (scheduler.MachineOutcome, error)
+	ListMachines(ctx context.Context) ([]scheduler.Machine, error)
 }
 
 // Options are what a supervisor needs to start.
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -183,7 +183,10 @@
 		t.send(o)
 	}
 	for _, o := range t.scheduler.MachineOrders() {
-		t.spawn(func() { t.upkeep(o) })
+		t.spawn(func() { t.orderMachine(o) })
+	}
+	if t.scheduler.WantMachines() {
+		t.spawn(t.listMachines)
 	}
 	t.commitEnds()
 	t.strike()
@@ -270,6 +273,6 @@
 			continue
 		}
 		event.RunDecided.Info(t.options.Logger, zap.String("what", d.What), zap.Stringer("task", d.Task),
-			zap.Uint64("run", uint64(d.Run)), zap.String("instance", string(d.Instance)), zap.String("reason", d.Reason))
+			zap.Uint64("run", uint64(d.Run)), zap.String("instance", string(d.Instance)), zap.String("machine", d.Machine), zap.String("reason", d.Reason))
 	}
 }
