Strike instances before planned work, wait per pool after a take-over, keep room for standing tasks

Change: an empty instance leaves the committed state before a move or an upkeep, old jobs wait only for instances of their pools, one instance is kept free of batch work for a standing task that waits, demand counts memory as well.

--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -98,12 +98,12 @@
 		return true
 	}
 	if i.Sequence <= in.Sequence && in.Sequence > 0 {
-		return !in.enrolled
+		return !in.enrolled && !in.evacuate
 	}
 	in.heardClock(now, i.Clock)
 	in.Instance = i
 	in.announce = now
-	return !in.enrolled
+	return !in.enrolled && !in.evacuate
 }
 
 // isStale reports whether the announcement is of a boot that a later one has replaced; it ends earlier boots.
@@ -192,6 +192,34 @@
 	s.struck = append(s.struck, in.ID)
 }
 
+// retire takes an instance without work out of the committed state before planned work ends it: a later leader need
+// not wait for it.
+func (s *Scheduler) retire(in *instance) {
+	in.evacuate = true
+	if in.enrolled {
+		in.enrolled = false
+		s.struck = append(s.struck, in.ID)
+	}
+}
+
+// restore gives an instance work again whose planned work was refused.
+func (s *Scheduler) restore(in *instance) {
+	if in == nil || s.instances[in.ID] != in {
+		return
+	}
+	in.evacuate = false
+	if !in.enrolled {
+		s.enrols = append(s.enrols, in.Instance)
+	}
+}
+
+// Enrols returns instances that must be enrolled again before they get work.
+func (s *Scheduler) Enrols() []workload.Instance {
+	list := s.enrols
+	s.enrols = nil
+	return list
+}
+
 func (s *Scheduler) dropRuns(in *instance, reason string) {
 	for _, r := range in.runs {
 		s.note("run lost", r, in, reason)
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
@@ -13,6 +14,7 @@
 	workload.Job
 	queue    fleet.QueueID
 	pool     fleet.PoolID
+	pools    []fleet.PoolID
 	customer fleet.CustomerID
 	priority int
 	attempts int
@@ -71,7 +73,7 @@
 	if s.jobs[r.Job.ID] != nil || !r.Active() {
 		return
 	}
-	j := &job{Job: r.Job, queue: r.Queue, customer: r.Customer, attempts: defaultTries, old: old, left: r.Job.Tasks()}
+	j := &job{Job: r.Job, queue: r.Queue, customer: r.Customer, pools: slices.Clone(r.Pools), attempts: defaultTries, old: old, left: r.Job.Tasks()}
 	for k := range r.Job.Occurrences() {
 		j.rounds = append(j.rounds, newRound(&j.Job, k))
 	}
@@ -109,6 +111,9 @@
 		return
 	}
 	j.pool = q.Pool
+	if !slices.Contains(j.pools, j.pool) {
+		j.pools = append(j.pools, j.pool)
+	}
 	j.priority = q.Priority
 	j.attempts = max(1, q.Attempts)
 	j.objective = time.Duration(q.Stretch*float64(chain(&j.Job))) + q.Objective
@@ -133,6 +138,19 @@
 	return longest
 }
 
+// accounted reports whether it is known where every run of the job is; an instance that was not seen yet may run some.
+func (s *Scheduler) accounted(j *job) bool {
+	if !j.old {
+		return true
+	}
+	for id := range s.unsettled {
+		if slices.Contains(j.pools, s.instances[id].Pool) {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *Scheduler) markDone(j *job, p workload.Place) {
 	t := j.task(p)
 	if t.done {
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -19,18 +19,18 @@
 	moveRest      = 3 * time.Second        // a machine that was busy is down or in maintenance
 	demandDecay   = 4 * time.Second        // a queue's turn lasts some seconds, with gaps below a second in it
 	slopeSpan     = time.Second
-	slopeAhead    = 1.5  // seconds; a move takes so long
-	demandMargin  = 1.25 // of the measured demand, for what comes until the next decision
-	reserveShare  = 0.5  // of one instance, against a lost one
-	idleBeforeOff = 1200 * time.Millisecond
-	leastPool     = 2 // instances of a pool with work, so that one may be lost
+	slopeAhead    = 1.5                     // seconds; a move takes so long
+	demandMargin  = 1.25                    // of the measured demand, for what comes until the next decision
+	reserveShare  = 0.5                     // of one instance, against a lost one
+	idleBeforeOff = 2500 * time.Millisecond // two moves cost as much as an idle instance in three seconds
+	leastPool     = 2                       // instances of a pool with work, so that one may be lost
 	maxMoves      = 24
 )
 
 // demand is the need of one pool for instances.
 type demand struct {
-	standing workload.Need
-	now      float64 // thousandths of processors that work that ends needs at once
+	standing float64 // instances that standing tasks fill
+	now      float64 // instances that work that ends needs at once
 	peak     float64
 	slope    float64
 	past     float64
@@ -114,15 +114,15 @@
 	for _, q := range s.catalogue.Queues {
 		s.demandOf(q.Pool).queues++
 	}
+	capacity := s.typicalCapacity()
 	for _, j := range s.jobs {
-		s.measureJob(j)
+		s.measureJob(j, capacity)
 	}
-	capacity := s.typicalCapacity()
 	decay := math.Exp(-float64(elapsed) / float64(demandDecay))
 	for p, d := range s.demands {
 		d.track(s.now, decay)
 		d.have = s.has(p)
-		d.want = d.wanted(capacity)
+		d.want = d.wanted()
 		if d.have <= d.want {
 			d.surplus = s.now
 		}
@@ -138,7 +138,7 @@
 	return d
 }
 
-func (s *Scheduler) measureJob(j *job) {
+func (s *Scheduler) measureJob(j *job, capacity workload.Need) {
 	if j.over {
 		return
 	}
@@ -152,10 +152,9 @@
 			open := float64(len(st.tasks) - st.done)
 			switch {
 			case step.Standing:
-				d.standing.Processors += step.Claim().Processors * int64(len(st.tasks))
-				d.standing.Memory += step.Claim().Memory * int64(len(st.tasks))
+				d.standing += float64(len(st.tasks)) * capacity.Share(step.Claim())
 			case open > 0 && ro.ready(j, st.step):
-				d.now += open * float64(step.Claim().Processors)
+				d.now += open * capacity.Share(step.Claim())
 			}
 		}
 	}
@@ -171,15 +170,12 @@
 }
 
 // wanted returns how many instances of a typical size the pool needs.
-func (d *demand) wanted(capacity workload.Need) int {
+func (d *demand) wanted() int {
 	if d.queues == 0 {
 		return 0
 	}
-	processors := float64(max(1, capacity.Processors))
-	work := demandMargin*max(d.peak, d.now+slopeAhead*d.slope) + float64(d.standing.Processors)
-	byProcessors := math.Ceil(work/processors + reserveShare)
-	byMemory := math.Ceil(float64(d.standing.Memory)/float64(max(1, capacity.Memory)) + reserveShare)
-	return max(leastPool, int(byProcessors), int(byMemory))
+	ending := demandMargin * max(d.peak, d.now+slopeAhead*d.slope)
+	return max(leastPool, int(math.Ceil(ending+d.standing+reserveShare)))
 }
 
 // typicalCapacity returns the mean size of the instances.
@@ -284,7 +280,7 @@
 func (s *Scheduler) begin(name string, to fleet.PoolID, in *instance) {
 	m := &move{to: to, since: s.now, instance: in}
 	if in != nil {
-		in.evacuate = true
+		s.retire(in)
 		m.boot = in.Boot
 	}
 	s.moves[name] = m
@@ -313,8 +309,6 @@
 		if outcome == MachineGone {
 			s.barred[barring{o.Machine, o.Pool}] = true
 		}
-		if m.instance != nil {
-			m.instance.evacuate = false
-		}
+		s.restore(m.instance)
 	}
 }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -47,8 +47,33 @@
 			s.placeGang(c, pools[c.job.pool])
 			continue
 		}
-		s.placeTasks(c, pools[c.job.pool])
+		if !s.placeTasks(c, pools[c.job.pool]) && c.class == classServing {
+			pools[c.job.pool] = keepRoom(c, pools[c.job.pool])
+		}
+	}
+}
+
+// keepRoom takes the instance that comes closest to having room for a standing task off the list, so that work that
+// ends does not fill it again.
+func keepRoom(c candidate, instances []*instance) []*instance {
+	step := &c.job.Steps[c.stage.step]
+	best := -1
+	for i, in := range instances {
+		suits := in.Capacity.Fits(step.Claim()) && (step.PerInstance == 0 || in.count(c) < step.PerInstance) &&
+			(step.Label == "" || slices.Contains(in.Labels, step.Label))
+		if suits && (best < 0 || in.lacks(step) < instances[best].lacks(step)) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return instances
 	}
+	return slices.Delete(slices.Clone(instances), best, best+1)
+}
+
+// lacks returns the part of the instance that must still come free for a task of the step.
+func (in *instance) lacks(step *workload.Step) float64 {
+	return in.Capacity.Share(step.Claim().Add(in.used)) - 1
 }
 
 func (s *Scheduler) openInstances() map[fleet.PoolID][]*instance {
@@ -69,7 +94,7 @@
 func (s *Scheduler) candidates() []candidate {
 	var list []candidate
 	for _, j := range s.jobs {
-		if j.over || j.old && !s.Settled() {
+		if j.over || !s.accounted(j) {
 			continue
 		}
 		for k, ro := range j.rounds {
@@ -125,24 +150,26 @@
 
 func (st *stage) isGang(j *job) bool { return j.Steps[st.step].Gang }
 
-func (s *Scheduler) placeTasks(c candidate, instances []*instance) {
+// placeTasks starts the waiting tasks of a stage and reports whether all found an instance.
+func (s *Scheduler) placeTasks(c candidate, instances []*instance) bool {
 	for i := range c.stage.tasks {
 		t := &c.stage.tasks[i]
 		if t.done || t.run != nil || s.now < t.notBefore {
 			continue
 		}
 		if !s.inLimit(c.job, c.job.Steps[c.stage.step].Need) {
-			return
+			return true
 		}
 		in := s.choose(c, t, instances)
 		if in == nil {
-			return
+			return false
 		}
 		id := workload.TaskID{Job: c.job.ID, Place: workload.At(c.round, c.stage.step, i)}
 		r := &run{task: id, number: s.nextRun()}
 		s.start(in, c.job, r)
 		s.note("run placed", r, in, "room")
 	}
+	return true
 }
 
 // inLimit reports whether a customer may have one more need running; an instance that was not seen yet may be full of its work.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -114,6 +114,7 @@
 	ends          []state.End
 	failed        []workload.JobID
 	struck        []fleet.InstanceID
+	enrols        []workload.Instance
 	batch         uint64
 	committed     uint64
 	superseded    bool
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -141,6 +141,9 @@
 	if u.inFlight || s.now-u.asked < waveRetry {
 		return
 	}
+	if u.instance != nil && s.instances[u.instance.ID] == u.instance {
+		s.retire(u.instance)
+	}
 	u.inFlight = true
 	u.asked = s.now
 	s.machineOrders = append(s.machineOrders, MachineOrder{Machine: machine, Wave: w.Number})
--- a/internal/state/jobs.go
+++ b/internal/state/jobs.go
@@ -24,6 +24,8 @@
 	Failures map[workload.Place][]workload.Run `cbor:"9,keyasint,omitempty"`
 	// Over is when the job reached its last phase.
 	Over Moment `cbor:"10,keyasint,omitempty"`
+	// Pools are all pools that the job's queue has had, so that its runs can only be there.
+	Pools []fleet.PoolID `cbor:"11,keyasint,omitempty"`
 }
 
 // Complete reports whether all tasks have ended well.
@@ -71,6 +73,9 @@
 	}
 	s.Work.Catalogue = c.Catalogue
 	s.Work.Source = bytes.Clone(c.Source)
+	for _, r := range s.Work.Jobs {
+		r.notePool(&s.Work.Catalogue)
+	}
 	return Reply{Version: c.Catalogue.Version}, nil
 }
 
@@ -86,10 +91,20 @@
 	if _, taken := s.Work.Jobs[c.Job.ID]; taken {
 		return Reply{}, nil
 	}
-	s.Work.Jobs[c.Job.ID] = &JobRecord{Job: c.Job, Queue: c.Queue, Customer: c.Customer, Accepted: s.Current, At: c.At}
+	r := &JobRecord{Job: c.Job, Queue: c.Queue, Customer: c.Customer, Accepted: s.Current, At: c.At}
+	r.notePool(&s.Work.Catalogue)
+	s.Work.Jobs[c.Job.ID] = r
 	return Reply{}, nil
 }
 
+// notePool remembers the pool of the job's queue.
+func (r *JobRecord) notePool(c *workload.Catalogue) {
+	q, ok := c.Named(r.Queue)
+	if ok && r.Active() && !slices.Contains(r.Pools, q.Pool) {
+		r.Pools = append(r.Pools, q.Pool)
+	}
+}
+
 // Cancel ends a job that is not over.
 type Cancel struct {
 	Job workload.JobID `cbor:"1,keyasint"`
--- a/internal/supervisor/answer.go
+++ b/internal/supervisor/answer.go
@@ -203,27 +203,29 @@
 }
 
 func (t *term) announce(ctx context.Context, ask forwarder.Ask) forwarder.Answer {
-	enrol := false
 	in := *ask.Instance
-	if !t.ask(ctx, func() { enrol = t.scheduler.Announce(clock(), in) }) {
+	if !t.ask(ctx, func() {
+		if t.scheduler.Announce(clock(), in) {
+			t.enrol(in)
+		}
+	}) {
 		return forwarder.Answer{Verdict: forwarder.NotLeading}
 	}
 	if in.Draining {
 		event.InstanceDraining.Info(t.options.Logger, zap.String("instance", string(in.ID)), zap.Duration("left", in.Left))
 	}
-	if enrol {
-		t.commit(state.Enrol{Instance: in}, func(_ state.Reply, err error) {
-			if err != nil {
-				return
-			}
-			event.InstanceEnrolled.Info(t.options.Logger, zap.String("instance", string(in.ID)), zap.String("pool", string(in.Pool)),
-				zap.String("machine", in.Machine), zap.String("address", in.Address))
-			t.scheduler.Enrolled(in.ID)
-		})
-	}
 	return forwarder.Answer{Verdict: forwarder.Done, Leader: t.options.Entry}
 }
 
+// enrol commits a boot of an instance, so that a later leader knows that it may run something.
+func (t *term) enrol(in workload.Instance) {
+	t.register(state.Enrol{Instance: in}, func() {
+		event.InstanceEnrolled.Info(t.options.Logger, zap.String("instance", string(in.ID)), zap.String("pool", string(in.Pool)),
+			zap.String("machine", in.Machine), zap.String("address", in.Address))
+		t.scheduler.Enrolled(in.ID)
+	})
+}
+
 func (t *term) depart(ctx context.Context, ask forwarder.Ask) forwarder.Answer {
 	in := *ask.Instance
 	if !t.ask(ctx, func() { t.scheduler.Depart(clock(), in.ID, in.Boot) }) {
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -41,14 +41,15 @@
 	over    bool
 
 	// The rest belongs to the loop.
-	scheduler *scheduler.Scheduler
-	lanes     map[fleet.InstanceID]*lane
-	noting    bool
-	striking  bool
-	settled   bool
-	tidied    time.Duration
-	budget    int
-	budgetAt  time.Duration
+	scheduler   *scheduler.Scheduler
+	lanes       map[fleet.InstanceID]*lane
+	noting      bool
+	roster      []registration
+	registering bool
+	settled     bool
+	tidied      time.Duration
+	budget      int
+	budgetAt    time.Duration
 }
 
 // lane carries orders to one boot of an instance.
@@ -229,14 +230,60 @@
 	})
 }
 
+// strike takes instances out of the committed state and puts those in again whose planned work was refused.
 func (t *term) strike() {
 	for _, id := range t.scheduler.Struck() {
 		if l := t.lanes[id]; l != nil {
 			l.cancel()
 			delete(t.lanes, id)
 		}
-		t.commit(state.Strike{Instances: []fleet.InstanceID{id}}, func(state.Reply, error) {})
+		t.register(state.Strike{Instances: []fleet.InstanceID{id}}, func() {})
 	}
+	for _, in := range t.scheduler.Enrols() {
+		t.enrol(in)
+	}
+}
+
+// registration is a change of the enrolled instances.
+type registration struct {
+	command state.Command
+	then    func()
+}
+
+// register queues a change of the enrolled instances: they are committed in order, so that a strike never follows the
+// enrolment that came after it.
+func (t *term) register(c state.Command, then func()) {
+	t.roster = append(t.roster, registration{c, then})
+	t.pumpRegister()
+}
+
+func (t *term) pumpRegister() {
+	if t.registering || len(t.roster) == 0 {
+		return
+	}
+	t.registering = true
+	batch := t.roster
+	t.roster = nil
+	commands := make([]state.Command, len(batch))
+	for i, r := range batch {
+		commands[i] = r.command
+	}
+	t.spawn(func() {
+		_, errs := t.options.Replica.CommitAll(t.ctx, commands)
+		t.post(func() { t.registered(batch, errs) })
+	})
+}
+
+func (t *term) registered(batch []registration, errs []error) {
+	t.registering = false
+	for i, r := range batch {
+		if errs[i] != nil {
+			t.cancel() // what is enrolled is not known any more; the next term reads it
+			return
+		}
+		r.then()
+	}
+	t.pumpRegister()
 }
 
 // tidy releases jobs that nobody may ask for any more.
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -40,6 +40,18 @@
 	return o.Processors <= n.Processors && o.Memory <= n.Memory && o.Accelerators <= n.Accelerators
 }
 
+// Share returns the largest part that o takes of any resource of n.
+func (n Need) Share(o Need) float64 {
+	return max(part(o.Processors, n.Processors), part(o.Memory, n.Memory), part(o.Accelerators, n.Accelerators))
+}
+
+func part(o, n int64) float64 {
+	if n <= 0 {
+		return 0
+	}
+	return float64(o) / float64(n)
+}
+
 // Within reports whether n stays within a limit in which zero means no limit.
 func (n Need) Within(limit Need) bool {
 	return (limit.Processors == 0 || n.Processors <= limit.Processors) &&
