--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"math"
 	"slices"
@@ -38,6 +39,7 @@
 	want     int
 	have     int
 	queues   int
+	told     int
 	surplus  time.Duration
 }
 
@@ -109,7 +111,7 @@
 // measure computes what each pool needs and has.
 func (s *Scheduler) measure(elapsed time.Duration) {
 	for _, d := range s.demands {
-		*d = demand{peak: d.peak, past: d.past, pastAt: d.pastAt, slope: d.slope, surplus: d.surplus}
+		*d = demand{peak: d.peak, past: d.past, pastAt: d.pastAt, slope: d.slope, surplus: d.surplus, told: d.told}
 	}
 	for _, q := range s.catalogue.Queues {
 		s.demandOf(q.Pool).queues++
@@ -126,6 +128,12 @@
 		if d.have <= d.want {
 			d.surplus = s.now
 		}
+		if d.want != d.told {
+			d.told = d.want
+			s.decisions = append(s.decisions, Decision{What: "pool planned", Reason: fmt.Sprintf(
+				"pool %s has %d, wants %d: %.1f for standing tasks, %.1f now, %.1f at the peak, rising %.1f a second",
+				p, d.have, d.want, d.standing, d.now, d.peak, d.slope)})
+		}
 	}
 }
 
