--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -32,6 +32,8 @@
 	faults   int
 	paced    int
 	evacuate bool
+	// strayed is set while runs are listed whose size is not known.
+	strayed bool
 }
 
 // mark is an end that was seen, with the batch whose commit it waits for.
@@ -231,11 +233,12 @@
 	in.runs[r.task] = r
 	in.used = in.used.Add(r.claim)
 	s.usage[r.job.customer] = s.usage[r.job.customer].Add(r.job.step(r.task.Place).Need)
-	t := r.job.task(r.task.Place)
-	t.run = r
-	t.on = in
 	r.job.begun = true
 	r.job.placed++
+	if t := r.job.task(r.task.Place); t.run == nil {
+		t.run = r
+		t.on = in
+	}
 }
 
 // detach removes a run that is surely over; its task waits again unless it is done.
@@ -252,12 +255,11 @@
 		t.on = nil
 		t.last = in.ID
 		t.leftAt = s.now
-		r.job.placed--
 	}
+	r.job.placed--
 	if r.saved != "" {
 		s.keepCheckpoint(r)
 	}
-	s.sweepJob(r.job)
 }
 
 // free returns what may still be placed on the instance.
@@ -265,7 +267,7 @@
 
 // open reports whether new tasks may be placed on the instance.
 func (s *Scheduler) open(in *instance) bool {
-	return in.enrolled && in.looked && !in.Draining && !in.departed && !in.evacuate && in.misses < refuseSilence && s.now >= in.rested
+	return in.enrolled && in.looked && !in.Draining && !in.departed && !in.evacuate && !in.strayed && in.misses < refuseSilence && s.now >= in.rested
 }
 
 // age drops the runs of silent instances whose leases are over, and forgets instances that are gone.
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -23,6 +23,7 @@
 	objective time.Duration
 	old       bool
 	over      bool
+	overAt    time.Duration
 	begun     bool
 	placed    int
 	left      int
@@ -70,7 +71,7 @@
 func (s *Scheduler) AddJob(now time.Duration, wall int64, r *state.JobRecord, old bool) {
 	s.now = now
 	s.wall = wall
-	if s.jobs[r.Job.ID] != nil || !r.Active() {
+	if s.jobs[r.Job.ID] != nil || !r.Active() && !old {
 		return
 	}
 	j := &job{Job: r.Job, queue: r.Queue, customer: r.Customer, pools: slices.Clone(r.Pools), attempts: defaultTries, old: old, left: r.Job.Tasks()}
@@ -90,6 +91,9 @@
 		}
 	}
 	j.begun = len(r.Done) > 0 || len(r.Failures) > 0
+	if !r.Active() {
+		j.over, j.overAt = true, now
+	}
 	s.jobs[j.ID] = j
 }
 
@@ -164,14 +168,14 @@
 // Cancel stops a job.
 func (s *Scheduler) Cancel(now time.Duration, id workload.JobID) {
 	s.now = now
-	if j := s.jobs[id]; j != nil {
+	if j := s.jobs[id]; j != nil && !j.over {
 		s.end(j, "cancelled")
 	}
 }
 
 // end stops all runs of a job that needs no more of them.
 func (s *Scheduler) end(j *job, reason string) {
-	j.over = true
+	j.over, j.overAt = true, s.now
 	for _, ro := range j.rounds {
 		for _, st := range ro.steps {
 			for i := range st.tasks {
@@ -181,20 +185,21 @@
 			}
 		}
 	}
-	s.sweepJob(j)
 }
 
-// sweepJob forgets a job once nothing of it can run any more.
-func (s *Scheduler) sweepJob(j *job) {
-	if j.over && j.placed == 0 {
-		delete(s.jobs, j.ID)
+// sweepJobs forgets jobs of which nothing can run any more, not even by an order that is carried out late.
+func (s *Scheduler) sweepJobs() {
+	for id, j := range s.jobs {
+		if j.over && j.placed == 0 && s.now-j.overAt > forgetOver && s.Settled() {
+			delete(s.jobs, id)
+		}
 	}
 }
 
 // Begun reports whether a task of the job has started; ok is false for a job that is not active.
 func (s *Scheduler) Begun(id workload.JobID) (begun, ok bool) {
 	j := s.jobs[id]
-	if j == nil {
+	if j == nil || j.over {
 		return false, false
 	}
 	return j.begun, true
--- a/internal/scheduler/look.go
+++ b/internal/scheduler/look.go
@@ -233,6 +233,7 @@
 }
 
 func (s *Scheduler) takeRows(in *instance, rows []Row, sent time.Duration) {
+	in.strayed = false
 	for _, row := range rows {
 		r := in.runs[row.Task]
 		if r == nil || r.number != row.Run {
@@ -263,17 +264,25 @@
 	}
 }
 
-// adopt takes over a run that an earlier leader started, or stops it where its task needs none.
+// adopt takes over a run that an earlier leader started or that started late; one that its task does not need is stopped,
+// and takes room until it has ended.
 func (s *Scheduler) adopt(in *instance, row Row) *run {
 	j := s.jobs[row.Task.Job]
-	if j != nil && !j.over && j.holds(row.Task.Place) && in.runs[row.Task] == nil {
-		if t := j.task(row.Task.Place); !t.done && t.run == nil {
-			r := &run{task: row.Task, number: row.Run, job: j, progress: running, claim: j.step(row.Task.Place).Claim(), since: s.now, settled: s.now, moved: s.now, pace: 100}
-			s.attach(in, r)
-			s.note("run adopted", r, in, "seen running")
-			return r
+	if j != nil && j.holds(row.Task.Place) && in.runs[row.Task] == nil {
+		t := j.task(row.Task.Place)
+		needed := !j.over && !t.done && t.run == nil
+		r := &run{
+			task: row.Task, number: row.Run, job: j, progress: running, claim: j.step(row.Task.Place).Claim(),
+			since: s.now, settled: s.now, moved: s.now, pace: 100,
 		}
+		s.attach(in, r)
+		s.note("run adopted", r, in, "seen running")
+		if !needed {
+			s.stop(in, r, "not needed")
+		}
+		return r
 	}
+	in.strayed = true
 	key := stray{task: row.Task, number: row.Run}
 	if last, sent := in.strays[key]; sent && s.now-last < retryPause {
 		return nil
--- /dev/null
+++ b/internal/scheduler/main_test.go
@@ -0,0 +1,13 @@
+package scheduler_test
+
+import (
+	"os"
+	"testing"
+
+	"github.com/sapphiresail/sapphiresail/internal/fuzzer"
+)
+
+func TestMain(m *testing.M) {
+	fuzzer.Fix(300)
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/internal/scheduler/oracle_test.go
@@ -0,0 +1,481 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/scheduler"
+	"github.com/sapphiresail/sapphiresail/internal/state"
+	"github.com/sapphiresail/sapphiresail/internal/workload"
+)
+
+// world is the oracle: instances that run what they are told, a network that loses, delays and reorders, and the
+// committed state that outlives each scheduler. Every start is checked against the rules at the instance.
+type world struct {
+	t         *rapid.T
+	now       time.Duration
+	work      state.State
+	index     uint64
+	scheduler *scheduler.Scheduler
+	fence     uint64
+	instances map[fleet.InstanceID]*target
+	flying    []flight
+	nextJob   int
+	nextID    int
+	// over holds tasks whose end as done was acknowledged, failures the acknowledged failed runs.
+	over     map[workload.TaskID]bool
+	failures map[workload.TaskID]int
+	batches  []batch
+}
+
+type batch struct {
+	number  uint64
+	command state.NoteEnds
+}
+
+// flight is an order on its way; answered tells whether its outcome reaches the scheduler.
+type flight struct {
+	order    scheduler.Order
+	at       time.Duration
+	answered bool
+	fence    uint64
+}
+
+// target is an instance of the oracle.
+type target struct {
+	workload.Instance
+	rate     float64
+	born     time.Duration
+	fence    uint64
+	deadline time.Duration
+	runs     map[workload.TaskID]workload.Run
+	barred   map[workload.TaskID]workload.Run
+	ends     []scheduler.EndRow
+	number   uint64
+	dark     bool
+	crashed  bool
+}
+
+const (
+	maxLease   = 6 * time.Second
+	stepLength = 100 * time.Millisecond
+)
+
+func newWorld(t *rapid.T) *world {
+	w := &world{
+		t: t, now: time.Hour, instances: map[fleet.InstanceID]*target{}, over: map[workload.TaskID]bool{},
+		failures: map[workload.TaskID]int{}, work: *state.New(),
+	}
+	w.commit(state.Publish{Source: []byte("x"), Catalogue: workload.Catalogue{
+		Version: 1,
+		Queues:  []workload.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Objective: time.Second, Stretch: 2}},
+		Pools:   []workload.Pool{{Name: "p"}},
+		Customers: []workload.Customer{
+			{Name: "a", Keys: []string{"k"}, Limit: workload.Need{Processors: 9000}},
+		},
+	}})
+	w.lead()
+	return w
+}
+
+func (w *world) commit(c state.Command) {
+	w.index++
+	if r := w.work.Run(w.index, c); r.Refused != 0 {
+		w.t.Fatalf("%T refused: %s", c, r.Detail)
+	}
+}
+
+// lead replaces the scheduler, as after a change of leader; everything that was not committed is lost.
+func (w *world) lead() {
+	w.fence++
+	w.batches = nil
+	w.scheduler = scheduler.New(w.now, w.wall(), scheduler.Options{
+		Fence: w.fence, Lease: maxLease * 9 / 10, MaxLease: maxLease, Led: w.now,
+	}, &w.work.Work)
+}
+
+func (w *world) wall() int64 { return w.now.Milliseconds() }
+
+func (i *target) clock(now time.Duration) time.Duration {
+	return time.Duration(float64(now-i.born) * i.rate)
+}
+
+func (w *world) join() {
+	w.nextID++
+	i := &target{
+		Instance: workload.Instance{
+			ID: fleet.InstanceID(fmt.Sprintf("i%d", w.nextID)), Boot: w.wall(), Pool: "p", Address: fmt.Sprintf("addr%d", w.nextID),
+			Capacity: workload.Need{Processors: 4000, Memory: 4000}, Sequence: 1,
+		},
+		rate: 0.98 + 0.02*rapid.Float64Range(0, 1).Draw(w.t, "rate"), born: w.now,
+		runs: map[workload.TaskID]workload.Run{}, barred: map[workload.TaskID]workload.Run{},
+	}
+	w.instances[i.ID] = i
+	w.announce(i)
+}
+
+func (w *world) announce(i *target) {
+	i.Sequence++
+	i.Clock = i.clock(w.now)
+	if w.scheduler.Announce(w.now, i.Instance) {
+		w.commit(state.Enrol{Instance: i.Instance})
+		w.scheduler.Enrolled(i.ID)
+	}
+}
+
+func (w *world) submit() {
+	w.nextJob++
+	count := rapid.IntRange(1, 3).Draw(w.t, "count")
+	j := workload.Job{ID: workload.JobID(fmt.Sprintf("%016x", w.nextJob)), Steps: []workload.Step{
+		{Count: count, Need: workload.Need{Processors: 1500, Memory: 500}, Gang: rapid.Bool().Draw(w.t, "gang")},
+		{Count: 1, Need: workload.Need{Processors: 500}, After: []int{0}, Standing: rapid.Bool().Draw(w.t, "standing")},
+	}}
+	w.commit(state.Submit{Job: j, Queue: "q", Customer: "a", At: state.Moment(w.wall())})
+	w.scheduler.AddJob(w.now, w.wall(), w.work.Work.Jobs[j.ID], false)
+}
+
+func (w *world) cancel() {
+	id := w.pickJob()
+	if id == "" {
+		return
+	}
+	w.commit(state.Cancel{Job: id, At: state.Moment(w.wall())})
+	w.scheduler.Cancel(w.now, id)
+}
+
+func (w *world) pickJob() workload.JobID {
+	ids := slices.Sorted(maps.Keys(w.work.Work.Jobs))
+	if len(ids) == 0 {
+		return ""
+	}
+	return rapid.SampledFrom(ids).Draw(w.t, "job")
+}
+
+func (w *world) pick() *target {
+	ids := slices.Sorted(maps.Keys(w.instances))
+	if len(ids) == 0 {
+		return nil
+	}
+	return w.instances[rapid.SampledFrom(ids).Draw(w.t, "instance")]
+}
+
+// pass lets time go by: leases lapse, orders arrive, the scheduler plans.
+func (w *world) pass(steps int) {
+	for range steps {
+		w.now += stepLength
+		for _, i := range w.sorted() {
+			if len(i.runs) > 0 && i.clock(w.now) > i.deadline {
+				for _, task := range sortedTasks(i.runs) {
+					i.finish(task, workload.EndedLapsed)
+				}
+			}
+		}
+		w.deliver()
+		w.plan()
+	}
+}
+
+func (w *world) sorted() []*target {
+	list := make([]*target, 0, len(w.instances))
+	for _, id := range slices.Sorted(maps.Keys(w.instances)) {
+		list = append(list, w.instances[id])
+	}
+	return list
+}
+
+func sortedTasks(runs map[workload.TaskID]workload.Run) []workload.TaskID {
+	return slices.SortedFunc(maps.Keys(runs), func(a, b workload.TaskID) int {
+		if a.String() < b.String() {
+			return -1
+		}
+		return 1
+	})
+}
+
+func (w *world) plan() {
+	w.scheduler.Tick(w.now, w.wall())
+	for _, o := range w.scheduler.Orders() {
+		w.send(o)
+	}
+	ends, failed, number := w.scheduler.Ends()
+	if number != 0 {
+		w.batches = append(w.batches, batch{number, state.NoteEnds{Ends: ends, Failed: failed, At: state.Moment(w.wall())}})
+	}
+	for _, id := range w.scheduler.Struck() {
+		w.commit(state.Strike{Instances: []fleet.InstanceID{id}})
+	}
+}
+
+func (w *world) send(o scheduler.Order) {
+	if o.Kind == scheduler.Glance {
+		return
+	}
+	f := flight{order: o, at: w.now, answered: true, fence: w.fence}
+	switch rapid.IntRange(0, 9).Draw(w.t, "network") {
+	case 0: // the order is lost
+		w.answer(f, scheduler.Uncertain)
+		return
+	case 1: // carried out late, without an answer
+		f.answered = false
+		f.at += time.Duration(rapid.IntRange(1, 120).Draw(w.t, "late")) * stepLength
+		w.answer(f, scheduler.Uncertain)
+	}
+	w.flying = append(w.flying, f)
+}
+
+func (w *world) answer(f flight, o scheduler.Outcome) {
+	if f.fence == w.fence {
+		w.scheduler.Answered(w.now, f.order, o)
+	}
+}
+
+func (w *world) deliver() {
+	flying := w.flying
+	w.flying = nil
+	for _, f := range flying {
+		if f.at > w.now {
+			w.flying = append(w.flying, f)
+			continue
+		}
+		i := w.instances[f.order.Instance]
+		switch {
+		case i == nil || i.crashed:
+			if f.answered {
+				w.answer(f, scheduler.Refused)
+			}
+		case i.dark:
+			if f.answered {
+				w.answer(f, scheduler.Uncertain)
+			}
+		default:
+			outcome := w.carryOut(i, f.order)
+			if f.answered {
+				w.answer(f, outcome)
+			}
+		}
+	}
+}
+
+// carryOut does what the platform says an instance does with an order.
+func (w *world) carryOut(i *target, o scheduler.Order) scheduler.Outcome {
+	if o.Fence < i.fence {
+		return scheduler.Fenced
+	}
+	i.fence = o.Fence
+	if o.Kind == scheduler.Stop {
+		i.barred[o.Task] = max(i.barred[o.Task], o.Run)
+		if run, there := i.runs[o.Task]; there && run <= o.Run {
+			i.finish(o.Task, workload.EndedStopped)
+		}
+		return scheduler.Accepted
+	}
+	if o.Kind != scheduler.Start {
+		return scheduler.Accepted
+	}
+	if run, there := i.runs[o.Task]; there && run == o.Run {
+		return scheduler.Accepted
+	}
+	if o.Deadline < i.clock(w.now) || o.Run <= i.barred[o.Task] {
+		return scheduler.Rejected
+	}
+	w.check(i, o)
+	i.deadline = max(i.deadline, min(o.Deadline, i.clock(w.now)+maxLease))
+	i.runs[o.Task] = o.Run
+	return scheduler.Accepted
+}
+
+// check fails the test when a start breaks a rule.
+func (w *world) check(i *target, o scheduler.Order) {
+	r := w.work.Work.Jobs[o.Task.Job]
+	if r == nil {
+		w.t.Fatalf("%s starts, but no such job was accepted", o.Task)
+	}
+	step := r.Job.Steps[o.Task.Place.Step()]
+	if w.over[o.Task] {
+		w.t.Fatalf("%s starts again after its end as done was acknowledged", o.Task)
+	}
+	if w.failures[o.Task] >= 2 && !step.Standing && !step.Gang {
+		w.t.Fatalf("%s starts after %d failed runs", o.Task, w.failures[o.Task])
+	}
+	used := step.Need
+	customer := step.Need
+	for _, other := range w.sorted() {
+		if other.crashed {
+			continue
+		}
+		if run, there := other.runs[o.Task]; there {
+			w.t.Fatalf("%s run %d starts on %s while run %d is on %s", o.Task, o.Run, i.ID, run, other.ID)
+		}
+		for task := range other.runs {
+			need := w.work.Work.Jobs[task.Job].Job.Steps[task.Place.Step()].Need
+			customer = customer.Add(need)
+			if other == i {
+				used = used.Add(need)
+			}
+		}
+	}
+	if !i.Capacity.Fits(used) {
+		w.t.Fatalf("%s brings %s over its capacity: %+v", o.Task, i.ID, used)
+	}
+	if !customer.Within(workload.Need{Processors: 9000}) {
+		w.t.Fatalf("%s brings its customer over its limit: %+v", o.Task, customer)
+	}
+}
+
+func (i *target) finish(task workload.TaskID, how workload.Ending) {
+	run, there := i.runs[task]
+	if !there {
+		return
+	}
+	delete(i.runs, task)
+	i.barred[task] = max(i.barred[task], run)
+	i.number++
+	i.ends = append(i.ends, scheduler.EndRow{Number: i.number, Task: task, Run: run, How: how})
+}
+
+// endRun ends a run of the instance; one member that is done ends its whole gang.
+func (w *world) endRun(i *target, how workload.Ending) {
+	tasks := sortedTasks(i.runs)
+	if len(tasks) == 0 {
+		return
+	}
+	task := rapid.SampledFrom(tasks).Draw(w.t, "task")
+	step := w.work.Work.Jobs[task.Job].Job.Steps[task.Place.Step()]
+	if step.Standing && how == workload.EndedDone {
+		how = workload.EndedFailed
+	}
+	run := i.runs[task]
+	i.finish(task, how)
+	if !step.Gang {
+		return
+	}
+	for _, other := range w.sorted() {
+		for _, member := range sortedTasks(other.runs) {
+			if member.Job == task.Job && member.Place.Step() == task.Place.Step() && other.runs[member] == run {
+				ending := workload.EndedBroken
+				if how == workload.EndedDone {
+					ending = how
+				}
+				other.finish(member, ending)
+			}
+		}
+	}
+}
+
+// look lets the scheduler look at an instance.
+func (w *world) look(i *target) {
+	q, ok := w.scheduler.Inquire(w.now, i.ID, false)
+	if !ok {
+		return
+	}
+	sent := w.now
+	switch {
+	case i.crashed:
+		w.scheduler.Missed(w.now, i.ID, scheduler.Refused)
+		return
+	case i.dark || rapid.IntRange(0, 9).Draw(w.t, "lost look") == 0:
+		w.scheduler.Missed(w.now, i.ID, scheduler.Uncertain)
+		return
+	case q.Fence < i.fence:
+		w.scheduler.Missed(w.now, i.ID, scheduler.Fenced)
+		return
+	}
+	i.fence = q.Fence
+	if q.Deadline > 0 {
+		i.deadline = max(i.deadline, min(q.Deadline, i.clock(w.now)+maxLease))
+	}
+	w.acknowledge(i, q.Cursor)
+	l := scheduler.Look{Boot: i.Boot, Clock: i.clock(w.now), Ended: slices.Clone(i.ends)}
+	for _, task := range sortedTasks(i.runs) {
+		l.Running = append(l.Running, scheduler.Row{Task: task, Run: i.runs[task], Percent: int(w.now/stepLength) % 90})
+	}
+	w.now += time.Millisecond
+	w.scheduler.Looked(w.now, i.ID, sent, l)
+}
+
+func (w *world) acknowledge(i *target, cursor uint64) {
+	for len(i.ends) > 0 && i.ends[0].Number <= cursor {
+		e := i.ends[0]
+		i.ends = i.ends[1:]
+		switch e.How {
+		case workload.EndedDone:
+			w.over[e.Task] = true
+		case workload.EndedFailed:
+			w.failures[e.Task]++
+		}
+	}
+}
+
+// settle commits the oldest batch of ends.
+func (w *world) settle() {
+	if len(w.batches) == 0 {
+		return
+	}
+	b := w.batches[0]
+	w.batches = w.batches[1:]
+	w.commit(b.command)
+	w.scheduler.Committed(b.number)
+}
+
+// TestStartsKeepTheRules drives schedulers through lost, late and reordered orders, instances that crash, go dark and
+// join, changes of leader, cancellations and ends, and checks every start at the instance.
+func TestStartsKeepTheRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		for range 4 {
+			w.join()
+		}
+		w.pass(25)
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": func(*rapid.T) { w.submit() },
+			"cancel": func(*rapid.T) { w.cancel() },
+			"join": func(*rapid.T) {
+				if len(w.instances) < 8 {
+					w.join()
+				}
+			},
+			"crash": func(*rapid.T) {
+				if i := w.pick(); i != nil {
+					i.crashed = true
+				}
+			},
+			"dark": func(*rapid.T) {
+				if i := w.pick(); i != nil {
+					i.dark = !i.dark
+				}
+			},
+			"announce": func(*rapid.T) {
+				if i := w.pick(); i != nil && !i.crashed {
+					w.announce(i)
+				}
+			},
+			"lead": func(*rapid.T) { w.lead() },
+			"done": func(*rapid.T) {
+				if i := w.pick(); i != nil && !i.crashed {
+					w.endRun(i, workload.EndedDone)
+				}
+			},
+			"fail": func(*rapid.T) {
+				if i := w.pick(); i != nil && !i.crashed {
+					w.endRun(i, workload.EndedFailed)
+				}
+			},
+			"look":   func(*rapid.T) { w.lookAll() },
+			"settle": func(*rapid.T) { w.settle() },
+			"pass":   func(t *rapid.T) { w.pass(rapid.IntRange(1, 30).Draw(t, "steps")) },
+		})
+	})
+}
+
+func (w *world) lookAll() {
+	for _, i := range w.sorted() {
+		w.look(i)
+	}
+	w.pass(1)
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -33,6 +33,7 @@
 	s.now = now
 	s.wall = wall
 	s.age()
+	s.sweepJobs()
 	s.retryStops()
 	s.stopStandstills()
 	s.tickWaves()
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -75,6 +75,7 @@
 	retryPause     = 250 * time.Millisecond  // an instance answers within milliseconds, so a lost order is repeated soon
 	roomPause      = 100 * time.Millisecond  // one look settles what an instance really runs
 	forgetSilent   = 20 * time.Second        // instances announce themselves every 1.5 s
+	forgetOver     = 15 * time.Second        // orders may be carried out twelve seconds late
 	fallbackChain  = 500 * time.Millisecond  // work of a step without an estimate
 	defaultTries   = 3                       // attempts of a queue that is no longer configured
 	lateFactor     = 3                       // beyond three times its objective a job earns nothing
