Strike drained and silent empty instances, plan moves before all runs are accounted for, elect sooner

Change: an instance that is empty and gets no more work leaves the committed state; moves and waves no longer wait for the accounting; the lease that a new leader waits out is the one that leaders grant; election timeout 0.7 s on the platform.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -27,12 +27,13 @@
 
 // Timing of processes.
 const (
-	leaseShare    = 0.9                     // a tenth of the longest lease is left for the delivery of an order
-	retainJobs    = 150 * time.Second       // callers may ask for two minutes after a job is over
-	reloadPause   = time.Second             // a changed settings file is found within a second
-	balancerNotes = 2300 * time.Millisecond // the balancer asks every second and needs two misses
-	handOverWait  = 400 * time.Millisecond  // keepers elect the next leader within this when they are asked to
-	stopMargin    = 700 * time.Millisecond
+	leaseShare      = 0.9                     // a tenth of the longest lease is left for the delivery of an order
+	retainJobs      = 150 * time.Second       // callers may ask for two minutes after a job is over
+	reloadPause     = time.Second             // a changed settings file is found within a second
+	balancerNotes   = 2300 * time.Millisecond // the balancer asks every second and needs two misses
+	handOverWait    = 400 * time.Millisecond  // keepers elect the next leader within this when they are asked to
+	electionTimeout = 700 * time.Millisecond  // seven heartbeats; callers wait for a leader
+	stopMargin      = 700 * time.Millisecond
 )
 
 // Process is one running process of a deployment.
@@ -111,7 +112,7 @@
 	}
 	p.replicator, err = replicator.Start(replicator.Options{
 		Entry: p.self(), Messenger: p.messenger, Journal: p.journal, Keepers: founders, Peers: p.settings.SeedEntries(),
-		Logger: p.logger, Voters: p.settings.Voters,
+		Logger: p.logger, Voters: p.settings.Voters, Election: electionTimeout,
 	})
 	if err != nil {
 		return err
@@ -121,7 +122,7 @@
 	p.closing = append(p.closing, client)
 	p.supervisor = supervisor.Start(supervisor.Options{
 		Entry: p.self(), Replica: p.replicator, Instances: client, Machines: client,
-		Lease: time.Duration(leaseShare * float64(p.settings.Lease())), MaxLease: p.settings.Lease(), Retain: retainJobs,
+		Lease: time.Duration(leaseShare * float64(p.settings.Lease())), Retain: retainJobs,
 		Logger: p.logger, Metrics: registry,
 	})
 	p.closing = append(p.closing, p.supervisor)
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -74,6 +74,8 @@
 	Logger *zap.Logger
 	// Voters is how many voters the leader recruits by itself; zero leaves the membership to operators.
 	Voters int
+	// Election is the least election timeout; zero stands for the default.
+	Election time.Duration
 }
 
 // Replicator is a running member.
@@ -158,6 +160,9 @@
 	var loaded journaler.Loaded
 	incarnation := identity.Random(8)
 	options := []raft.Option{raft.WithSeed(seedOf(incarnation)), raft.WithDrift(fleet.ClockDrift)}
+	if r.options.Election > 0 {
+		options = append(options, raft.WithTimeouts(r.options.Election, raft.DefaultHeartbeat))
+	}
 	if j := r.options.Journal; j != nil {
 		loaded = j.Loaded()
 		options = append(options, raft.WithDurable())
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -100,12 +100,12 @@
 		return true
 	}
 	if i.Sequence <= in.Sequence && in.Sequence > 0 {
-		return !in.enrolled && !in.evacuate
+		return in.wantsWork()
 	}
 	in.heardClock(now, i.Clock)
 	in.Instance = i
 	in.announce = now
-	return !in.enrolled && !in.evacuate
+	return in.wantsWork()
 }
 
 // isStale reports whether the announcement is of a boot that a later one has replaced; it ends earlier boots.
@@ -125,6 +125,11 @@
 	return false
 }
 
+// wantsWork reports whether the instance must be enrolled to get work.
+func (in *instance) wantsWork() bool {
+	return !in.enrolled && !in.evacuate && !in.Draining && !in.departed
+}
+
 // heardClock raises the lower bound of the instance's clock.
 func (in *instance) heardClock(now, clock time.Duration) {
 	if clock > in.clockAt(now) || in.clock == 0 {
@@ -169,7 +174,7 @@
 func (s *Scheduler) outlived(in *instance) time.Duration {
 	over := in.heard + lapse(in.sent-in.clock)
 	if in.inherited && !in.looked {
-		over = max(over, s.options.Led+lapse(s.options.MaxLease))
+		over = max(over, s.options.Led+lapse(s.options.Lease))
 	}
 	return over + outliveMargin
 }
@@ -198,6 +203,11 @@
 // not wait for it.
 func (s *Scheduler) retire(in *instance) {
 	in.evacuate = true
+	s.strike(in)
+}
+
+// strike takes an instance that surely runs nothing out of the committed state; it is enrolled again when it announces itself.
+func (s *Scheduler) strike(in *instance) {
 	if in.enrolled {
 		in.enrolled = false
 		s.struck = append(s.struck, in.ID)
@@ -271,13 +281,21 @@
 }
 
 // age drops the runs of silent instances whose leases are over, and forgets instances that are gone.
+//
+// An instance that is empty and gets no more work leaves the committed state, so that a later leader need not wait for it.
 func (s *Scheduler) age() {
 	for _, in := range s.instances {
+		if (in.Draining || in.departed) && in.looked && len(in.runs) == 0 && !in.strayed {
+			s.strike(in)
+		}
 		if in.misses == 0 && in.looked || s.now < s.outlived(in) {
 			continue
 		}
 		s.dropRuns(in, "lease outlived")
 		delete(s.unsettled, in.ID)
+		if in.misses > 0 {
+			s.strike(in)
+		}
 		in.looked = false
 		in.inherited = false
 		if in.departed || s.now-max(in.announce, in.heard) > forgetSilent {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -28,7 +28,6 @@
 	placed    int
 	left      int
 	rounds    []*round
-	parted    []workload.Step
 }
 
 // round is one occurrence of the steps of a job.
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -56,7 +56,7 @@
 
 // movable reports whether there is a standby pool, or several pools to move machines between.
 func (s *Scheduler) movable() bool {
-	return s.Settled() && s.catalogue.Version > 0 && s.now-s.options.Led > waveSettle/2
+	return s.catalogue.Version > 0 && s.now-s.options.Led > waveSettle/2
 }
 
 // planMoves brings machines to the pools that need them, from standby first, and idle ones to standby.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -93,10 +93,8 @@
 type Options struct {
 	// Fence is the fencing token of this leadership, higher than any before.
 	Fence uint64
-	// Lease is how long tasks outlive the last contact.
+	// Lease is how long tasks outlive the last contact, for this leader and all before it.
 	Lease time.Duration
-	// MaxLease is the longest lease that instances grant.
-	MaxLease time.Duration
 	// Led is when the leadership began.
 	Led time.Duration
 }
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -53,7 +53,7 @@
 }
 
 func (s *Scheduler) tickWaves() {
-	if s.now-s.options.Led < waveSettle || !s.Settled() {
+	if s.now-s.options.Led < waveSettle {
 		return
 	}
 	for _, n := range slices.Sorted(maps.Keys(s.waves)) {
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -43,9 +43,8 @@
 	Replica   Replica
 	Instances Instances
 	Machines  Machines
-	// Lease is how long tasks outlive the last contact, MaxLease the longest that instances grant.
-	Lease    time.Duration
-	MaxLease time.Duration
+	// Lease is how long tasks outlive the last contact.
+	Lease time.Duration
 	// Retain is how long the state of a job that is over is kept.
 	Retain  time.Duration
 	Logger  *zap.Logger
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -99,7 +99,7 @@
 	jobs, instances := 0, 0
 	t.options.Replica.View(func(s *state.State) {
 		t.scheduler = scheduler.New(now, wall(), scheduler.Options{
-			Fence: t.number, Lease: t.options.Lease, MaxLease: t.options.MaxLease, Led: now,
+			Fence: t.number, Lease: t.options.Lease, Led: now,
 		}, &s.Work)
 		t.ready.Store(s.Work.Catalogue.Version > 0)
 		jobs, instances = len(s.Work.Jobs), len(s.Work.Enrolled)
