--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -14,12 +14,13 @@
 
 // Timing and weights of moves between pools.
 const (
+	moveSettle    = 300 * time.Millisecond // a new leader has heard all instances that answer by then
 	moveInterval  = 100 * time.Millisecond
-	moveRetry     = 700 * time.Millisecond // the platform may be slow, and counts calls
-	moveForget    = 8 * time.Second        // a machine that was moved announces itself within three seconds
-	moveRest      = 3 * time.Second        // a machine that was busy is down or in maintenance
-	demandDecay   = 4 * time.Second        // a queue's turn lasts some seconds, with gaps below a second in it
-	slopeSpan     = time.Second
+	moveRetry     = 700 * time.Millisecond  // the platform may be slow, and counts calls
+	moveForget    = 8 * time.Second         // a machine that was moved announces itself within three seconds
+	moveRest      = 3 * time.Second         // a machine that was busy is down or in maintenance
+	demandDecay   = 4 * time.Second         // a queue's turn lasts some seconds, with gaps below a second in it
+	slopeSpan     = 500 * time.Millisecond  // gathers some jobs of a turn that rises
 	slopeAhead    = 1.5                     // seconds; a move takes so long
 	demandMargin  = 1.25                    // of the measured demand, for what comes until the next decision
 	reserveShare  = 0.5                     // of one instance, against a lost one
@@ -56,7 +57,7 @@
 
 // movable reports whether there is a standby pool, or several pools to move machines between.
 func (s *Scheduler) movable() bool {
-	return s.catalogue.Version > 0 && s.now-s.options.Led > waveSettle/2
+	return s.catalogue.Version > 0 && s.now-s.options.Led > moveSettle
 }
 
 // planMoves brings machines to the pools that need them, from standby first, and idle ones to standby.
