--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"github.com/sapphiresail/sapphiresail/internal/event"
@@ -130,6 +131,8 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	wait      sync.WaitGroup
+	calls     metrics.Timer
+	failures  metrics.Counter
 
 	mutex   sync.Mutex
 	keepers []fleet.EntryID
@@ -139,9 +142,11 @@
 }
 
 // Start follows the leader among the keepers until Close.
-func Start(self fleet.EntryID, m *messenger.Messenger, keepers []fleet.EntryID, logger *zap.Logger) *Forwarder {
+func Start(self fleet.EntryID, m *messenger.Messenger, keepers []fleet.EntryID, logger *zap.Logger, registry metrics.Registry) *Forwarder {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Forwarder{self: self, messenger: m, logger: logger, ctx: ctx, cancel: cancel, keepers: slices.Clone(keepers)}
+	f.calls = metrics.GetOrRegisterTimer("call", registry)
+	f.failures = metrics.GetOrRegisterCounter("calls-failed", registry)
 	f.wait.Go(f.watch)
 	return f
 }
@@ -262,6 +267,16 @@
 
 // Call carries a call to the leader and tries again elsewhere until ctx ends; all calls may be repeated.
 func (f *Forwarder) Call(ctx context.Context, ask Ask) (Answer, error) {
+	began := time.Now()
+	a, err := f.call(ctx, ask)
+	f.calls.UpdateSince(began)
+	if err != nil {
+		f.failures.Inc(1)
+	}
+	return a, err
+}
+
+func (f *Forwarder) call(ctx context.Context, ask Ask) (Answer, error) {
 	kind := KindNotSent
 	target := f.Leader()
 	if target == "" {
--- /dev/null
+++ b/internal/linewriter/linewriter_test.go
@@ -0,0 +1,57 @@
+package linewriter_test
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+
+	"github.com/sapphiresail/sapphiresail/internal/linewriter"
+)
+
+// stuck is a reader that has stopped reading until it is let go.
+type stuck struct {
+	free chan struct{}
+	text bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.free
+	return s.text.Write(p)
+}
+
+// TestStoppedReaderBlocksNobody answers a log whose reader stops: lines are dropped and counted, and no writer waits.
+func TestStoppedReaderBlocksNobody(t *testing.T) {
+	out := &stuck{free: make(chan struct{})}
+	w := linewriter.New(out)
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		for range 10_000 {
+			_, _ = w.Write([]byte("a line\n"))
+		}
+	}()
+	select {
+	case <-written:
+	case <-time.After(20 * time.Second):
+		t.Fatal("a writer waited for the reader")
+	}
+	assert.Assert(t, w.Dropped() > 0)
+	close(out.free)
+	assert.NilError(t, w.Close())
+	assert.Assert(t, cmp.Contains(out.text.String(), "a line"))
+	assert.Assert(t, cmp.Contains(out.text.String(), "log lines dropped"))
+}
+
+func TestLinesAreWrittenInOrder(t *testing.T) {
+	var out bytes.Buffer
+	w := linewriter.New(&out)
+	for _, line := range []string{"one\n", "two\n", "three\n"} {
+		_, err := w.Write([]byte(line))
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, w.Close())
+	assert.Equal(t, out.String(), "one\ntwo\nthree\n")
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sapphiresail/sapphiresail/internal/event"
+	"github.com/sapphiresail/sapphiresail/internal/exposer"
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
 	"github.com/sapphiresail/sapphiresail/internal/forwarder"
 	"github.com/sapphiresail/sapphiresail/internal/identity"
@@ -81,6 +82,13 @@
 		return err
 	}
 	registry := metrics.NewRegistry()
+	if p.settings.Metrics != "" {
+		served, err := exposer.Start(p.settings.Metrics, registry)
+		if err != nil {
+			return err
+		}
+		p.closing = append(p.closing, served)
+	}
 	address := net.JoinHostPort(p.settings.Address, strconv.Itoa(p.settings.PeerPort))
 	if p.messenger, err = messenger.New(id, address, registry); err != nil {
 		return err
@@ -94,7 +102,7 @@
 			return err
 		}
 	}
-	p.forwarder = forwarder.Start(p.self(), p.messenger, p.settings.SeedEntries(), p.logger)
+	p.forwarder = forwarder.Start(p.self(), p.messenger, p.settings.SeedEntries(), p.logger, registry)
 	p.closing = append(p.closing, p.forwarder)
 	return p.serve()
 }
--- a/internal/settings/deployment.go
+++ b/internal/settings/deployment.go
@@ -23,6 +23,8 @@
 	Callers   string `json:"callers,omitempty"`
 	Readiness string `json:"readiness,omitempty"`
 	Control   string `json:"control,omitempty"`
+	// Metrics is the address that serves counters and histograms.
+	Metrics string `json:"metrics,omitempty"`
 	// Seeds are control addresses of keepers.
 	Seeds []string `json:"seeds"`
 	// FirstStart lets the seeds form a new group.
--- a/internal/supervisor/answer.go
+++ b/internal/supervisor/answer.go
@@ -91,6 +91,7 @@
 func (t *term) submit(ctx context.Context, ask forwarder.Ask) forwarder.Answer {
 	queue, rest, customer, version, refusal := t.resolve(ask)
 	if refusal.Verdict != 0 {
+		t.gauges.refused.Inc(1)
 		event.JobRefused.Info(t.options.Logger, zap.String("job", rest), zap.String("host", ask.Host), zap.String("path", ask.Path),
 			zap.Int("reason", int(refusal.Verdict)), zap.Uint64("version", version))
 		return refusal
@@ -112,6 +113,7 @@
 	if err != nil || !certain {
 		return forwarder.Answer{Verdict: forwarder.Uncertain}
 	}
+	t.gauges.accepted.Inc(1)
 	event.JobAccepted.Info(t.options.Logger, zap.String("job", string(ask.Job.ID)), zap.String("queue", string(queue.Name)),
 		zap.String("customer", string(customer.Name)), zap.Int("tasks", ask.Job.Tasks()), zap.Uint64("version", version))
 	return forwarder.Answer{Verdict: forwarder.Done}
--- a/internal/supervisor/lane.go
+++ b/internal/supervisor/lane.go
@@ -54,10 +54,12 @@
 	if ctx.Err() != nil {
 		return false
 	}
+	t.gauges.looks.Inc(1)
 	if outcome == scheduler.Accepted {
 		t.post(func() { t.scheduler.Looked(clock(), id, sent, look) })
 		return true
 	}
+	t.gauges.missed.Inc(1)
 	event.LookMissed.Info(t.options.Logger, zap.String("instance", string(id)), zap.Stringer("outcome", outcome), zap.NamedError("error", err))
 	t.post(func() { t.scheduler.Missed(clock(), id, outcome) })
 	return false
@@ -99,6 +101,8 @@
 	ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
 	defer cancel()
 	outcome, err := t.options.Instances.Order(ctx, o)
+	t.gauges.orders.UpdateSince(began)
+	t.gauges.answered(o, outcome)
 	if outcome != scheduler.Accepted {
 		event.OrderAnswered.Info(t.options.Logger, zap.Stringer("order", o.Kind), zap.Stringer("task", o.Task), zap.Uint64("run", uint64(o.Run)),
 			zap.String("instance", string(o.Instance)), zap.Stringer("outcome", outcome), zap.Duration("took", time.Since(began)), zap.NamedError("error", err))
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -56,6 +56,7 @@
 // Supervisor leads while its replica does.
 type Supervisor struct {
 	options Options
+	gauges  *gauges
 	ctx     context.Context
 	cancel  context.CancelFunc
 	wait    sync.WaitGroup
@@ -65,7 +66,7 @@
 // Start runs a supervisor until Close.
 func Start(o Options) *Supervisor {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Supervisor{options: o, ctx: ctx, cancel: cancel}
+	s := &Supervisor{options: o, ctx: ctx, cancel: cancel, gauges: newGauges(o.Metrics)}
 	s.wait.Go(s.run)
 	return s
 }
@@ -94,7 +95,8 @@
 
 // lead runs one term until it is over.
 func (s *Supervisor) lead(number uint64) {
-	t := newTerm(s.ctx, &s.options, number)
+	t := newTerm(s.ctx, &s.options, s.gauges, number)
+	s.gauges.terms.Inc(1)
 	s.term.Store(t)
 	t.run()
 	s.term.Store(nil)
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -31,6 +31,7 @@
 // term is one leadership of this process.
 type term struct {
 	options *Options
+	gauges  *gauges
 	number  uint64
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -58,8 +59,8 @@
 	cancel context.CancelFunc
 }
 
-func newTerm(ctx context.Context, o *Options, number uint64) *term {
-	t := &term{options: o, number: number, inbox: make(chan func(), inboxLength), lanes: map[fleet.InstanceID]*lane{}}
+func newTerm(ctx context.Context, o *Options, g *gauges, number uint64) *term {
+	t := &term{options: o, gauges: g, number: number, inbox: make(chan func(), inboxLength), lanes: map[fleet.InstanceID]*lane{}}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	return t
 }
@@ -202,7 +203,9 @@
 // commit proposes a command and calls then in the loop with the outcome, however long that takes.
 func (t *term) commit(c state.Command, then func(reply state.Reply, err error)) {
 	t.spawn(func() {
+		began := time.Now()
 		replies, errs := t.options.Replica.CommitAll(t.ctx, []state.Command{c})
+		t.gauges.commits.UpdateSince(began)
 		t.post(func() { then(replies[0], errs[0]) })
 	})
 }
@@ -315,6 +318,7 @@
 		t.budget, t.budgetAt = logPerSecond, now
 	}
 	for _, d := range t.scheduler.Decisions() {
+		t.gauges.decided(d.What)
 		t.budget--
 		if t.budget < 0 {
 			continue
