Count the instances that standing tasks must spread over; keep idle instances 3.5 s

The plan counted processors and memory only. Change: a pool wants the spread of its standing steps besides what is being maintained, and one more instance while a standing task finds no room. Margin 1.1, decay 3 s, idle instances go off after 3.5 s.

--- /dev/null
+++ b/internal/scheduler/fleet_test.go
@@ -0,0 +1,176 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/scheduler"
+	"github.com/sapphiresail/sapphiresail/internal/state"
+	"github.com/sapphiresail/sapphiresail/internal/workload"
+)
+
+// bench is a small fleet that carries out every order at once, for tests of single decisions.
+type bench struct {
+	t         *testing.T
+	now       time.Duration
+	state     *state.State
+	index     uint64
+	scheduler *scheduler.Scheduler
+	runs      map[fleet.InstanceID]map[workload.TaskID]workload.Run
+	ends      map[fleet.InstanceID][]scheduler.EndRow
+	numbers   map[fleet.InstanceID]uint64
+	starts    []scheduler.Order
+	machines  []scheduler.MachineOrder
+	// percent is the progress that instances list.
+	percent int
+	tails   map[workload.TaskID]int
+	paces   []scheduler.Order
+}
+
+// newBench returns a fleet with a pool "p", a standby pool "off" and a queue on "p".
+func newBench(t *testing.T) *bench {
+	b := &bench{
+		t: t, now: time.Hour, state: state.New(), runs: map[fleet.InstanceID]map[workload.TaskID]workload.Run{},
+		ends: map[fleet.InstanceID][]scheduler.EndRow{}, numbers: map[fleet.InstanceID]uint64{}, percent: 100,
+		tails: map[workload.TaskID]int{},
+	}
+	b.commit(state.Publish{Source: []byte("x"), Catalogue: workload.Catalogue{
+		Version: 1,
+		Queues: []workload.Queue{
+			{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Objective: time.Second, Stretch: 2},
+			{Name: "other", Host: "h", Prefix: "/o/", Pool: "o", Attempts: 2, Objective: time.Second, Stretch: 2},
+		},
+		Pools: []workload.Pool{{Name: "p"}, {Name: "o"}, {Name: "off", Standby: true}},
+	}})
+	b.lead()
+	return b
+}
+
+// lead starts a scheduler from the committed state, as a new leader does.
+func (b *bench) lead() {
+	b.scheduler = scheduler.New(b.now, b.now.Milliseconds(), scheduler.Options{
+		Fence: b.index + 1, Lease: 5400 * time.Millisecond, Led: b.now,
+	}, &b.state.Work)
+}
+
+func (b *bench) commit(c state.Command) {
+	b.index++
+	assert.Equal(b.t, b.state.Run(b.index, c).Refused, state.Kind(0))
+}
+
+// join adds an instance of 64 processors to a pool.
+func (b *bench) join(name string, pool fleet.PoolID) fleet.InstanceID {
+	in := workload.Instance{
+		ID: fleet.InstanceID("i-" + name), Boot: b.now.Milliseconds(), Pool: pool, Address: name, Machine: "m-" + name, Sequence: 1,
+		Capacity: workload.Need{Processors: 64000, Memory: 131072}, Clock: time.Minute, Rack: "r1-1",
+	}
+	assert.Assert(b.t, b.scheduler.Announce(b.now, in))
+	b.commit(state.Enrol{Instance: in})
+	b.scheduler.Enrolled(in.ID)
+	b.runs[in.ID] = map[workload.TaskID]workload.Run{}
+	return in.ID
+}
+
+// submit hands a job of one step in.
+func (b *bench) submit(step workload.Step) workload.JobID {
+	return b.submitTo("q", step)
+}
+
+func (b *bench) submitTo(queue fleet.QueueID, steps ...workload.Step) workload.JobID {
+	id := workload.JobID(fmt.Sprintf("%016x", b.index))
+	b.commit(state.Submit{Job: workload.Job{ID: id, Steps: steps}, Queue: queue, At: state.Moment(b.now.Milliseconds())})
+	b.scheduler.AddJob(b.now, b.now.Milliseconds(), b.state.Work.Jobs[id], false)
+	return id
+}
+
+// pass lets time go by in steps of 100 ms.
+func (b *bench) pass(d time.Duration) {
+	for end := b.now + d; b.now < end; {
+		b.now += 100 * time.Millisecond
+		b.look()
+		b.scheduler.Tick(b.now, b.now.Milliseconds())
+		for _, o := range b.scheduler.Orders() {
+			b.carryOut(o)
+		}
+		b.machines = append(b.machines, b.scheduler.MachineOrders()...)
+		if ends, failed, batch := b.scheduler.Ends(); batch > 0 {
+			b.commit(state.NoteEnds{Ends: ends, Failed: failed, At: state.Moment(b.now.Milliseconds())})
+			b.scheduler.Committed(batch)
+		}
+		for _, id := range b.scheduler.Struck() {
+			b.commit(state.Strike{Instances: []fleet.InstanceID{id}})
+		}
+	}
+}
+
+func (b *bench) carryOut(o scheduler.Order) {
+	runs := b.runs[o.Instance]
+	if runs == nil {
+		b.scheduler.Answered(b.now, o, scheduler.Refused)
+		return
+	}
+	switch o.Kind {
+	case scheduler.Start:
+		runs[o.Task] = o.Run
+		b.starts = append(b.starts, o)
+	case scheduler.Stop:
+		if runs[o.Task] == o.Run {
+			b.end(o.Instance, o.Task, workload.EndedStopped)
+		}
+	case scheduler.Pace:
+		b.paces = append(b.paces, o)
+	}
+	b.scheduler.Answered(b.now, o, scheduler.Accepted)
+}
+
+// end ends a run.
+func (b *bench) end(id fleet.InstanceID, task workload.TaskID, how workload.Ending) {
+	run := b.runs[id][task]
+	delete(b.runs[id], task)
+	b.numbers[id]++
+	b.ends[id] = append(b.ends[id], scheduler.EndRow{Number: b.numbers[id], Task: task, Run: run, How: how})
+}
+
+func (b *bench) look() {
+	for id, runs := range b.runs {
+		q, ok := b.scheduler.Inquire(b.now, id, false)
+		if !ok {
+			continue
+		}
+		l := scheduler.Look{Clock: time.Minute + b.now, Ended: slices.Clone(b.ends[id])}
+		for task, run := range runs {
+			l.Running = append(l.Running, scheduler.Row{Task: task, Run: run, Percent: b.percent, Tail: b.tails[task]})
+		}
+		b.ends[id] = slices.DeleteFunc(b.ends[id], func(e scheduler.EndRow) bool { return e.Number <= q.Cursor })
+		b.scheduler.Looked(b.now, id, b.now-time.Millisecond, l)
+	}
+}
+
+// where returns the instances that run tasks of a job.
+func (b *bench) where(job workload.JobID) map[workload.TaskID]fleet.InstanceID {
+	found := map[workload.TaskID]fleet.InstanceID{}
+	for id, runs := range b.runs {
+		for task := range runs {
+			if task.Job == job {
+				found[task] = id
+			}
+		}
+	}
+	return found
+}
+
+// movedTo returns the machines that were ordered to a pool.
+func (b *bench) movedTo(pool fleet.PoolID) []string {
+	var list []string
+	for _, o := range b.machines {
+		if o.Pool == pool {
+			list = append(list, o.Machine)
+		}
+	}
+	return list
+}
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -14,17 +14,18 @@
 
 // Timing and weights of moves between pools.
 const (
+	stuckFor      = 300 * time.Millisecond // a standing task that found no room lately still waits
 	moveSettle    = 300 * time.Millisecond // a new leader has heard all instances that answer by then
 	moveInterval  = 100 * time.Millisecond
 	moveRetry     = 700 * time.Millisecond  // the platform may be slow, and counts calls
 	moveForget    = 8 * time.Second         // a machine that was moved announces itself within three seconds
 	moveRest      = 3 * time.Second         // a machine that was busy is down or in maintenance
-	demandDecay   = 4 * time.Second         // a queue's turn lasts some seconds, with gaps below a second in it
+	demandDecay   = 3 * time.Second         // a queue's turn lasts some seconds, with gaps below a second in it
 	slopeSpan     = 500 * time.Millisecond  // gathers some jobs of a turn that rises
 	slopeAhead    = 1.5                     // seconds; a move takes so long
-	demandMargin  = 1.25                    // of the measured demand, for what comes until the next decision
+	demandMargin  = 1.1                     // of the measured demand, for what comes until the next decision
 	reserveShare  = 0.5                     // of one instance, against a lost one
-	idleBeforeOff = 2500 * time.Millisecond // two moves cost as much as an idle instance in three seconds
+	idleBeforeOff = 3500 * time.Millisecond // two moves cost as much as an idle instance in three seconds
 	leastPool     = 2                       // instances of a pool with work, so that one may be lost
 	maxMoves      = 24
 )
@@ -41,7 +42,12 @@
 	have     int
 	queues   int
 	told     int
-	surplus  time.Duration
+	// spread is how many instances a standing step must spread over, and leaving how many are about to be maintained.
+	spread  int
+	leaving int
+	// stuck is when a standing task last found no room.
+	stuck   time.Duration
+	surplus time.Duration
 }
 
 // move is a machine on its way to a pool.
@@ -112,7 +118,7 @@
 // measure computes what each pool needs and has.
 func (s *Scheduler) measure(elapsed time.Duration) {
 	for _, d := range s.demands {
-		*d = demand{peak: d.peak, past: d.past, pastAt: d.pastAt, slope: d.slope, surplus: d.surplus, told: d.told}
+		*d = demand{peak: d.peak, past: d.past, pastAt: d.pastAt, slope: d.slope, surplus: d.surplus, told: d.told, stuck: d.stuck}
 	}
 	for _, q := range s.catalogue.Queues {
 		s.demandOf(q.Pool).queues++
@@ -125,7 +131,11 @@
 	for p, d := range s.demands {
 		d.track(s.now, decay)
 		d.have = s.has(p)
+		d.leaving = s.leaving(p)
 		d.want = d.wanted()
+		if s.now-d.stuck < stuckFor && d.stuck > 0 {
+			d.want = max(d.want, d.have+1)
+		}
 		if d.have <= d.want {
 			d.surplus = s.now
 		}
@@ -162,6 +172,9 @@
 			switch {
 			case step.Standing:
 				d.standing += float64(len(st.tasks)) * capacity.Share(step.Claim())
+				if step.PerInstance > 0 {
+					d.spread = max(d.spread, (len(st.tasks)+step.PerInstance-1)/step.PerInstance)
+				}
 			case open > 0 && ro.ready(j, st.step):
 				d.now += open * capacity.Share(step.Claim())
 			}
@@ -184,7 +197,18 @@
 		return 0
 	}
 	ending := demandMargin * max(d.peak, d.now+slopeAhead*d.slope)
-	return max(leastPool, int(math.Ceil(ending+d.standing+reserveShare)))
+	return max(leastPool, int(math.Ceil(ending+d.standing+reserveShare)), d.spread+d.leaving)
+}
+
+// leaving counts the instances of a pool that are about to be maintained.
+func (s *Scheduler) leaving(p fleet.PoolID) int {
+	n := 0
+	for _, in := range s.instances {
+		if in.Pool == p && in.enrolled && in.evacuate && s.moves[in.Machine] == nil {
+			n++
+		}
+	}
+	return n
 }
 
 // typicalCapacity returns the mean size of the instances.
--- /dev/null
+++ b/internal/scheduler/moves_test.go
@@ -0,0 +1,93 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sapphiresail/sapphiresail/internal/scheduler"
+	"github.com/sapphiresail/sapphiresail/internal/workload"
+)
+
+// withStandby adds machines that are off.
+func withStandby(b *bench, n int) {
+	var list []scheduler.Machine
+	for i := range n {
+		list = append(list, scheduler.Machine{Name: fmt.Sprintf("m-spare-%d", i), Pool: "off", Up: true})
+	}
+	b.scheduler.SetMachines(list)
+}
+
+// TestTurnOfAQueueBringsMachines answers a queue whose turn asks for more than its pool holds.
+func TestTurnOfAQueueBringsMachines(t *testing.T) {
+	b := newBench(t)
+	for i := range 3 {
+		b.join(fmt.Sprint(i), "p")
+	}
+	withStandby(b, 8)
+	b.pass(3 * time.Second)
+	for range 12 {
+		b.submit(workload.Step{Count: 8, Need: workload.Need{Processors: 7000, Memory: 1000}})
+	}
+	b.pass(time.Second)
+	assert.Equal(t, len(b.movedTo("o")), 2, "a pool with a queue has two instances")
+	assert.Equal(t, len(b.movedTo("p")), 6, "the turn needs 11 instances, the pool has 3, and 6 are left")
+}
+
+// TestIdleInstancesGoOff answers a turn that is over: instances that nothing needs go to standby, but not all.
+func TestIdleInstancesGoOff(t *testing.T) {
+	b := newBench(t)
+	for i := range 8 {
+		b.join(fmt.Sprint(i), "p")
+	}
+	withStandby(b, 0)
+	b.pass(6 * time.Second)
+	assert.Equal(t, len(b.movedTo("o")), 2, "a pool with a queue has two instances")
+	assert.Equal(t, len(b.movedTo("off")), 4, "two stay")
+}
+
+// TestStandingTasksKeepTheInstancesTheyMustSpreadOver answers a pool in which every instance holds one task of a step
+// that allows one an instance: when one is lost, another machine must come although processors and memory suffice.
+func TestStandingTasksKeepTheInstancesTheyMustSpreadOver(t *testing.T) {
+	b := newBench(t)
+	for i := range 4 {
+		b.join(fmt.Sprint(i), "p")
+	}
+	withStandby(b, 4)
+	b.pass(time.Second)
+	job := b.submit(workload.Step{Count: 4, Need: workload.Need{Processors: 1000}, Standing: true, PerInstance: 1})
+	b.pass(4 * time.Second)
+	assert.Equal(t, len(b.where(job)), 4)
+	assert.Equal(t, len(b.movedTo("off")), 0, "no instance may leave")
+	delete(b.runs, "i-0")
+	b.scheduler.Depart(b.now, "i-0", 0)
+	b.scheduler.Missed(b.now, "i-0", scheduler.Refused)
+	b.pass(time.Second)
+	assert.Assert(t, len(b.movedTo("p")) > 0, "a machine must come for the fourth task")
+}
+
+// TestStandingTaskGetsRoomBeforeBatchWork answers a pool that batch work fills piecemeal: a standing task that needs more
+// than comes free at once must not wait behind it.
+func TestStandingTaskGetsRoomBeforeBatchWork(t *testing.T) {
+	b := newBench(t)
+	id := b.join("a", "p")
+	b.pass(time.Second)
+	for range 6 {
+		b.submit(workload.Step{Count: 8, Need: workload.Need{Processors: 8000}})
+	}
+	b.pass(200 * time.Millisecond)
+	job := b.submit(workload.Step{Count: 1, Need: workload.Need{Processors: 20000}, Standing: true})
+	for range 4 {
+		b.pass(200 * time.Millisecond)
+		for task := range b.runs[id] {
+			if task.Job != job {
+				b.end(id, task, workload.EndedDone)
+				break
+			}
+		}
+	}
+	b.pass(300 * time.Millisecond)
+	assert.Equal(t, len(b.where(job)), 1)
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -49,6 +49,7 @@
 			continue
 		}
 		if !s.placeTasks(c, pools[c.job.pool]) && c.class == classServing {
+			s.demandOf(c.job.pool).stuck = s.now
 			pools[c.job.pool] = keepRoom(c, pools[c.job.pool])
 		}
 	}
