Look before stopping a start without an answer, and keep its instance open

Change: an unanswered start is looked at first and stopped only where it does not run; it no longer counts as silence; orders wait 0.4 s instead of 0.7 s.

--- a/internal/scheduler/look.go
+++ b/internal/scheduler/look.go
@@ -302,6 +302,10 @@
 		if listed[stray{r.task, r.number}] {
 			continue
 		}
+		if r.progress == unsure && !r.stopping && r.settled < sent {
+			s.sendStop(in, r) // bars the start, which may yet be carried out
+			continue
+		}
 		gone := r.progress == running && r.settled < sent || r.stopped > 0 && r.stopped < sent
 		if gone {
 			s.note("run lost", r, in, "not listed")
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -83,9 +83,9 @@
 		s.note("run uncertain", r, in, outcome.String())
 		if r.progress == ordered {
 			r.progress = unsure
+			r.settled = s.now
 		}
-		in.misses++
-		s.sendStop(in, r)
+		s.glance(in)
 	}
 }
 
@@ -111,7 +111,7 @@
 			continue
 		}
 		for _, r := range in.runs {
-			if r.stopping && r.stopped == 0 && s.now-r.stopSent > retryPause*4 {
+			if r.stopping && r.stopped == 0 && s.now-r.stopSent > retryPause*2 {
 				s.sendStop(in, r)
 			}
 		}
--- a/internal/supervisor/lane.go
+++ b/internal/supervisor/lane.go
@@ -14,7 +14,7 @@
 
 // Timeouts of calls to instances and to the platform.
 const (
-	orderTimeout    = 700 * time.Millisecond // an instance answers within milliseconds; a lost packet is sent again after 200 ms
+	orderTimeout    = 400 * time.Millisecond // an instance answers within milliseconds; a lost packet is sent again after 200 ms
 	lookSlack       = 700 * time.Millisecond // beyond the wait that the look asks for
 	platformTimeout = 3 * time.Second        // the platform may be slow
 )
