--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -7,7 +7,10 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -51,6 +54,7 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	watching   chan struct{}
+	reloading  sync.Mutex
 	stopping   chan struct{}
 	closing    []io.Closer
 }
@@ -73,7 +77,7 @@
 	return p, nil
 }
 
-// Self returns the name of this process among its peers.
+// self returns the name of this process among its peers.
 func (p *Process) self() fleet.EntryID { return fleet.EntryID(p.settings.Address) }
 
 func (p *Process) start() error {
@@ -172,34 +176,28 @@
 }
 
 func (p *Process) serve() error {
-	if p.settings.Callers != "" {
-		if err := p.listen(p.settings.Callers, func() (*platform.Server, error) {
-			return platform.Serve(p.settings.Callers, platform.Callers(p, p.logger), p.logger)
-		}); err != nil {
-			return err
-		}
-	}
-	if p.settings.Readiness != "" {
-		if err := p.listen(p.settings.Readiness, func() (*platform.Server, error) {
-			return platform.Serve(p.settings.Readiness, platform.Readiness(p.ready), p.logger)
-		}); err != nil {
-			return err
-		}
+	if err := p.listen(p.settings.Callers, platform.Callers(p, p.logger)); err != nil {
+		return err
 	}
-	if p.settings.Control == "" {
-		return nil
+	if err := p.listen(p.settings.Readiness, platform.Readiness(p.ready)); err != nil {
+		return err
 	}
-	_, port, err := net.SplitHostPort(p.settings.Control)
-	if err != nil {
-		return fmt.Errorf("control: %w", err)
+	port := ""
+	if p.settings.Control != "" {
+		var err error
+		if _, port, err = net.SplitHostPort(p.settings.Control); err != nil {
+			return fmt.Errorf("control: %w", err)
+		}
 	}
-	return p.listen(p.settings.Control, func() (*platform.Server, error) {
-		return platform.Serve(p.settings.Control, platform.Control(p, port, p.logger), p.logger)
-	})
+	return p.listen(p.settings.Control, platform.Control(p, port, p.logger))
 }
 
-func (p *Process) listen(_ string, serve func() (*platform.Server, error)) error {
-	s, err := serve()
+// listen serves an address, unless the process does not have it.
+func (p *Process) listen(address string, handler http.Handler) error {
+	if address == "" {
+		return nil
+	}
+	s, err := platform.Serve(address, handler, p.logger)
 	if err != nil {
 		return err
 	}
@@ -238,7 +236,9 @@
 		p.logger.Warn("settings not reloaded", zap.Error(err))
 		return
 	}
-	if fmt.Sprint(d.Seeds) == fmt.Sprint(p.settings.Seeds) {
+	p.reloading.Lock()
+	defer p.reloading.Unlock()
+	if slices.Equal(d.Seeds, p.settings.Seeds) {
 		return
 	}
 	p.settings.Seeds = d.Seeds
@@ -289,3 +289,12 @@
 	event.ProcessStopped.Info(p.logger)
 	return errors.Join(errs...)
 }
+
+// Leads reports whether this process leads at this moment.
+func (p *Process) Leads() bool {
+	if p.supervisor == nil {
+		return false
+	}
+	leads, _ := p.supervisor.Leads()
+	return leads
+}
