--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -139,6 +139,11 @@
 	Reason   string
 }
 
+// Routine reports whether the decision is a start or an end that went well.
+func (d Decision) Routine() bool {
+	return d.What == "run placed" || d.What == "run ended" && d.Reason == string(workload.EndedDone)
+}
+
 // New returns a scheduler for one leadership, with what the committed state holds.
 func New(now time.Duration, wall int64, o Options, w *state.Workload) *Scheduler {
 	catalogue := w.Catalogue
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -22,7 +22,6 @@
 	planDelay    = 4 * time.Millisecond   // gathers what arrives together; a commit takes longer
 	idleInterval = 50 * time.Millisecond  // due times, leases and retries are checked this often
 	tidyInterval = 2 * time.Second        // released jobs only cost memory
-	logPerSecond = 400                    // lines of decisions; a burst of a thousand starts is sampled
 	laneParallel = 3                      // orders at once to one instance, so that few connections are opened
 	lookGap      = 30 * time.Millisecond  // ends that come together are taken with one look
 	missPause    = 200 * time.Millisecond // a silent instance is asked five times a second
@@ -49,8 +48,7 @@
 	registering bool
 	settled     bool
 	tidied      time.Duration
-	budget      int
-	budgetAt    time.Duration
+	lines       lineBudget
 }
 
 // lane carries orders to one boot of an instance.
@@ -308,22 +306,3 @@
 		t.commit(state.ReleaseJobs{Jobs: jobs}, func(state.Reply, error) {})
 	}
 }
-
-// log writes decisions within a budget of lines a second.
-func (t *term) log(now time.Duration) {
-	if now-t.budgetAt > time.Second {
-		if t.budget < 0 {
-			event.LinesDropped.Warn(t.options.Logger, zap.Int("count", -t.budget))
-		}
-		t.budget, t.budgetAt = logPerSecond, now
-	}
-	for _, d := range t.scheduler.Decisions() {
-		t.gauges.decided(d.What)
-		t.budget--
-		if t.budget < 0 {
-			continue
-		}
-		event.RunDecided.Info(t.options.Logger, zap.String("what", d.What), zap.Stringer("task", d.Task),
-			zap.Uint64("run", uint64(d.Run)), zap.String("instance", string(d.Instance)), zap.String("machine", d.Machine), zap.String("reason", d.Reason))
-	}
-}
