--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -22,9 +22,9 @@
 	moveRest      = 3 * time.Second         // a machine that was busy is down or in maintenance
 	demandDecay   = 3 * time.Second         // a queue's turn lasts some seconds, with gaps below a second in it
 	slopeSpan     = 500 * time.Millisecond  // gathers some jobs of a turn that rises
-	slopeAhead    = 1.5                     // seconds; a move takes so long
+	slopeAhead    = 1.0                     // seconds; a move takes so long
 	demandMargin  = 1.1                     // of the measured demand, for what comes until the next decision
-	reserveShare  = 0.5                     // of one instance, against a lost one
+	reserveShare  = 0.2                     // of one instance, against a lost one
 	idleBeforeOff = 3500 * time.Millisecond // two moves cost as much as an idle instance in three seconds
 	leastPool     = 2                       // instances of a pool with work, so that one may be lost
 	maxMoves      = 24
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -23,7 +23,7 @@
 	idleInterval = 50 * time.Millisecond  // due times, leases and retries are checked this often
 	tidyInterval = 2 * time.Second        // released jobs only cost memory
 	laneParallel = 3                      // orders at once to one instance, so that few connections are opened
-	lookGap      = 30 * time.Millisecond  // ends that come together are taken with one look
+	lookGap      = 80 * time.Millisecond  // ends that come together are taken with one look
 	missPause    = 200 * time.Millisecond // a silent instance is asked five times a second
 )
 
