--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -16,11 +16,11 @@
 const (
 	stuckFor      = 300 * time.Millisecond // a standing task that found no room lately still waits
 	moveSettle    = 300 * time.Millisecond // a new leader has heard all instances that answer by then
-	moveInterval  = 100 * time.Millisecond
+	moveInterval  = 50 * time.Millisecond
 	moveRetry     = 700 * time.Millisecond  // the platform may be slow, and counts calls
 	moveForget    = 8 * time.Second         // a machine that was moved announces itself within three seconds
 	moveRest      = 3 * time.Second         // a machine that was busy is down or in maintenance
-	demandDecay   = 3 * time.Second         // a queue's turn lasts some seconds, with gaps below a second in it
+	demandDecay   = 2 * time.Second         // a queue's turn lasts some seconds, with gaps below a second in it
 	slopeSpan     = 500 * time.Millisecond  // gathers some jobs of a turn that rises
 	slopeAhead    = 1.0                     // seconds; a move takes so long
 	demandMargin  = 1.1                     // of the measured demand, for what comes until the next decision
