--- /dev/null
+++ b/internal/scheduler/rules_test.go
@@ -0,0 +1,160 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sapphiresail/sapphiresail/internal/scheduler"
+	"github.com/sapphiresail/sapphiresail/internal/state"
+	"github.com/sapphiresail/sapphiresail/internal/workload"
+)
+
+// TestEndIsAcknowledgedAfterItsCommit answers a leader that is lost between an end and its commit: the instance must still
+// list the end to the next one.
+func TestEndIsAcknowledgedAfterItsCommit(t *testing.T) {
+	b := newBench(t)
+	id := b.join("a", "p")
+	b.pass(time.Second)
+	job := b.submit(workload.Step{Count: 1, Need: workload.Need{Processors: 1000}})
+	b.pass(300 * time.Millisecond)
+	for task := range b.where(job) {
+		b.end(id, task, workload.EndedDone)
+	}
+	b.now += 100 * time.Millisecond
+	b.look()
+	ends, failed, batch := b.scheduler.Ends()
+	assert.Equal(t, len(ends), 1)
+	q, _ := b.scheduler.Inquire(b.now, id, false)
+	assert.Equal(t, q.Cursor, uint64(0), "the end is not committed yet")
+	b.commit(state.NoteEnds{Ends: ends, Failed: failed})
+	b.scheduler.Committed(batch)
+	q, _ = b.scheduler.Inquire(b.now, id, false)
+	assert.Equal(t, q.Cursor, uint64(1))
+}
+
+// TestTaskIsNotStartedBeyondItsAttempts answers work that can never be done: a queue that allows two failed runs gets two.
+func TestTaskIsNotStartedBeyondItsAttempts(t *testing.T) {
+	b := newBench(t)
+	b.join("a", "p")
+	b.join("b", "p")
+	b.pass(time.Second)
+	job := b.submit(workload.Step{Count: 1, Need: workload.Need{Processors: 1000}})
+	for range 6 {
+		b.pass(500 * time.Millisecond)
+		for task, id := range b.where(job) {
+			b.end(id, task, workload.EndedFailed)
+		}
+	}
+	assert.Equal(t, len(b.starts), 2)
+	assert.Assert(t, b.state.Work.Jobs[job].Failed)
+}
+
+// TestStepWaitsForTheStepsBefore checks that a step starts only when all tasks of the steps that it names are done.
+func TestStepWaitsForTheStepsBefore(t *testing.T) {
+	b := newBench(t)
+	id := b.join("a", "p")
+	b.pass(time.Second)
+	job := b.submitTo("q",
+		workload.Step{Count: 2, Need: workload.Need{Processors: 1000}},
+		workload.Step{Count: 1, Need: workload.Need{Processors: 1000}, After: []int{0}})
+	b.pass(500 * time.Millisecond)
+	first := workload.TaskID{Job: job, Place: workload.At(0, 0, 0)}
+	b.end(id, first, workload.EndedDone)
+	b.pass(500 * time.Millisecond)
+	assert.Equal(t, len(b.starts), 2, "one task of the first step is not done")
+	b.end(id, workload.TaskID{Job: job, Place: workload.At(0, 0, 1)}, workload.EndedDone)
+	b.pass(500 * time.Millisecond)
+	assert.Equal(t, len(b.starts), 3)
+}
+
+// TestInstanceWithUnknownRunsGetsNoWork answers an instance that lists runs of a job that is no longer known: what they take is
+// not known either.
+func TestInstanceWithUnknownRunsGetsNoWork(t *testing.T) {
+	b := newBench(t)
+	id := b.join("a", "p")
+	b.runs[id][workload.TaskID{Job: "ffffffffffffffff"}] = 1
+	b.now += 100 * time.Millisecond
+	b.look()
+	b.submit(workload.Step{Count: 1, Need: workload.Need{Processors: 1000}})
+	b.scheduler.Tick(b.now, b.now.Milliseconds())
+	stops := 0
+	for _, o := range b.scheduler.Orders() {
+		assert.Assert(t, o.Kind != scheduler.Start)
+		if o.Kind == scheduler.Stop {
+			stops++
+		}
+	}
+	assert.Equal(t, stops, 1, "the unknown run is stopped")
+}
+
+// TestUnseenInstanceCountsAgainstTheLimit answers a change of leader with an instance in the dark: what the customer may have
+// running there counts in full until the instance was seen.
+func TestUnseenInstanceCountsAgainstTheLimit(t *testing.T) {
+	b := newBench(t)
+	c := b.state.Work.Catalogue
+	c.Version = 2
+	c.Customers = []workload.Customer{{Name: "u", Keys: []string{"k"}, Limit: workload.Need{Processors: 70000}}}
+	b.commit(state.Publish{Catalogue: c, Source: []byte("x")})
+	b.join("a", "p")
+	b.join("dark", "p")
+	b.lead()
+	delete(b.runs, "i-dark")
+	job := workload.Job{ID: "00000000000000aa", Steps: []workload.Step{{Count: 10, Need: workload.Need{Processors: 6000}}}}
+	b.commit(state.Submit{Job: job, Queue: "q", Customer: "u", At: state.Moment(b.now.Milliseconds())})
+	b.scheduler.AddJob(b.now, b.now.Milliseconds(), b.state.Work.Jobs[job.ID], false)
+	b.pass(time.Second)
+	assert.Equal(t, len(b.starts), 1, "70 processors less the 64 of the unseen instance leave room for one task")
+	b.pass(8 * time.Second)
+	assert.Equal(t, len(b.where(job.ID)), 10, "its lease is over")
+}
+
+// TestFillingTasksGiveWayToServingOnes answers filling tasks that disturb a serving one: they are slowed down before its tail
+// is over its target, stopped in place when it is, and let go on once it is well below.
+func TestFillingTasksGiveWayToServingOnes(t *testing.T) {
+	b := newBench(t)
+	b.join("a", "p")
+	b.pass(time.Second)
+	serving := b.submit(workload.Step{Count: 1, Need: workload.Need{Processors: 8000}, Standing: true, TailTarget: 40 * time.Millisecond})
+	b.submit(workload.Step{Count: 1, Need: workload.Need{Processors: 8000}, Standing: true, Fills: true})
+	b.pass(500 * time.Millisecond)
+	task := workload.TaskID{Job: serving}
+	b.tails[task] = 36
+	b.pass(100 * time.Millisecond)
+	assert.Equal(t, b.paces[len(b.paces)-1].Percent, 50)
+	b.tails[task] = 60
+	b.pass(100 * time.Millisecond)
+	assert.Equal(t, b.paces[len(b.paces)-1].Percent, 0)
+	b.tails[task] = 10
+	b.pass(600 * time.Millisecond)
+	assert.Equal(t, b.paces[len(b.paces)-1].Percent, 100)
+}
+
+// TestWaveKeepsWithinItsNumberAndBudget answers a wave over the instances that hold a standing step: one machine at once, and
+// never two tasks of a step away that may miss one.
+func TestWaveKeepsWithinItsNumberAndBudget(t *testing.T) {
+	b := newBench(t)
+	var machines []string
+	for _, name := range []string{"a", "b", "c", "d"} {
+		b.join(name, "p")
+		machines = append(machines, "m-"+name)
+	}
+	b.pass(time.Second)
+	job := b.submit(workload.Step{Count: 4, Need: workload.Need{Processors: 1000}, Standing: true, PerInstance: 2, MayMiss: 1})
+	b.pass(4 * time.Second)
+	w := workload.Wave{Number: 1, Machines: machines, Within: 30 * time.Second, AtOnce: 1}
+	b.commit(state.OpenWave{Wave: w, At: state.Moment(b.now.Milliseconds())})
+	b.scheduler.AddWave(b.now, b.now.Milliseconds(), b.state.Work.Waves[1])
+	for range 30 {
+		b.pass(100 * time.Millisecond)
+		assert.Assert(t, len(b.where(job)) >= 3, "two tasks are away")
+		upkeeps := 0
+		for _, o := range b.machines {
+			if o.Pool == "" {
+				upkeeps++
+			}
+		}
+		assert.Assert(t, upkeeps <= 1, "two machines are maintained at once")
+	}
+}
