--- a/internal/scheduler/rules_test.go
+++ b/internal/scheduler/rules_test.go
@@ -131,10 +131,12 @@
 	assert.Equal(t, b.paces[len(b.paces)-1].Percent, 100)
 }
 
-// TestWaveKeepsWithinItsNumberAndBudget answers a wave over the instances that hold a standing step: one machine at once, and
+// TestWaveKeepsWithinItsNumberAndBudget answers a wave over the instances that hold a standing step: two machines at once, and
 // never two tasks of a step away that may miss one.
 func TestWaveKeepsWithinItsNumberAndBudget(t *testing.T) {
 	b := newBench(t)
+	b.join("x", "o")
+	b.join("y", "o")
 	var machines []string
 	for _, name := range []string{"a", "b", "c", "d"} {
 		b.join(name, "p")
@@ -143,18 +145,39 @@
 	b.pass(time.Second)
 	job := b.submit(workload.Step{Count: 4, Need: workload.Need{Processors: 1000}, Standing: true, PerInstance: 2, MayMiss: 1})
 	b.pass(4 * time.Second)
-	w := workload.Wave{Number: 1, Machines: machines, Within: 30 * time.Second, AtOnce: 1}
+	w := workload.Wave{Number: 1, Machines: machines, Within: 30 * time.Second, AtOnce: 2}
 	b.commit(state.OpenWave{Wave: w, At: state.Moment(b.now.Milliseconds())})
 	b.scheduler.AddWave(b.now, b.now.Milliseconds(), b.state.Work.Waves[1])
-	for range 30 {
+	asked := map[string]bool{}
+	for range 50 {
 		b.pass(100 * time.Millisecond)
 		assert.Assert(t, len(b.where(job)) >= 3, "two tasks are away")
-		upkeeps := 0
 		for _, o := range b.machines {
 			if o.Pool == "" {
-				upkeeps++
+				asked[o.Machine] = true
 			}
 		}
-		assert.Assert(t, upkeeps <= 1, "two machines are maintained at once")
+		assert.Assert(t, len(asked) <= 2, "three machines are maintained at once")
+	}
+	assert.Equal(t, len(asked), 2, "both machines are empty and asked for")
+}
+
+// TestRunNumbersRiseOverALapsedLease answers a leader whose lease runs out for a moment and that leads on with the same token:
+// its runs must have higher numbers than those that it ordered before.
+func TestRunNumbersRiseOverALapsedLease(t *testing.T) {
+	highest := workload.Run(0)
+	for stretch := range uint64(3) {
+		b := newBench(t)
+		b.scheduler = scheduler.New(b.now, b.now.Milliseconds(), scheduler.Options{
+			Fence: 7, Stretch: stretch, Lease: 5 * time.Second, Led: b.now,
+		}, &b.state.Work)
+		b.join("a", "p")
+		b.submit(workload.Step{Count: 5, Need: workload.Need{Processors: 1000}})
+		b.pass(time.Second)
+		assert.Equal(t, len(b.starts), 5)
+		for _, o := range b.starts {
+			assert.Assert(t, o.Run > highest)
+		}
+		highest = b.starts[4].Run
 	}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -93,6 +93,8 @@
 type Options struct {
 	// Fence is the fencing token of this leadership, higher than any before.
 	Fence uint64
+	// Stretch counts how often this process has begun to lead with the same token, after its lease had run out in between.
+	Stretch uint64
 	// Lease is how long tasks outlive the last contact, for this leader and all before it.
 	Lease time.Duration
 	// Led is when the leadership began.
@@ -230,7 +232,7 @@
 
 func (s *Scheduler) nextRun() workload.Run {
 	s.counter++
-	return workload.Run(s.options.Fence*runsPerFence + s.counter)
+	return workload.Run(s.options.Fence*runsPerFence + s.options.Stretch*runsPerStretch + s.counter)
 }
 
 func (s *Scheduler) note(what string, r *run, in *instance, reason string) {
--- /dev/null
+++ b/internal/scheduler/scheduler_bench_test.go
@@ -0,0 +1,96 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/scheduler"
+	"github.com/sapphiresail/sapphiresail/internal/state"
+	"github.com/sapphiresail/sapphiresail/internal/workload"
+)
+
+// loaded returns a scheduler with n looked-at instances of one pool and the state behind it.
+func loaded(b *testing.B, n int) (*scheduler.Scheduler, *state.State, time.Duration) {
+	b.Helper()
+	s := state.New()
+	s.Run(1, state.Publish{Source: []byte("x"), Catalogue: workload.Catalogue{
+		Version: 1, Pools: []workload.Pool{{Name: "p"}},
+		Queues: []workload.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Objective: time.Second, Stretch: 2}},
+	}})
+	now := time.Hour
+	sched := scheduler.New(now, now.Milliseconds(), scheduler.Options{Fence: 1, Lease: 5 * time.Second, Led: now}, &s.Work)
+	for i := range n {
+		id := fleet.InstanceID(fmt.Sprint("i-", i))
+		sched.Announce(now, workload.Instance{
+			ID: id, Boot: 1, Pool: "p", Address: fmt.Sprint(i), Machine: fmt.Sprint("m-", i), Sequence: 1,
+			Capacity: workload.Need{Processors: 64000, Memory: 131072}, Clock: time.Minute,
+		})
+		sched.Enrolled(id)
+		sched.Looked(now, id, now, scheduler.Look{Clock: time.Minute})
+	}
+	return sched, s, now
+}
+
+// BenchmarkStart measures the decision of one start on a pool of 12 instances, from the job to the order and its answer.
+func BenchmarkStart(b *testing.B) {
+	sched, s, now := loaded(b, 12)
+	for n := range b.N {
+		id := workload.JobID(fmt.Sprintf("%016x", n))
+		s.Run(uint64(n+2), state.Submit{Job: workload.Job{ID: id, Steps: []workload.Step{{Count: 1, Need: workload.Need{Processors: 100}}}}, Queue: "q"})
+		sched.AddJob(now, now.Milliseconds(), s.Work.Jobs[id], false)
+		sched.Tick(now, now.Milliseconds())
+		for _, o := range sched.Orders() {
+			sched.Answered(now, o, scheduler.Accepted)
+		}
+		sched.Cancel(now, id)
+		sched.Orders()
+		sched.Decisions()
+		now += 20 * time.Second // the job is forgotten
+		for i := range 12 {
+			sched.Looked(now, fleet.InstanceID(fmt.Sprint("i-", i)), now, scheduler.Look{Clock: now})
+		}
+	}
+}
+
+// BenchmarkLook measures the books of one look at an instance that runs 16 tasks.
+func BenchmarkLook(b *testing.B) {
+	sched, s, now := loaded(b, 1)
+	s.Run(2, state.Submit{Job: workload.Job{ID: "00000000000000aa", Steps: []workload.Step{{Count: 16, Need: workload.Need{Processors: 100}}}}, Queue: "q"})
+	sched.AddJob(now, now.Milliseconds(), s.Work.Jobs["00000000000000aa"], false)
+	sched.Tick(now, now.Milliseconds())
+	l := scheduler.Look{Clock: time.Minute}
+	for _, o := range sched.Orders() {
+		sched.Answered(now, o, scheduler.Accepted)
+		l.Running = append(l.Running, scheduler.Row{Task: o.Task, Run: o.Run, Percent: 100})
+	}
+	b.ResetTimer()
+	for range b.N {
+		now += time.Millisecond
+		l.Clock += time.Millisecond
+		sched.Inquire(now, "i-0", true)
+		sched.Looked(now, "i-0", now, l)
+	}
+}
+
+// BenchmarkTick measures a plan over pools of several sizes with 200 jobs that wait.
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []int{12, 48, 192} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			sched, s, now := loaded(b, n)
+			for i := range 200 {
+				id := workload.JobID(fmt.Sprintf("%016x", i))
+				step := workload.Step{Count: 6, Need: workload.Need{Processors: 65000}}
+				s.Run(uint64(i+2), state.Submit{Job: workload.Job{ID: id, Steps: []workload.Step{step}}, Queue: "q"})
+				sched.AddJob(now, now.Milliseconds(), s.Work.Jobs[id], false)
+			}
+			b.ResetTimer()
+			for range b.N {
+				now += time.Microsecond
+				sched.Tick(now, now.Milliseconds())
+				sched.Decisions()
+			}
+		})
+	}
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -61,6 +61,9 @@
 	cancel  context.CancelFunc
 	wait    sync.WaitGroup
 	term    atomic.Pointer[term]
+	// last is the latest term led and stretch how often it was taken up again.
+	last    uint64
+	stretch uint64
 }
 
 // Start runs a supervisor until Close.
@@ -95,7 +98,11 @@
 
 // lead runs one term until it is over.
 func (s *Supervisor) lead(number uint64) {
-	t := newTerm(s.ctx, &s.options, s.gauges, number)
+	s.stretch++
+	if number != s.last {
+		s.last, s.stretch = number, 0
+	}
+	t := newTerm(s.ctx, &s.options, s.gauges, number, s.stretch)
 	s.gauges.terms.Inc(1)
 	s.term.Store(t)
 	t.run()
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -32,6 +32,7 @@
 	options *Options
 	gauges  *gauges
 	number  uint64
+	stretch uint64
 	ctx     context.Context
 	cancel  context.CancelFunc
 	inbox   chan func()
@@ -57,8 +58,8 @@
 	cancel context.CancelFunc
 }
 
-func newTerm(ctx context.Context, o *Options, g *gauges, number uint64) *term {
-	t := &term{options: o, gauges: g, number: number, inbox: make(chan func(), inboxLength), lanes: map[fleet.InstanceID]*lane{}}
+func newTerm(ctx context.Context, o *Options, g *gauges, number, stretch uint64) *term {
+	t := &term{options: o, gauges: g, number: number, stretch: stretch, inbox: make(chan func(), inboxLength), lanes: map[fleet.InstanceID]*lane{}}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	return t
 }
@@ -98,7 +99,7 @@
 	jobs, instances := 0, 0
 	t.options.Replica.View(func(s *state.State) {
 		t.scheduler = scheduler.New(now, wall(), scheduler.Options{
-			Fence: t.number, Lease: t.options.Lease, Led: now,
+			Fence: t.number, Stretch: t.stretch, Lease: t.options.Lease, Led: now,
 		}, &s.Work)
 		t.ready.Store(s.Work.Catalogue.Version > 0)
 		jobs, instances = len(s.Work.Jobs), len(s.Work.Enrolled)
