Name the run numbers of a stretch

Measured: go vet and the tests of scheduler and supervisor pass, TestRunNumbersRiseOverALapsedLease among them.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -81,7 +81,8 @@
 	lateFactor     = 3                       // beyond three times its objective a job earns nothing
 	maxEndsCommit  = 500                     // ends of one commit, the most that one look lists
 	refuseSilence  = 1                       // failed looks after which an instance gets no work
-	runsPerFence   = 1_000_000               // run numbers of one leadership
+	runsPerFence   = 1_000_000_000           // run numbers of one term; a thousand stretches of it
+	runsPerStretch = 1_000_000               // an hour of 300 starts a second
 	quickLook      = 700 * time.Millisecond  // finds tasks that stand still within two looks
 	slowLook       = 2 * time.Second         // the longest wait that instances allow
 	standstill     = 1500 * time.Millisecond // progress shows in steps of a hundredth of a task of seconds
