--- a/internal/supervisor/answer.go
+++ b/internal/supervisor/answer.go
@@ -103,7 +103,7 @@
 		return forwarder.Answer{Verdict: forwarder.Done}
 	}
 	command := state.Submit{Job: *ask.Job, Queue: queue.Name, Customer: customer.Name, At: state.Moment(wall())}
-	err, certain := t.settle(ctx, command, func() {
+	certain, err := t.settle(ctx, command, func() {
 		t.record(ask.Job.ID, func(r *state.JobRecord) {
 			if r != nil {
 				t.scheduler.AddJob(clock(), wall(), r, false)
@@ -120,7 +120,7 @@
 }
 
 // settle commits a command, runs then in the loop once it is committed, and waits for that as long as ctx lasts.
-func (t *term) settle(ctx context.Context, c state.Command, then func()) (err error, certain bool) {
+func (t *term) settle(ctx context.Context, c state.Command, then func()) (certain bool, err error) {
 	result := make(chan error, 1)
 	t.commit(c, func(_ state.Reply, err error) {
 		if err == nil {
@@ -130,11 +130,11 @@
 	})
 	select {
 	case err = <-result:
-		return err, true
+		return true, err
 	case <-ctx.Done():
 	case <-t.ctx.Done():
 	}
-	return nil, false
+	return false, nil
 }
 
 func (t *term) cancelJob(ctx context.Context, ask forwarder.Ask) forwarder.Answer {
@@ -146,7 +146,7 @@
 	if !t.known(id) {
 		return forwarder.Answer{Verdict: forwarder.UnknownJob}
 	}
-	err, certain := t.settle(ctx, state.Cancel{Job: id, At: state.Moment(wall())}, func() { t.scheduler.Cancel(clock(), id) })
+	certain, err := t.settle(ctx, state.Cancel{Job: id, At: state.Moment(wall())}, func() { t.scheduler.Cancel(clock(), id) })
 	if err != nil || !certain {
 		return forwarder.Answer{Verdict: forwarder.Uncertain}
 	}
@@ -241,7 +241,7 @@
 		event.CatalogueRefused.Info(t.options.Logger, zap.Uint64("sent-version", ask.Catalogue.Version), zap.NamedError("reason", err))
 		return forwarder.Answer{Verdict: forwarder.Invalid, Detail: err.Error()}
 	}
-	err, certain := t.settle(ctx, state.Publish{Catalogue: *ask.Catalogue, Source: ask.Source}, func() {
+	certain, err := t.settle(ctx, state.Publish{Catalogue: *ask.Catalogue, Source: ask.Source}, func() {
 		t.options.Replica.View(func(s *state.State) {
 			c := s.Work.Catalogue
 			t.scheduler.SetCatalogue(&c)
@@ -266,7 +266,7 @@
 
 func (t *term) openWave(ctx context.Context, ask forwarder.Ask) forwarder.Answer {
 	number := ask.Wave.Number
-	err, certain := t.settle(ctx, state.OpenWave{Wave: *ask.Wave, At: state.Moment(wall())}, func() {
+	certain, err := t.settle(ctx, state.OpenWave{Wave: *ask.Wave, At: state.Moment(wall())}, func() {
 		t.options.Replica.View(func(s *state.State) { t.scheduler.AddWave(clock(), wall(), s.Work.Waves[number]) })
 	})
 	if err != nil || !certain {
