--- a/internal/configuration/parse.go
+++ b/internal/configuration/parse.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"regexp"
+	"strconv"
 	"strings"
 
 	"github.com/goccy/go-yaml"
@@ -73,11 +74,26 @@
 	message := yaml.FormatError(err, false, false)
 	message = typePattern.ReplaceAllString(message, "want a $2, not a $1")
 	if m := positionPattern.FindStringSubmatch(message); m != nil {
-		return fault.New("read", KindSyntax, "%s:%s: %s", file, m[1], m[3])
+		return fault.New("read", KindSyntax, "%s:%s: %s%s", file, m[1], keyAt(text, m[1], m[3]), m[3])
 	}
 	return fault.New("read", KindSyntax, "%s%s: %s", file, placeOf(text, message), message)
 }
 
+// keyAt returns the key of a line, for a message that does not name it.
+func keyAt(text []byte, number, message string) string {
+	n, err := strconv.Atoi(number)
+	lines := strings.Split(string(text), "\n")
+	if err != nil || n < 1 || n > len(lines) {
+		return ""
+	}
+	key, _, ok := strings.Cut(lines[n-1], ":")
+	key = strings.Trim(key, " -\t")
+	if !ok || key == "" || strings.Contains(message, key) {
+		return ""
+	}
+	return key + ": "
+}
+
 // placeOf finds the line and the key of a value that an error quotes without its position.
 func placeOf(text []byte, message string) string {
 	quoted := quotePattern.FindStringSubmatch(message)
--- /dev/null
+++ b/internal/settings/deployment_test.go
@@ -0,0 +1,60 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/settings"
+)
+
+const deployment = `process: "core-1"
+address: "10.1.0.26"
+data-centre: "lowell-a"
+peer-port: 7000
+control: "10.1.0.26:8345"
+seeds: ["10.1.0.26:8345", "10.2.0.17:8345"]
+first-start: true
+data-folder: "/data"
+voters: 5
+maximum-lease: 6000
+grace: 6
+fleet-key: "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+`
+
+func load(t *testing.T, text string) (*settings.Deployment, error) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "settings.yaml")
+	assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
+	return settings.LoadDeployment(file)
+}
+
+func TestDeploymentIsRead(t *testing.T) {
+	d, err := load(t, deployment)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, d.SeedEntries(), []fleet.EntryID{"10.1.0.26", "10.2.0.17"})
+	assert.Equal(t, d.Lease().Seconds(), 6.0)
+}
+
+// TestFaultyDeploymentNamesTheKey replaces one line after the other by a fault and expects the key in the error.
+func TestFaultyDeploymentNamesTheKey(t *testing.T) {
+	for _, c := range []struct{ line, fault, want string }{
+		{`address: "10.1.0.26"`, `address: "here"`, "address"},
+		{`peer-port: 7000`, `peer-port: 70000`, "peer-port"},
+		{`voters: 5`, `voters: 0`, "voters"},
+		{`maximum-lease: 6000`, `maximum-lease: 0`, "maximum-lease"},
+		{`"10.2.0.17:8345"]`, `"nowhere"]`, "seeds[1]"},
+		{`grace: 6`, `graze: 6`, "graze"},
+		{`voters: 5`, `voters: many`, "voters"},
+		{`"00112233445566778899aabb`, `"`, "fleet-key"},
+	} {
+		_, err := load(t, strings.Replace(deployment, c.line, c.fault, 1))
+		assert.Assert(t, cmp.ErrorContains(err, c.want), "%s", c.fault)
+		assert.Assert(t, cmp.ErrorContains(err, "settings.yaml"), "%s", c.fault)
+	}
+}
