Roll out in two data centres where a rack may be lost besides, and keep moved instances 12 s

The batch of 24 counted instances that had booted and were being verified, one data centre at a time held even pools back that could lose their largest rack besides, and a moved instance stayed for half a cycle of the peaks. Change: the batch counts instances that are away; a second data centre where the pool keeps its need after losing its largest rack; cooldown of moves 15 s -> 12 s.

--- a/internal/planner/maintenance.go
+++ b/internal/planner/maintenance.go
@@ -29,7 +29,7 @@
 	if v.State.Halted != "" {
 		return steps
 	}
-	allowed := p.allowed(v, c) - len(stopping)
+	allowed := p.allowed(v, c) - away(stopping)
 	canary := p.canary(v, c)
 	due := p.due(v, c, stopping)
 	steps = append(steps, p.fade(v, c, due)...)
@@ -52,6 +52,17 @@
 	return steps
 }
 
+// away counts the planned stops whose instances have not booted again.
+func away(stopping []state.Assignment) int {
+	n := 0
+	for _, a := range stopping {
+		if a.Phase != state.Verifying {
+			n++
+		}
+	}
+	return n
+}
+
 // fade lets the instances that are stopped next run empty while the ones before them are still away.
 func (p *Planner) fade(v *View, c *configuration.Configuration, due []state.Assignment) []Step {
 	var steps []Step
@@ -250,8 +261,9 @@
 	return true
 }
 
-// mayStop reports whether a stop leaves the pool's budget and its demand intact, and takes instances away from one
-// failure domain only; those that are being verified have booted and are not away.
+// mayStop reports whether a stop leaves the pool's budget and its demand intact. Instances are away from one data
+// centre at a time, unless the pool could lose its largest rack besides; those that are being verified have booted and
+// are not away.
 func (p *Planner) mayStop(v *View, c *configuration.Configuration, a state.Assignment, stopping []state.Assignment) bool {
 	pool, _ := c.Pool(a.Pool)
 	m := p.memory(a.Pool)
@@ -265,6 +277,9 @@
 	if m.need > m.have-1 && !pool.Spare {
 		return false
 	}
+	if m.have-1-m.largest >= max(pool.MinimumAvailable, m.need) {
+		return true
+	}
 	return !slices.ContainsFunc(stopping, func(b state.Assignment) bool {
 		return b.Pool == a.Pool && b.DataCentre != a.DataCentre && b.Phase != state.Verifying
 	})
--- a/internal/planner/moves.go
+++ b/internal/planner/moves.go
@@ -13,7 +13,7 @@
 
 // Parameters of moves.
 const (
-	moveCooldown   = 15 * time.Second
+	moveCooldown   = 12 * time.Second // 15 s kept an instance in its pool for half of the next pool's peak
 	maxMoves       = 16
 	moveTimeout    = 30 * time.Second
 	busyPenalty    = 100
