Pack standing tasks, vacate instances, keep pools until there is demand, repeat lost looks at once

Change: standing tasks go where standing tasks are; an instance with up to four of them in a pool that has had too many for 3.5 s is vacated within the budgets of their steps; nothing goes to standby before a job that ends has come; a look waits 250 ms beyond what it asks for and is repeated at once after one miss.

--- a/internal/scheduler/fleet_test.go
+++ b/internal/scheduler/fleet_test.go
@@ -164,6 +164,17 @@
 	return found
 }
 
+// instancesOf returns the instances that run tasks of any of the jobs.
+func (b *bench) instancesOf(jobs ...workload.JobID) map[fleet.InstanceID]bool {
+	used := map[fleet.InstanceID]bool{}
+	for _, job := range jobs {
+		for _, id := range b.where(job) {
+			used[id] = true
+		}
+	}
+	return used
+}
+
 // movedTo returns the machines that were ordered to a pool.
 func (b *bench) movedTo(pool fleet.PoolID) []string {
 	var list []string
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -32,6 +32,8 @@
 	faults   int
 	paced    int
 	evacuate bool
+	// vacating is set while the standing tasks of an instance that its pool can do without move to others.
+	vacating bool
 	// strayed is set while runs are listed whose size is not known.
 	strayed bool
 }
@@ -277,7 +279,7 @@
 
 // open reports whether new tasks may be placed on the instance.
 func (s *Scheduler) open(in *instance) bool {
-	return in.enrolled && in.looked && !in.Draining && !in.departed && !in.evacuate && !in.strayed && in.misses < refuseSilence && s.now >= in.rested
+	return in.enrolled && in.looked && !in.Draining && !in.departed && !in.evacuate && !in.vacating && !in.strayed && in.misses < refuseSilence && s.now >= in.rested
 }
 
 // age drops the runs of silent instances whose leases are over, and forgets instances that are gone.
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -73,6 +73,7 @@
 	if s.jobs[r.Job.ID] != nil || !r.Active() && !old {
 		return
 	}
+	s.worked = s.worked || slices.ContainsFunc(r.Job.Steps, func(st workload.Step) bool { return !st.Standing })
 	j := &job{Job: r.Job, queue: r.Queue, customer: r.Customer, pools: slices.Clone(r.Pools), attempts: defaultTries, old: old, left: r.Job.Tasks()}
 	for k := range r.Job.Occurrences() {
 		j.rounds = append(j.rounds, newRound(&j.Job, k))
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -87,6 +87,7 @@
 	}
 	for _, p := range pools {
 		s.sendOff(p)
+		s.vacate(p)
 	}
 }
 
@@ -136,7 +137,7 @@
 		if s.now-d.stuck < stuckFor && d.stuck > 0 {
 			d.want = max(d.want, d.have+1)
 		}
-		if d.have <= d.want {
+		if d.have <= d.want || !s.worked {
 			d.surplus = s.now
 		}
 		if d.want != d.told {
@@ -264,7 +265,7 @@
 func (s *Scheduler) idle(admit func(in *instance) bool) *instance {
 	var best *instance
 	for _, in := range s.instances {
-		if len(in.runs) > 0 || in.Machine == "" || !s.open(in) || s.moves[in.Machine] != nil || s.now < s.machineOf(in.Machine).rested || !admit(in) {
+		if len(in.runs) > 0 || in.Machine == "" || !s.open(in) && !in.vacating || s.moves[in.Machine] != nil || s.now < s.machineOf(in.Machine).rested || !admit(in) {
 			continue
 		}
 		if best == nil || cmp.Or(cmp.Compare(s.demands[in.Pool].deficit(), s.demands[best.Pool].deficit()), cmp.Compare(in.ID, best.ID)) < 0 {
@@ -313,6 +314,7 @@
 func (s *Scheduler) begin(name string, to fleet.PoolID, in *instance) {
 	m := &move{to: to, since: s.now, instance: in}
 	if in != nil {
+		in.vacating = false
 		s.retire(in)
 		m.boot = in.Boot
 	}
--- a/internal/scheduler/moves_test.go
+++ b/internal/scheduler/moves_test.go
@@ -36,7 +36,8 @@
 	assert.Equal(t, len(b.movedTo("p")), 6, "the turn needs 11 instances, the pool has 3, and 6 are left")
 }
 
-// TestIdleInstancesGoOff answers a turn that is over: instances that nothing needs go to standby, but not all.
+// TestIdleInstancesGoOff answers a turn that is over: instances that nothing needs go to standby, but not all, and not
+// before there was work.
 func TestIdleInstancesGoOff(t *testing.T) {
 	b := newBench(t)
 	for i := range 8 {
@@ -44,6 +45,9 @@
 	}
 	withStandby(b, 0)
 	b.pass(6 * time.Second)
+	assert.Equal(t, len(b.movedTo("off")), 0, "the demand is not known before the first job that ends")
+	b.submit(workload.Step{Count: 1, Need: workload.Need{Processors: 1000}})
+	b.pass(6 * time.Second)
 	assert.Equal(t, len(b.movedTo("o")), 2, "a pool with a queue has two instances")
 	assert.Equal(t, len(b.movedTo("off")), 4, "two stay")
 }
@@ -91,3 +95,48 @@
 	b.pass(300 * time.Millisecond)
 	assert.Equal(t, len(b.where(job)), 1)
 }
+
+// TestStandingTasksArePacked answers a pool that is large when its standing jobs come: they must not keep instances that
+// the pool does not need, or those could never go to standby.
+func TestStandingTasksArePacked(t *testing.T) {
+	b := newBench(t)
+	for i := range 8 {
+		b.join(fmt.Sprint(i), "p")
+	}
+	withStandby(b, 0)
+	b.pass(time.Second)
+	jobs := []workload.JobID{
+		b.submit(workload.Step{Count: 5, Need: workload.Need{Processors: 5000}, Standing: true, PerInstance: 2}),
+		b.submit(workload.Step{Count: 6, Need: workload.Need{Processors: 5000}, Standing: true}),
+	}
+	b.submit(workload.Step{Count: 1, Need: workload.Need{Processors: 1000}})
+	b.pass(8 * time.Second)
+	assert.Equal(t, len(b.where(jobs[0]))+len(b.where(jobs[1])), 11, "all tasks run")
+	assert.Equal(t, len(b.instancesOf(jobs...)), 3, "five tasks, two an instance")
+	assert.Equal(t, len(b.movedTo("off"))+len(b.movedTo("o")), 5)
+}
+
+// TestInstanceWithFewStandingTasksIsVacated answers a turn that is over in a pool whose standing tasks were started all
+// over it meanwhile: they move together, one of a step at a time, and the instances that come free go to standby.
+func TestInstanceWithFewStandingTasksIsVacated(t *testing.T) {
+	b := newBench(t)
+	for i := range 4 {
+		b.join(fmt.Sprint(i), "p")
+	}
+	withStandby(b, 0)
+	b.pass(200 * time.Millisecond)
+	turn := b.submit(workload.Step{Count: 4, Need: workload.Need{Processors: 56000}})
+	b.pass(200 * time.Millisecond)
+	job := b.submit(workload.Step{Count: 4, Need: workload.Need{Processors: 5000}, Standing: true, MayMiss: 1})
+	b.pass(time.Second)
+	assert.Equal(t, len(b.instancesOf(job)), 4)
+	for task, id := range b.where(turn) {
+		b.end(id, task, workload.EndedDone)
+	}
+	for range 120 {
+		b.pass(100 * time.Millisecond)
+		assert.Assert(t, len(b.where(job)) >= 3, "two tasks are away")
+	}
+	assert.Equal(t, len(b.instancesOf(job)), 2)
+	assert.Equal(t, len(b.movedTo("off"))+len(b.movedTo("o")), 2, "two instances stay")
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -228,8 +228,9 @@
 	weightFault   = 20.0  // an instance that failed tasks lately is the last choice
 	weightLast    = 10.0  // a run that was lost or failed is tried elsewhere
 	weightDisturb = 5.0   // filling and serving tasks disturb each other
-	weightSame    = 0.5   // a lost instance should take few tasks of one step
+	weightAnchor  = 3.0   // standing tasks on few instances let the others go to standby when other work ends
 	weightPack    = 1.0   // packed instances leave others empty for maintenance and moves
+	weightSame    = 0.02  // below the load of the smallest task, so that it only decides between equals
 )
 
 func (in *instance) score(c candidate, step *workload.Step, t *task) float64 {
@@ -245,13 +246,18 @@
 	if !step.Standing {
 		return score + weightPack*load
 	}
+	standing := workload.Need{}
 	for _, r := range in.runs {
 		other := r.job.step(r.task.Place)
+		if other.Standing {
+			standing = standing.Add(other.Need)
+		}
 		if step.TailTarget > 0 && other.Fills || step.Fills && other.TailTarget > 0 || step.TailTarget > 0 && other.TailTarget > 0 {
 			score -= weightDisturb
 		}
 	}
-	return score + weightPack*load - weightSame*float64(in.count(c))
+	anchored := float64(standing.Processors) / float64(max(1, in.Capacity.Processors))
+	return score + weightAnchor*anchored + weightPack*load - weightSame*float64(in.count(c))
 }
 
 // placeGang starts all tasks of a stage with one run number, or none.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -128,8 +128,10 @@
 	moves         map[string]*move
 	demands       map[fleet.PoolID]*demand
 	barred        map[barring]bool
-	planned       time.Duration
-	listed        time.Duration
+	// worked is set once a job with work that ends has come; until then nothing is known of the demand.
+	worked  bool
+	planned time.Duration
+	listed  time.Duration
 }
 
 // Decision is one line for the log.
--- a/internal/supervisor/lane.go
+++ b/internal/supervisor/lane.go
@@ -15,7 +15,7 @@
 // Timeouts of calls to instances and to the platform.
 const (
 	orderTimeout    = 400 * time.Millisecond // an instance answers within milliseconds; a lost packet is sent again after 200 ms
-	lookSlack       = 700 * time.Millisecond // beyond the wait that the look asks for
+	lookSlack       = 250 * time.Millisecond // beyond the wait that the look asks for; a lost packet is sent again after 200 ms
 	platformTimeout = 3 * time.Second        // the platform may be slow
 )
 
@@ -30,13 +30,17 @@
 }
 
 func (t *term) look(ctx context.Context, id fleet.InstanceID) {
+	missed := false
 	for ctx.Err() == nil {
 		began := time.Now()
-		if !t.lookOnce(ctx, id, true) {
+		answered := t.lookOnce(ctx, id, true)
+		switch gap := lookGap - time.Since(began); {
+		case !answered && missed:
 			pause(ctx, missPause)
-		} else if gap := lookGap - time.Since(began); gap > 0 {
+		case answered && gap > 0:
 			pause(ctx, gap)
 		}
+		missed = !answered // a single lost answer is asked for again at once
 	}
 }
 
