Serve late work within a share of its pool, and do not forget machines that a list shows on their way

Change: late stages go before timely ones while late work takes less than a fifth of its pool; a machine that the list shows being moved or maintained counts as up 2.1 s later, and orders of this leader are newer than a list.

--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -12,6 +12,8 @@
 	Pool fleet.PoolID
 	// Up machines can be moved and maintained.
 	Up bool
+	// Settling machines are still being moved or maintained and will be up within seconds.
+	Settling bool
 }
 
 // MachineOrder asks the platform for planned work on a machine: a move where a pool is named, maintenance otherwise.
@@ -38,6 +40,9 @@
 	return [...]string{"none", "done", "busy", "fenced", "gone", "uncertain"}[o]
 }
 
+// settleTime is how long a machine that is being moved or maintained is left alone; both take at most two seconds.
+const settleTime = 2100 * time.Millisecond
+
 // listInterval is how often the platform's list is read while machines are moved: each reading is paid for, and a
 // leader's own moves keep the table right between two readings.
 const listInterval = 15 * time.Second
@@ -64,10 +69,19 @@
 	return true
 }
 
-// SetMachines takes the platform's list.
+// SetMachines takes the platform's list. A list that was read while a machine was on its way must not hide the machine
+// until the next reading, and what this leader has just ordered is newer than the list.
 func (s *Scheduler) SetMachines(list []Machine) {
 	for _, m := range list {
-		s.machineOf(m.Name).Machine = m
+		book := s.machineOf(m.Name)
+		if s.moves[m.Name] != nil || s.now < book.rested {
+			continue
+		}
+		book.Machine = m
+		if m.Settling {
+			book.Up = true
+			book.rested = s.now + settleTime
+		}
 	}
 }
 
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -337,7 +337,7 @@
 		m.boot = max(m.boot, s.takenDown(o.Machine))
 		book.Pool = o.Pool
 		book.Up = true
-		book.rested = s.now + moveRetry*3
+		book.rested = s.now + settleTime
 	case MachineBusy, MachineGone:
 		delete(s.moves, o.Machine)
 		book.rested = s.now + moveRest
--- a/internal/scheduler/moves_test.go
+++ b/internal/scheduler/moves_test.go
@@ -140,3 +140,23 @@
 	assert.Equal(t, len(b.instancesOf(job)), 2)
 	assert.Equal(t, len(b.movedTo("off"))+len(b.movedTo("o")), 2, "two instances stay")
 }
+
+// TestMachineOnItsWayIsNotForgotten answers a list that the platform gives while machines move to standby: they must come
+// back for the next turn although the list is read again only much later.
+func TestMachineOnItsWayIsNotForgotten(t *testing.T) {
+	b := newBench(t)
+	b.join("0", "p")
+	b.join("1", "p")
+	b.join("x", "o")
+	b.join("y", "o")
+	b.pass(time.Second)
+	b.scheduler.SetMachines([]scheduler.Machine{
+		{Name: "m-moving", Pool: "off", Settling: true}, {Name: "m-kept", Pool: "off", Settling: true}, {Name: "m-lost", Pool: "off"},
+	})
+	turn := workload.Step{Count: 40, Need: workload.Need{Processors: 7000}}
+	b.submit(turn)
+	b.pass(time.Second)
+	assert.Equal(t, len(b.movedTo("p")), 0, "they are still on their way")
+	b.pass(2 * time.Second)
+	assert.DeepEqual(t, b.movedTo("p"), []string{"m-kept", "m-moving"})
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -14,6 +14,7 @@
 
 const (
 	classServing class = iota
+	classRescued
 	classTimely
 	classFilling
 	classLate
@@ -43,7 +44,7 @@
 
 func (s *Scheduler) place() {
 	pools := s.openInstances()
-	for _, c := range s.candidates() {
+	for _, c := range s.rescue(s.candidates(), pools) {
 		if c.stage.isGang(c.job) {
 			s.placeGang(c, pools[c.job.pool])
 			continue
--- /dev/null
+++ b/internal/scheduler/rescue.go
@@ -0,0 +1,65 @@
+package scheduler
+
+import (
+	"slices"
+
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/workload"
+)
+
+// rescueShare is the part of a pool that late work may take before timely work: after a backlog of some seconds it serves
+// all that is late before it becomes hopeless, and a lasting overload costs timely work no more than this.
+const rescueShare = 0.2
+
+// rescue puts late stages before timely ones, oldest first, while late work takes less than its share of their pool.
+func (s *Scheduler) rescue(list []candidate, pools map[fleet.PoolID][]*instance) []candidate {
+	if !slices.ContainsFunc(list, func(c candidate) bool { return c.class == classLate }) {
+		return list
+	}
+	taken := map[fleet.PoolID]float64{}
+	for i := range list {
+		c := &list[i]
+		pool := c.job.pool
+		if c.class != classLate {
+			continue
+		}
+		if _, known := taken[pool]; !known {
+			taken[pool] = s.lateShare(pools[pool])
+		}
+		if taken[pool] < rescueShare {
+			c.class = classRescued
+			taken[pool] += waitingShare(c, pools[pool])
+		}
+	}
+	slices.SortStableFunc(list, compareCandidates)
+	return list
+}
+
+// lateShare returns the part of the instances that late work takes.
+func (s *Scheduler) lateShare(instances []*instance) float64 {
+	total, late := workload.Need{}, workload.Need{}
+	for _, in := range instances {
+		total = total.Add(in.Capacity)
+		for _, r := range in.runs {
+			if s.classOf(r.job, r.job.stage(r.task.Place)) == classLate {
+				late = late.Add(r.claim)
+			}
+		}
+	}
+	return total.Share(late)
+}
+
+// waitingShare returns the part of the instances that the waiting tasks of a stage take.
+func waitingShare(c *candidate, instances []*instance) float64 {
+	total := workload.Need{}
+	for _, in := range instances {
+		total = total.Add(in.Capacity)
+	}
+	waiting := 0
+	for i := range c.stage.tasks {
+		if t := &c.stage.tasks[i]; !t.done && t.run == nil {
+			waiting++
+		}
+	}
+	return float64(waiting) * total.Share(c.job.Steps[c.stage.step].Claim())
+}
