Move work off draining instances, and close silent ones in the committed state

An instance that leaves two looks unanswered is closed in the committed state before anything accepted later starts; jobs accepted after that do not wait for it, and it is opened by a commit.

--- a/internal/scheduler/fleet_test.go
+++ b/internal/scheduler/fleet_test.go
@@ -30,6 +30,7 @@
 	percent int
 	tails   map[workload.TaskID]int
 	paces   []scheduler.Order
+	boots   map[string]int64
 }
 
 // newBench returns a fleet with a pool "p", a standby pool "off" and a queue on "p".
@@ -37,7 +38,7 @@
 	b := &bench{
 		t: t, now: time.Hour, state: state.New(), runs: map[fleet.InstanceID]map[workload.TaskID]workload.Run{},
 		ends: map[fleet.InstanceID][]scheduler.EndRow{}, numbers: map[fleet.InstanceID]uint64{}, percent: 100,
-		tails: map[workload.TaskID]int{},
+		tails: map[workload.TaskID]int{}, boots: map[string]int64{},
 	}
 	b.commit(state.Publish{Source: []byte("x"), Catalogue: workload.Catalogue{
 		Version: 1,
@@ -73,9 +74,18 @@
 	b.commit(state.Enrol{Instance: in})
 	b.scheduler.Enrolled(in.ID)
 	b.runs[in.ID] = map[workload.TaskID]workload.Run{}
+	b.boots[string(in.ID)] = in.Boot
 	return in.ID
 }
 
+// drain lets an instance announce that it ends.
+func (b *bench) drain(name string, pool fleet.PoolID, left time.Duration) {
+	b.scheduler.Announce(b.now, workload.Instance{
+		ID: fleet.InstanceID("i-" + name), Boot: b.boots["i-"+name], Pool: pool, Address: name, Machine: "m-" + name, Sequence: 2,
+		Capacity: workload.Need{Processors: 64000, Memory: 131072}, Clock: time.Minute + b.now, Rack: "r1-1", Draining: true, Left: left,
+	})
+}
+
 // submit hands a job of one step in.
 func (b *bench) submit(step workload.Step) workload.JobID {
 	return b.submitTo("q", step)
@@ -88,6 +98,11 @@
 	return id
 }
 
+// commitOnly accepts a job that the leader is lost too early to start.
+func (b *bench) commitOnly(id workload.JobID, step workload.Step) {
+	b.commit(state.Submit{Job: workload.Job{ID: id, Steps: []workload.Step{step}}, Queue: "q", At: state.Moment(b.now.Milliseconds())})
+}
+
 // pass lets time go by in steps of 100 ms.
 func (b *bench) pass(d time.Duration) {
 	for end := b.now + d; b.now < end; {
@@ -105,6 +120,13 @@
 		for _, id := range b.scheduler.Struck() {
 			b.commit(state.Strike{Instances: []fleet.InstanceID{id}})
 		}
+		if list := b.scheduler.Closings(); len(list) > 0 {
+			b.commit(state.CloseInstances{Instances: list})
+		}
+		if list := b.scheduler.Reopenings(); len(list) > 0 {
+			b.commit(state.ReopenInstances{Instances: list})
+			b.scheduler.Reopened(list)
+		}
 	}
 }
 
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -34,6 +34,11 @@
 	evacuate bool
 	// vacating is set while the standing tasks of an instance that its pool can do without move to others.
 	vacating bool
+	// closed instances get no start: they were silent, and the committed state says so. closedAt is the log index of that,
+	// for those that an earlier leader closed, and reopening is set while the opposite is being committed.
+	closed    bool
+	closedAt  uint64
+	reopening bool
 	// strayed is set while runs are listed whose size is not known.
 	strayed bool
 }
@@ -279,7 +284,7 @@
 
 // open reports whether new tasks may be placed on the instance.
 func (s *Scheduler) open(in *instance) bool {
-	return in.enrolled && in.looked && !in.Draining && !in.departed && !in.evacuate && !in.vacating && !in.strayed && in.misses < refuseSilence && s.now >= in.rested
+	return in.enrolled && in.looked && !in.Draining && !in.departed && !in.evacuate && !in.vacating && !in.closed && !in.strayed && in.misses < refuseSilence && s.now >= in.rested
 }
 
 // age drops the runs of silent instances whose leases are over, and forgets instances that are gone.
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -22,12 +22,14 @@
 	due       time.Duration
 	objective time.Duration
 	old       bool
-	over      bool
-	overAt    time.Duration
-	begun     bool
-	placed    int
-	left      int
-	rounds    []*round
+	// accepted is the log index of the submission.
+	accepted uint64
+	over     bool
+	overAt   time.Duration
+	begun    bool
+	placed   int
+	left     int
+	rounds   []*round
 }
 
 // round is one occurrence of the steps of a job.
@@ -74,7 +76,7 @@
 		return
 	}
 	s.worked = s.worked || slices.ContainsFunc(r.Job.Steps, func(st workload.Step) bool { return !st.Standing })
-	j := &job{Job: r.Job, queue: r.Queue, customer: r.Customer, pools: slices.Clone(r.Pools), attempts: defaultTries, old: old, left: r.Job.Tasks()}
+	j := &job{Job: r.Job, queue: r.Queue, customer: r.Customer, pools: slices.Clone(r.Pools), attempts: defaultTries, old: old, accepted: r.Accepted, left: r.Job.Tasks()}
 	for k := range r.Job.Occurrences() {
 		j.rounds = append(j.rounds, newRound(&j.Job, k))
 	}
@@ -142,13 +144,16 @@
 	return longest
 }
 
-// accounted reports whether it is known where every run of the job is; an instance that was not seen yet may run some.
+// accounted reports whether it is known where every run of the job is; an instance that was not seen yet may run some,
+// unless it was closed before the job was accepted.
 func (s *Scheduler) accounted(j *job) bool {
 	if !j.old {
 		return true
 	}
 	for id := range s.unsettled {
-		if slices.Contains(j.pools, s.instances[id].Pool) {
+		in := s.instances[id]
+		closedBefore := in.closedAt > 0 && in.closedAt < j.accepted
+		if slices.Contains(j.pools, in.Pool) && !closedBefore {
 			return false
 		}
 	}
--- a/internal/scheduler/look.go
+++ b/internal/scheduler/look.go
@@ -111,6 +111,7 @@
 		in.inherited = false
 		delete(s.unsettled, id)
 	}
+	s.reopen(in)
 	s.pace(in)
 }
 
@@ -322,6 +323,7 @@
 		return
 	}
 	in.misses++
+	s.close(in)
 	switch {
 	case o == Fenced:
 		s.superseded = true
--- a/internal/scheduler/oracle_test.go
+++ b/internal/scheduler/oracle_test.go
@@ -210,6 +210,13 @@
 	for _, id := range w.scheduler.Struck() {
 		w.commit(state.Strike{Instances: []fleet.InstanceID{id}})
 	}
+	if list := w.scheduler.Closings(); len(list) > 0 {
+		w.commit(state.CloseInstances{Instances: list})
+	}
+	if list := w.scheduler.Reopenings(); len(list) > 0 {
+		w.commit(state.ReopenInstances{Instances: list})
+		w.scheduler.Reopened(list)
+	}
 }
 
 // settle commits the oldest batch of ends.
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -37,6 +37,7 @@
 	s.sweepJobs()
 	s.retryStops()
 	s.stopStandstills()
+	s.tickDraining()
 	s.tickWaves()
 	s.place()
 	s.planMoves()
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -117,6 +117,8 @@
 	failed        []workload.JobID
 	struck        []fleet.InstanceID
 	enrols        []workload.Instance
+	closings      []fleet.InstanceID
+	reopenings    []fleet.InstanceID
 	batch         uint64
 	committed     uint64
 	superseded    bool
@@ -173,6 +175,8 @@
 		in.enrolled = true
 		in.heard = o.Led
 		in.inherited = true
+		in.closedAt = w.Closed[id]
+		in.closed = in.closedAt > 0
 		s.unsettled[id] = true
 	}
 	for _, r := range w.Jobs {
--- a/internal/state/jobs.go
+++ b/internal/state/jobs.go
@@ -50,12 +50,15 @@
 	// Enrolled holds every boot of an instance that may have been given work.
 	Enrolled map[fleet.InstanceID]workload.Instance `cbor:"4,keyasint,omitempty"`
 	Waves    map[uint64]*WaveRecord                 `cbor:"5,keyasint,omitempty"`
+	// Closed holds the log index since which nothing has been started on a silent instance.
+	Closed map[fleet.InstanceID]uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 func (w *Workload) index() {
 	w.Jobs = orEmpty(w.Jobs)
 	w.Enrolled = orEmpty(w.Enrolled)
 	w.Waves = orEmpty(w.Waves)
+	w.Closed = orEmpty(w.Closed)
 }
 
 // Publish puts a version of the catalogue in force unless a higher one is.
@@ -191,6 +194,7 @@
 
 func (c Enrol) apply(s *State) (Reply, error) {
 	s.Work.Enrolled[c.Instance.ID] = c.Instance
+	delete(s.Work.Closed, c.Instance.ID)
 	return Reply{}, nil
 }
 
@@ -202,6 +206,34 @@
 func (c Strike) apply(s *State) (Reply, error) {
 	for _, id := range c.Instances {
 		delete(s.Work.Enrolled, id)
+		delete(s.Work.Closed, id)
+	}
+	return Reply{}, nil
+}
+
+// CloseInstances records that nothing more is started on silent instances, so that jobs which are accepted later can't
+// run there.
+type CloseInstances struct {
+	Instances []fleet.InstanceID `cbor:"1,keyasint"`
+}
+
+func (c CloseInstances) apply(s *State) (Reply, error) {
+	for _, id := range c.Instances {
+		if _, enrolled := s.Work.Enrolled[id]; enrolled && s.Work.Closed[id] == 0 {
+			s.Work.Closed[id] = s.Current
+		}
+	}
+	return Reply{}, nil
+}
+
+// ReopenInstances records that instances answer again, before anything is started on them.
+type ReopenInstances struct {
+	Instances []fleet.InstanceID `cbor:"1,keyasint"`
+}
+
+func (c ReopenInstances) apply(s *State) (Reply, error) {
+	for _, id := range c.Instances {
+		delete(s.Work.Closed, id)
 	}
 	return Reply{}, nil
 }
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -232,6 +232,7 @@
 	Configure{}, GrantKey{}, WithdrawKey{}, Adopt{}, Disrupt{}, Advance{}, Move{}, Restore{}, Lose{}, Retire{},
 	Own{}, Allot{}, Register{}, Forget{}, Open{}, Dispatch{}, Settle{}, Expire{}, Halt{}, Resume{}, Isolate{}, Roll{}, Fade{},
 	Publish{}, Submit{}, Cancel{}, NoteEnds{}, ReleaseJobs{}, Enrol{}, Strike{}, OpenWave{}, BeginUpkeep{},
+	CloseInstances{}, ReopenInstances{},
 )
 
 func registered(samples ...any) *codec.Codec {
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -232,7 +232,8 @@
 	})
 }
 
-// strike takes instances out of the committed state and puts those in again whose planned work was refused.
+// strike takes instances out of the committed state, puts those in again whose planned work was refused, and records which
+// are silent.
 func (t *term) strike() {
 	for _, id := range t.scheduler.Struck() {
 		if l := t.lanes[id]; l != nil {
@@ -244,6 +245,12 @@
 	for _, in := range t.scheduler.Enrols() {
 		t.enrol(in)
 	}
+	if list := t.scheduler.Closings(); len(list) > 0 {
+		t.register(state.CloseInstances{Instances: list}, func() {})
+	}
+	if list := t.scheduler.Reopenings(); len(list) > 0 {
+		t.register(state.ReopenInstances{Instances: list}, func() { t.scheduler.Reopened(list) })
+	}
 }
 
 // registration is a change of the enrolled instances.
