--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -1,13 +1,20 @@
 package raft
 
+import "time"
+
+// preVoteParts is the part of the election timeout after which a pre-vote that found no quorum is asked for again: it
+// disturbs nobody, and voters refuse it only until the lease that they promised is over.
+const preVoteParts = 8
+
 func (r *Raft) campaign(role Role) {
 	r.role = role
 	r.leader = ""
 	r.votes = map[ID]bool{r.id: true}
-	r.resetDeadline()
+	r.deadline = r.now + r.election/preVoteParts + time.Duration(r.rng.Int64N(int64(r.election/preVoteParts)))
 	kind := PreVote
 	term := r.hard.Term + 1
 	if role == Candidate {
+		r.deadline = r.now + r.election/2 + time.Duration(r.rng.Int64N(int64(r.election/2))) // a split vote is soon repeated
 		kind = Vote
 		r.hard.Term = term
 		r.hard.Vote = r.id
@@ -35,6 +42,7 @@
 		grant = grant && (r.hard.Vote == "" || r.hard.Vote == m.From) && r.role != Leader
 	}
 	if !grant {
+		r.hasten(m)
 		r.send(Message{Kind: reply, To: m.From, Reject: true})
 		return
 	}
@@ -45,6 +53,14 @@
 	r.send(Message{Kind: reply, To: m.From, Term: m.Term})
 }
 
+// hasten brings the own campaign forward when a member without a leader asks for votes with an older log: it can't win.
+func (r *Raft) hasten(m Message) {
+	if m.Kind != PreVote || r.protected() || r.role != Follower || r.log.upToDate(m.Index, m.LogTerm) {
+		return
+	}
+	r.deadline = min(r.deadline, r.now+time.Duration(r.rng.Int64N(int64(r.election/preVoteParts))))
+}
+
 func (r *Raft) stepVoteReply(m Message) {
 	wanted := m.Kind == VoteReply && r.role == Candidate && m.Term == r.hard.Term ||
 		m.Kind == PreVoteReply && r.role == PreCandidate && m.Term == r.hard.Term+1
