--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -26,7 +26,6 @@
 	demandMargin  = 1.1                     // of the measured demand, for what comes until the next decision
 	reserveShare  = 0.2                     // of one instance, against a lost one
 	idleBeforeOff = 2500 * time.Millisecond // two moves cost as much as an idle instance in three seconds
-	idleAtFirst   = time.Second             // the first turn has shown by then whose it is
 	leastPool     = 2                       // instances of a pool with work, so that one may be lost
 	maxMoves      = 24
 )
@@ -138,10 +137,7 @@
 		if s.now-d.stuck < stuckFor && d.stuck > 0 {
 			d.want = max(d.want, d.have+1)
 		}
-		switch {
-		case !s.worked:
-			d.surplus = s.now - idleBeforeOff + idleAtFirst
-		case d.have <= d.want:
+		if d.have <= d.want || !s.worked {
 			d.surplus = s.now
 		}
 		if d.want != d.told {
