--- /dev/null
+++ b/internal/scheduler/promises_test.go
@@ -0,0 +1,133 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/scheduler"
+	"github.com/sapphiresail/sapphiresail/internal/state"
+	"github.com/sapphiresail/sapphiresail/internal/workload"
+)
+
+// publish puts a changed catalogue in force, for this leader and all later ones.
+func (b *bench) publish(change func(c *workload.Catalogue)) {
+	c := b.state.Work.Catalogue
+	c.Version++
+	c.Queues = append([]workload.Queue(nil), c.Queues...)
+	change(&c)
+	b.commit(state.Publish{Catalogue: c, Source: []byte("x")})
+	published := b.state.Work.Catalogue
+	b.scheduler.SetCatalogue(&published)
+}
+
+// TestDrainingInstanceGetsNoStart answers instances that leave under load: what they announce holds for the next plan, also
+// for a leader that takes over meanwhile and hears of it later.
+func TestDrainingInstanceGetsNoStart(t *testing.T) {
+	b := newBench(t)
+	b.join("leaves", "p")
+	b.pass(time.Second)
+	b.submit(workload.Step{Count: 1, Need: workload.Need{Processors: 6000}})
+	b.pass(time.Second)
+	b.join("stays", "p")
+	b.pass(500 * time.Millisecond)
+	b.drain("leaves", "p", 4*time.Second)
+	b.submit(workload.Step{Count: 20, Need: workload.Need{Processors: 6000}})
+	b.pass(time.Second)
+	assert.Equal(t, len(b.runs["i-stays"]), 10)
+	assert.Equal(t, len(b.runs["i-leaves"]), 1, "ten tasks wait instead")
+	b.lead()
+	b.drain("leaves", "p", 3*time.Second)
+	b.pass(3 * time.Second)
+	assert.Equal(t, len(b.runs["i-leaves"]), 1)
+}
+
+// TestQueueThatMovedStartsInItsNewPool answers a catalogue that sends a queue elsewhere while its tasks wait.
+func TestQueueThatMovedStartsInItsNewPool(t *testing.T) {
+	b := newBench(t)
+	b.join("old", "p")
+	b.join("new", "o")
+	b.pass(time.Second)
+	job := b.submit(workload.Step{Count: 15, Need: workload.Need{Processors: 6000}})
+	b.pass(time.Second)
+	assert.Equal(t, len(b.runs["i-old"]), 10)
+	b.publish(func(c *workload.Catalogue) { c.Queues[0].Pool = "o" })
+	b.end("i-old", workload.TaskID{Job: job}, workload.EndedDone)
+	before := len(b.starts)
+	b.pass(time.Second)
+	assert.Equal(t, len(b.starts)-before, 5)
+	for _, o := range b.starts[before:] {
+		assert.Equal(t, o.Instance, fleet.InstanceID("i-new"))
+	}
+}
+
+// TestLabelAndBoundPerInstanceAreKept answers steps that may run on some instances only, and on each a few times.
+func TestLabelAndBoundPerInstanceAreKept(t *testing.T) {
+	b := newBench(t)
+	b.join("a", "p")
+	b.join("b", "p")
+	b.pass(time.Second)
+	labelled := b.submit(workload.Step{Count: 1, Need: workload.Need{Processors: 1000}, Label: "gpu"})
+	bounded := b.submit(workload.Step{Count: 6, Need: workload.Need{Processors: 1000}, PerInstance: 2})
+	b.pass(time.Second)
+	assert.Equal(t, len(b.where(labelled)), 0, "no instance has the label")
+	assert.Equal(t, len(b.where(bounded)), 4)
+	for _, id := range []fleet.InstanceID{"i-a", "i-b"} {
+		assert.Equal(t, len(b.runs[id]), 2)
+	}
+}
+
+// TestCancelledJobRunsNothingUnderALaterLeader answers a cancellation that is committed just before its leader is lost: the
+// next one stops what runs, starts nothing, and stops a start that is carried out late.
+func TestCancelledJobRunsNothingUnderALaterLeader(t *testing.T) {
+	b := newBench(t)
+	b.join("a", "p")
+	b.pass(time.Second)
+	job := b.submit(workload.Step{Count: 15, Need: workload.Need{Processors: 6000}})
+	b.pass(500 * time.Millisecond)
+	assert.Equal(t, len(b.where(job)), 10)
+	b.commit(state.Cancel{Job: job, At: state.Moment(b.now.Milliseconds())})
+	b.lead()
+	before := len(b.starts)
+	b.pass(time.Second)
+	assert.Equal(t, len(b.where(job)), 0)
+	b.runs["i-a"][workload.TaskID{Job: job, Place: workload.At(0, 0, 12)}] = 1
+	b.pass(time.Second)
+	assert.Equal(t, len(b.where(job)), 0, "the late start")
+	assert.Equal(t, len(b.starts), before)
+}
+
+// TestFencedMachineOrderEndsTheTerm answers a leader that froze and thaws beside its successor: the platform refuses its
+// order of planned work, and it must not give another.
+func TestFencedMachineOrderEndsTheTerm(t *testing.T) {
+	b := newBench(t)
+	b.join("a", "p")
+	withStandby(b, 4)
+	b.pass(time.Second)
+	assert.Assert(t, len(b.machines) > 0)
+	assert.Assert(t, !b.scheduler.Superseded())
+	assert.Assert(t, !b.scheduler.MachineAnswered(b.now, b.machines[0], scheduler.MachineFenced))
+	assert.Assert(t, b.scheduler.Superseded(), "the supervisor ends a term that is superseded")
+}
+
+// TestPendingCountsJobsThatHaveNotBegun answers callers who ask how long a queue is.
+func TestPendingCountsJobsThatHaveNotBegun(t *testing.T) {
+	b := newBench(t)
+	b.join("a", "p")
+	b.pass(time.Second)
+	for range 5 {
+		b.submit(workload.Step{Count: 1, Need: workload.Need{Processors: 30000}})
+	}
+	cancelled := b.submit(workload.Step{Count: 1, Need: workload.Need{Processors: 30000}})
+	assert.Equal(t, b.scheduler.Pending("q"), 6)
+	b.pass(500 * time.Millisecond)
+	assert.Equal(t, b.scheduler.Pending("q"), 4, "two have room")
+	b.commit(state.Cancel{Job: cancelled})
+	b.scheduler.Cancel(b.now, cancelled)
+	assert.Equal(t, b.scheduler.Pending("q"), 3)
+	b.lead()
+	b.pass(500 * time.Millisecond)
+	assert.Equal(t, b.scheduler.Pending("q"), 3, "a later leader sees what runs")
+}
