Share full pools by weight, start gangs that no rack can hold, log completed jobs, split demand from moves

Cause: on a full pool the oldest job came first whoever sent it, although the catalogue gives weights; a gang that wanted one rack and fitted none waited for good; a job's end was not in the log. Change: within a class and a priority, customers that use less of a pool than their weight comes first; a gang waits for one rack only while a rack could hold it and it is timely; event 414; demand.go and gang.go taken out of moves.go and place.go; three unused names removed.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -74,6 +74,7 @@
 	JobRefused         = define(411, "job refused", "job", "host", "path", "reason", "version")
 	JobCancelled       = define(412, "job cancelled", "job")
 	JobFailed          = define(413, "job failed", "job")
+	JobCompleted       = define(414, "job completed", "job", "took")
 	RunDecided         = define(420, "run decided", "what", "task", "run", "instance", "machine", "reason")
 	OrderAnswered      = define(421, "order answered", "order", "task", "run", "instance", "outcome", "took", "error")
 	LookMissed         = define(422, "look missed", "instance", "outcome", "error")
--- a/internal/scheduler/fleet_test.go
+++ b/internal/scheduler/fleet_test.go
@@ -31,6 +31,7 @@
 	tails   map[workload.TaskID]int
 	paces   []scheduler.Order
 	boots   map[string]int64
+	racks   map[fleet.InstanceID]string
 }
 
 // newBench returns a fleet with a pool "p", a standby pool "off" and a queue on "p".
@@ -39,6 +40,7 @@
 		t: t, now: time.Hour, state: state.New(), runs: map[fleet.InstanceID]map[workload.TaskID]workload.Run{},
 		ends: map[fleet.InstanceID][]scheduler.EndRow{}, numbers: map[fleet.InstanceID]uint64{}, percent: 100,
 		tails: map[workload.TaskID]int{}, boots: map[string]int64{},
+		racks: map[fleet.InstanceID]string{},
 	}
 	b.commit(state.Publish{Source: []byte("x"), Catalogue: workload.Catalogue{
 		Version: 1,
@@ -66,10 +68,15 @@
 
 // join adds an instance of 64 processors to a pool.
 func (b *bench) join(name string, pool fleet.PoolID) fleet.InstanceID {
+	return b.joinRack(name, pool, "r1-1")
+}
+
+func (b *bench) joinRack(name string, pool fleet.PoolID, rack string) fleet.InstanceID {
 	in := workload.Instance{
 		ID: fleet.InstanceID("i-" + name), Boot: b.now.Milliseconds(), Pool: pool, Address: name, Machine: "m-" + name, Sequence: 1,
-		Capacity: workload.Need{Processors: 64000, Memory: 131072}, Clock: time.Minute, Rack: "r1-1",
+		Capacity: workload.Need{Processors: 64000, Memory: 131072}, Clock: time.Minute, Rack: rack,
 	}
+	b.racks[in.ID] = rack
 	assert.Assert(b.t, b.scheduler.Announce(b.now, in))
 	b.commit(state.Enrol{Instance: in})
 	b.scheduler.Enrolled(in.ID)
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -83,6 +83,8 @@
 	tail     int
 	pace     int
 	begun    bool
+	// counted is whose part of which pool the run takes; it is empty for standing tasks.
+	counted poolCustomer
 }
 
 func (s *Scheduler) addInstance(i workload.Instance) *instance {
@@ -250,6 +252,7 @@
 	in.runs[r.task] = r
 	in.used = in.used.Add(r.claim)
 	s.usage[r.job.customer] = s.usage[r.job.customer].Add(r.job.step(r.task.Place).Need)
+	s.countUse(in, r)
 	r.job.begun = true
 	r.job.placed++
 	if t := r.job.task(r.task.Place); t.run == nil {
@@ -266,12 +269,12 @@
 	delete(in.runs, r.task)
 	in.used = in.used.Sub(r.claim)
 	s.usage[r.job.customer] = s.usage[r.job.customer].Sub(r.job.step(r.task.Place).Need)
+	s.uncountUse(r)
 	t := r.job.task(r.task.Place)
 	if t.run == r {
 		t.run = nil
 		t.on = nil
 		t.last = in.ID
-		t.leftAt = s.now
 	}
 	r.job.placed--
 	if r.saved != "" {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -18,7 +18,8 @@
 	customer fleet.CustomerID
 	priority int
 	attempts int
-	// due is the end of the latency objective.
+	// at is when the job was accepted, and due the end of its latency objective.
+	at        time.Duration
 	due       time.Duration
 	objective time.Duration
 	old       bool
@@ -50,11 +51,9 @@
 	run        *run
 	on         *instance
 	last       fleet.InstanceID
-	leftAt     time.Duration
 	done       bool
 	checkpoint string
 	failures   []workload.Run
-	notBefore  time.Duration
 }
 
 func (j *job) step(p workload.Place) *workload.Step { return &j.Steps[p.Step()] }
@@ -81,7 +80,8 @@
 		j.rounds = append(j.rounds, newRound(&j.Job, k))
 	}
 	s.route(j)
-	j.due = now - time.Duration(wall-int64(r.At))*time.Millisecond + j.objective
+	j.at = now - time.Duration(wall-int64(r.At))*time.Millisecond
+	j.due = j.at + j.objective
 	for p := range r.Done {
 		if j.holds(p) {
 			s.markDone(j, p)
--- a/internal/scheduler/look.go
+++ b/internal/scheduler/look.go
@@ -186,6 +186,7 @@
 		}
 	}
 	if j.left == 0 {
+		s.completed = append(s.completed, Completed{Job: j.ID, Took: s.now - j.at})
 		s.end(j, "completed")
 	}
 	return true
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -43,17 +43,48 @@
 	s.planMoves()
 }
 
+// place starts what waits: class after class and priority after priority, and within one the customers that have less
+// than their share of the pool before the others.
 func (s *Scheduler) place() {
 	pools := s.openInstances()
-	for _, c := range s.rescue(s.candidates(), pools) {
-		if c.stage.isGang(c.job) {
-			s.placeGang(c, pools[c.job.pool])
-			continue
+	list := s.rescue(s.candidates(), pools)
+	if len(list) == 0 {
+		return
+	}
+	use := s.sharesOf(list, pools)
+	for len(list) > 0 {
+		n := equals(list)
+		var others []candidate
+		for _, c := range list[:n] {
+			if c.class != classServing && !use.below(c.job.pool, c.job.customer) {
+				others = append(others, c)
+				continue
+			}
+			s.placeStage(c, pools)
 		}
-		if !s.placeTasks(c, pools[c.job.pool]) && c.class == classServing {
-			s.demandOf(c.job.pool).stuck = s.now
-			pools[c.job.pool] = keepRoom(c, pools[c.job.pool])
+		for _, c := range others {
+			s.placeStage(c, pools)
 		}
+		list = list[n:]
+	}
+}
+
+// equals returns how many candidates at the head of the list have the same class and priority.
+func equals(list []candidate) int {
+	n := 1
+	for n < len(list) && list[n].class == list[0].class && list[n].job.priority == list[0].job.priority {
+		n++
+	}
+	return n
+}
+
+func (s *Scheduler) placeStage(c candidate, pools map[fleet.PoolID][]*instance) {
+	pool := c.job.pool
+	if c.stage.isGang(c.job) {
+		s.placeGang(c, pools[pool])
+	} else if !s.placeTasks(c, pools[pool]) && c.class == classServing {
+		s.demandOf(pool).stuck = s.now
+		pools[pool] = keepRoom(c, pools[pool])
 	}
 }
 
@@ -158,7 +189,7 @@
 func (s *Scheduler) placeTasks(c candidate, instances []*instance) bool {
 	for i := range c.stage.tasks {
 		t := &c.stage.tasks[i]
-		if t.done || t.run != nil || s.now < t.notBefore {
+		if t.done || t.run != nil {
 			continue
 		}
 		if !s.inLimit(c.job, c.job.Steps[c.stage.step].Need) {
@@ -262,82 +293,6 @@
 	return score + weightAnchor*anchored + weightPack*load - weightSame*float64(in.count(c))
 }
 
-// placeGang starts all tasks of a stage with one run number, or none.
-func (s *Scheduler) placeGang(c candidate, instances []*instance) {
-	step := &c.job.Steps[c.stage.step]
-	total := workload.Need{}
-	for i := range c.stage.tasks {
-		t := &c.stage.tasks[i]
-		if t.run != nil || s.now < t.notBefore {
-			return
-		}
-		total = total.Add(step.Need)
-	}
-	if !s.inLimit(c.job, total) {
-		return
-	}
-	places := fitGang(c, step, instances)
-	if places == nil {
-		return
-	}
-	number := s.nextRun()
-	for i, in := range places {
-		r := &run{task: workload.TaskID{Job: c.job.ID, Place: workload.At(c.round, c.stage.step, i)}, number: number}
-		s.start(in, c.job, r)
-		s.note("run placed", r, in, "gang")
-	}
-}
-
-// fitGang returns an instance for each task of the stage, in one rack where that is asked for and possible.
-func fitGang(c candidate, step *workload.Step, instances []*instance) []*instance {
-	racks := map[string][]*instance{}
-	var names []string
-	for _, in := range instances {
-		if racks[in.Rack] == nil {
-			names = append(names, in.Rack)
-		}
-		racks[in.Rack] = append(racks[in.Rack], in)
-	}
-	slices.SortStableFunc(names, func(a, b string) int {
-		return cmp.Compare(boolRank(b == step.DataRack), boolRank(a == step.DataRack))
-	})
-	for _, name := range names {
-		if places := fillGang(c, step, racks[name]); places != nil {
-			return places
-		}
-	}
-	if step.SameRack && c.job.due > 0 && len(names) > 1 {
-		return nil
-	}
-	return fillGang(c, step, instances)
-}
-
-func boolRank(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
-func fillGang(c candidate, step *workload.Step, instances []*instance) []*instance {
-	var places []*instance
-	want := len(c.stage.tasks)
-	for _, in := range instances {
-		if !in.admits(c, step) {
-			continue
-		}
-		room := in.free()
-		for n := in.count(c); room.Fits(step.Claim()) && len(places) < want && (step.PerInstance == 0 || n < step.PerInstance); n++ {
-			room = room.Sub(step.Claim())
-			places = append(places, in)
-		}
-	}
-	if len(places) < want {
-		return nil
-	}
-	return places
-}
-
 // stopStandstills stops tasks that make no progress, so that they run elsewhere.
 func (s *Scheduler) stopStandstills() {
 	for _, in := range s.instances {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -79,7 +79,6 @@
 	fallbackChain  = 500 * time.Millisecond  // work of a step without an estimate
 	defaultTries   = 3                       // attempts of a queue that is no longer configured
 	lateFactor     = 3                       // beyond three times its objective a job earns nothing
-	maxEndsCommit  = 500                     // ends of one commit, the most that one look lists
 	refuseSilence  = 1                       // failed looks after which an instance gets no work
 	runsPerFence   = 1_000_000_000           // run numbers of one term; a thousand stretches of it
 	runsPerStretch = 1_000_000               // an hour of 300 starts a second
@@ -104,17 +103,20 @@
 
 // Scheduler places the tasks of all jobs.
 type Scheduler struct {
-	options       Options
-	now           time.Duration
-	wall          int64 // milliseconds since 1970
-	catalogue     *workload.Catalogue
-	instances     map[fleet.InstanceID]*instance
-	jobs          map[workload.JobID]*job
-	usage         map[fleet.CustomerID]workload.Need
+	options   Options
+	now       time.Duration
+	wall      int64 // milliseconds since 1970
+	catalogue *workload.Catalogue
+	instances map[fleet.InstanceID]*instance
+	jobs      map[workload.JobID]*job
+	usage     map[fleet.CustomerID]workload.Need
+	// poolUse is what each customer's work that ends takes of each pool.
+	poolUse       map[poolCustomer]workload.Need
 	counter       uint64
 	orders        []Order
 	ends          []state.End
 	failed        []workload.JobID
+	completed     []Completed
 	struck        []fleet.InstanceID
 	enrols        []workload.Instance
 	closings      []fleet.InstanceID
@@ -162,6 +164,7 @@
 		instances: map[fleet.InstanceID]*instance{},
 		jobs:      map[workload.JobID]*job{},
 		usage:     map[fleet.CustomerID]workload.Need{},
+		poolUse:   map[poolCustomer]workload.Need{},
 		unsettled: map[fleet.InstanceID]bool{},
 		waves:     map[uint64]*wave{},
 		machines:  map[string]*machine{},
@@ -224,6 +227,20 @@
 	return ends, failed, s.batch
 }
 
+// Completed is a job whose last end is in the batch that was taken last.
+type Completed struct {
+	Job workload.JobID
+	// Took is the time since the job was accepted.
+	Took time.Duration
+}
+
+// Completed returns the jobs that are complete once the batch that was taken last is committed.
+func (s *Scheduler) Completed() []Completed {
+	list := s.completed
+	s.completed = nil
+	return list
+}
+
 // Committed records that a batch of ends is committed; batches are committed in order.
 func (s *Scheduler) Committed(batch uint64) { s.committed = max(s.committed, batch) }
 
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -219,6 +219,7 @@
 		return
 	}
 	t.noting = true
+	completed := t.scheduler.Completed()
 	for _, id := range failed {
 		event.JobFailed.Info(t.options.Logger, zap.String("job", string(id)))
 	}
@@ -229,6 +230,9 @@
 		}
 		t.noting = false
 		t.scheduler.Committed(batch)
+		for _, c := range completed {
+			event.JobCompleted.Info(t.options.Logger, zap.String("job", string(c.Job)), zap.Duration("took", c.Took))
+		}
 	})
 }
 
