Forget a leader that does not answer, and refuse calls at once while nobody has led for long

Cause: while a leader was being replaced, a call went back to the lost one after each refusal of another keeper, 0.9 s each time; and without any leader it was held for 85 % of its caller's time. The messenger is an interface for the test.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -116,17 +116,22 @@
 
 // Timing of calls to the leader.
 const (
-	attemptTimeout = 900 * time.Millisecond // a commit takes two syncs of up to 30 ms; an election takes longer anyway
+	attemptTimeout = 600 * time.Millisecond // a commit takes two syncs of up to 30 ms, and some more on a disk that is slow
 	attemptPause   = 40 * time.Millisecond  // a leader is elected within two seconds, so callers hardly wait for the pause
 	watchInterval  = 500 * time.Millisecond // an idle entry costs two small calls a second
 	whoTimeout     = 400 * time.Millisecond // a hundred round trips
 	freshFor       = 3 * time.Second        // an entry without contact for longer takes no callers
 )
 
+// link carries calls to other processes.
+type link interface {
+	Call(ctx context.Context, to fleet.EntryID, topic messenger.Topic, request, reply any) error
+}
+
 // Forwarder finds the leader and calls it.
 type Forwarder struct {
 	self      fleet.EntryID
-	messenger *messenger.Messenger
+	messenger link
 	logger    *zap.Logger
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -142,7 +147,7 @@
 }
 
 // Start follows the leader among the keepers until Close.
-func Start(self fleet.EntryID, m *messenger.Messenger, keepers []fleet.EntryID, logger *zap.Logger, registry metrics.Registry) *Forwarder {
+func Start(self fleet.EntryID, m link, keepers []fleet.EntryID, logger *zap.Logger, registry metrics.Registry) *Forwarder {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Forwarder{self: self, messenger: m, logger: logger, ctx: ctx, cancel: cancel, keepers: slices.Clone(keepers)}
 	f.calls = metrics.GetOrRegisterTimer("call", registry)
@@ -265,6 +270,22 @@
 	f.leader = leader
 }
 
+// forget stops calling a keeper that did not answer first; the others tell who leads.
+func (f *Forwarder) forget(keeper fleet.EntryID) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.leader == keeper {
+		f.leader = ""
+	}
+}
+
+// leaderless reports whether a call is hopeless: no keeper has led for long, and each has been tried.
+func (f *Forwarder) leaderless(attempts int) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return attempts >= max(1, len(f.keepers)) && time.Since(f.heard) > freshFor
+}
+
 // Call carries a call to the leader and tries again elsewhere until ctx ends; all calls may be repeated.
 func (f *Forwarder) Call(ctx context.Context, ask Ask) (Answer, error) {
 	began := time.Now()
@@ -282,12 +303,13 @@
 	if target == "" {
 		target = f.next("")
 	}
-	for {
+	for attempts := 1; ; attempts++ {
 		answer, err := f.attempt(ctx, target, ask)
 		switch {
 		case errors.Is(err, messenger.KindUnsent):
 		case err != nil:
 			kind = KindUncertain
+			f.forget(target)
 		case answer.Verdict == Uncertain:
 			kind = KindUncertain
 		case answer.Verdict != NotLeading:
@@ -295,6 +317,9 @@
 		default:
 			f.follow(answer.Leader)
 		}
+		if f.leaderless(attempts) {
+			return Answer{}, fault.New("call", kind, "no leader for %s", freshFor)
+		}
 		select {
 		case <-ctx.Done():
 			return Answer{}, &Error{Op: "call", Kind: kind, Err: ctx.Err()}
