Serve queues with advice

Cause: steps of a queue with advice were started without a ticket and refused for ever. Change: the scheduler asks the policy service for instances with room, one call at a time, starts on those with a valid ticket only and renews what expires; platform/ speaks the call; event 425; policy-address in the settings.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -79,6 +79,7 @@
 	OrderAnswered      = define(421, "order answered", "order", "task", "run", "instance", "outcome", "took", "error")
 	LookMissed         = define(422, "look missed", "instance", "outcome", "error")
 	InstanceEnrolled   = define(423, "instance enrolled", "instance", "pool", "machine", "address")
+	AdviceGiven        = define(425, "advice given", "step", "asked", "good", "error")
 	InstanceDraining   = define(424, "instance draining", "instance", "left")
 	CataloguePublished = define(430, "catalogue published", "version", "sent-version")
 	CatalogueRefused   = define(431, "catalogue refused", "sent-version", "reason")
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -130,10 +130,10 @@
 		return err
 	}
 	p.closing = append(p.closing, p.replicator)
-	client := platform.NewClient(p.settings.PlatformAddress)
+	client := platform.NewClient(p.settings.PlatformAddress, p.settings.PolicyAddress)
 	p.closing = append(p.closing, client)
 	p.supervisor = supervisor.Start(supervisor.Options{
-		Entry: p.self(), Replica: p.replicator, Instances: client, Machines: client,
+		Entry: p.self(), Replica: p.replicator, Instances: client, Machines: client, Adviser: client,
 		Lease: time.Duration(leaseShare * float64(p.settings.Lease())), Retain: retainJobs,
 		Logger: p.logger, Metrics: registry,
 	})
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -30,7 +30,7 @@
 	s.attach(in, r)
 	s.orders = append(s.orders, Order{
 		Kind: Start, Instance: in.ID, Address: in.Address, Task: r.task, Run: r.number, Spec: j.Spec, Checkpoint: t.checkpoint,
-		Deadline: s.deadline(in), Fence: s.options.Fence, Reason: "placed",
+		Deadline: s.deadline(in), Fence: s.options.Fence, Ticket: j.ticketFor(r.task.Place, in), Reason: "placed",
 	})
 }
 
@@ -71,6 +71,7 @@
 		}
 	case Rejected:
 		s.note("run rejected", r, in, outcome.String())
+		r.job.dropTicket(r.task.Place, in)
 		s.detach(in, r)
 		in.rested = s.now + roomPause
 		s.glance(in)
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -80,9 +80,10 @@
 
 func (s *Scheduler) placeStage(c candidate, pools map[fleet.PoolID][]*instance) {
 	pool := c.job.pool
+	instances := s.advised(c, pools[pool])
 	if c.stage.isGang(c.job) {
-		s.placeGang(c, pools[pool])
-	} else if !s.placeTasks(c, pools[pool]) && c.class == classServing {
+		s.placeGang(c, instances)
+	} else if !s.placeTasks(c, instances) && c.class == classServing {
 		s.demandOf(pool).stuck = s.now
 		pools[pool] = keepRoom(c, pools[pool])
 	}
--- a/internal/scheduler/rescue.go
+++ b/internal/scheduler/rescue.go
@@ -55,11 +55,5 @@
 	for _, in := range instances {
 		total = total.Add(in.Capacity)
 	}
-	waiting := 0
-	for i := range c.stage.tasks {
-		if t := &c.stage.tasks[i]; !t.done && t.run == nil {
-			waiting++
-		}
-	}
-	return float64(waiting) * total.Share(c.job.Steps[c.stage.step].Claim())
+	return float64(c.waiting()) * total.Share(c.job.Steps[c.stage.step].Claim())
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -38,6 +38,8 @@
 	Deadline time.Duration
 	Fence    uint64
 	Percent  int
+	// Ticket is what the policy service gave for the start, on queues with advice.
+	Ticket string
 	// Reason tells why, for the log.
 	Reason string
 }
@@ -120,6 +122,9 @@
 	struck        []fleet.InstanceID
 	enrols        []workload.Instance
 	closings      []fleet.InstanceID
+	consultations []Consultation
+	consulting    bool
+	consultAfter  time.Duration
 	reopenings    []fleet.InstanceID
 	batch         uint64
 	committed     uint64
--- a/internal/settings/deployment.go
+++ b/internal/settings/deployment.go
@@ -37,6 +37,8 @@
 	// Grace is how long a stop may take, in seconds.
 	Grace           float64 `json:"grace"`
 	PlatformAddress string  `json:"platform-address,omitempty"`
+	// PolicyAddress is the service that says which instances may run the steps of queues with advice.
+	PolicyAddress string `json:"policy-address,omitempty"`
 	// FleetKey authenticates the processes of the deployment to each other, in hex.
 	FleetKey string `json:"fleet-key"`
 	LogLevel string `json:"log-level,omitempty"`
--- a/internal/supervisor/lane.go
+++ b/internal/supervisor/lane.go
@@ -17,6 +17,7 @@
 	orderTimeout    = 400 * time.Millisecond // an instance answers within milliseconds; a lost packet is sent again after 200 ms
 	lookSlack       = 250 * time.Millisecond // beyond the wait that the look asks for; a lost packet is sent again after 200 ms
 	platformTimeout = 3 * time.Second        // the platform may be slow
+	adviceTimeout   = 5 * time.Second        // the policy service takes one call after the other
 )
 
 // follow looks at an enrolled instance until it is struck.
@@ -141,3 +142,16 @@
 	}
 	t.post(func() { t.scheduler.SetMachines(list) })
 }
+
+// consult asks the policy service which instances may run a step.
+func (t *term) consult(o scheduler.Consultation) {
+	if !t.leads() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(t.ctx, adviceTimeout)
+	defer cancel()
+	tickets, err := t.options.Adviser.Advise(ctx, o.Step, o.Instances)
+	event.AdviceGiven.Info(t.options.Logger, zap.Stringer("step", o.Step), zap.Int("asked", len(o.Instances)), zap.Int("good", len(tickets)),
+		zap.NamedError("error", err))
+	t.post(func() { t.scheduler.Advised(clock(), o, tickets, err == nil) })
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -15,6 +15,7 @@
 	"github.com/sapphiresail/sapphiresail/internal/forwarder"
 	"github.com/sapphiresail/sapphiresail/internal/scheduler"
 	"github.com/sapphiresail/sapphiresail/internal/state"
+	"github.com/sapphiresail/sapphiresail/internal/workload"
 )
 
 // Replica is the member of the consensus group that the supervisor leads with.
@@ -37,12 +38,18 @@
 	ListMachines(ctx context.Context) ([]scheduler.Machine, error)
 }
 
+// Adviser asks the policy service which instances may run a step, and returns a ticket for each that may.
+type Adviser interface {
+	Advise(ctx context.Context, step workload.TaskID, instances []fleet.InstanceID) (map[fleet.InstanceID]string, error)
+}
+
 // Options are what a supervisor needs to start.
 type Options struct {
 	Entry     fleet.EntryID
 	Replica   Replica
 	Instances Instances
 	Machines  Machines
+	Adviser   Adviser
 	// Lease is how long tasks outlive the last contact.
 	Lease time.Duration
 	// Retain is how long the state of a job that is over is kept.
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -186,6 +186,9 @@
 	for _, o := range t.scheduler.MachineOrders() {
 		t.spawn(func() { t.orderMachine(o) })
 	}
+	for _, o := range t.scheduler.Consultations() {
+		t.spawn(func() { t.consult(o) })
+	}
 	if t.scheduler.WantMachines() {
 		t.spawn(t.listMachines)
 	}
