--- a/internal/scheduler/advise.go
+++ b/internal/scheduler/advise.go
@@ -23,8 +23,8 @@
 	boots     []int64
 }
 
-// consult is what the policy service has said of one step.
-type consult struct {
+// advice is what the policy service has said of one step.
+type advice struct {
 	asked   map[boot]bool
 	tickets map[boot]ticket
 }
@@ -50,7 +50,7 @@
 	if !ok || q.Advice == nil {
 		return instances
 	}
-	known := c.job.consultOf(workload.At(c.round, c.stage.step, 0))
+	known := c.job.adviceOf(workload.At(c.round, c.stage.step, 0))
 	var open []*instance
 	for _, in := range instances {
 		if t, ok := known.tickets[in.boot()]; ok && s.now < t.until {
@@ -61,18 +61,18 @@
 	return open
 }
 
-func (j *job) consultOf(step workload.Place) *consult {
-	if j.consults == nil {
-		j.consults = map[workload.Place]*consult{}
+func (j *job) adviceOf(step workload.Place) *advice {
+	if j.advice == nil {
+		j.advice = map[workload.Place]*advice{}
 	}
-	if j.consults[step] == nil {
-		j.consults[step] = &consult{asked: map[boot]bool{}, tickets: map[boot]ticket{}}
+	if j.advice[step] == nil {
+		j.advice[step] = &advice{asked: map[boot]bool{}, tickets: map[boot]ticket{}}
 	}
-	return j.consults[step]
+	return j.advice[step]
 }
 
 // consult asks for the instances that have room and of which nothing is known; the service takes one call at a time.
-func (s *Scheduler) consult(c candidate, known *consult, instances, open []*instance) {
+func (s *Scheduler) consult(c candidate, known *advice, instances, open []*instance) {
 	if s.consulting || s.now < s.consultAfter {
 		return
 	}
@@ -144,7 +144,7 @@
 	if !ok || q.Advice == nil {
 		return
 	}
-	known := j.consultOf(o.Step.Place)
+	known := j.adviceOf(o.Step.Place)
 	for i, id := range o.Instances {
 		k := boot{id, o.boots[i]}
 		known.asked[k] = true
@@ -156,7 +156,7 @@
 
 // ticketFor returns the ticket with which a task of the job starts on an instance.
 func (j *job) ticketFor(p workload.Place, in *instance) string {
-	known := j.consults[workload.At(p.Occurrence(), p.Step(), 0)]
+	known := j.advice[workload.At(p.Occurrence(), p.Step(), 0)]
 	if known == nil {
 		return ""
 	}
@@ -165,7 +165,7 @@
 
 // dropTicket forgets a ticket with which a start was refused, so that the service is asked again.
 func (j *job) dropTicket(p workload.Place, in *instance) {
-	if known := j.consults[workload.At(p.Occurrence(), p.Step(), 0)]; known != nil {
+	if known := j.advice[workload.At(p.Occurrence(), p.Step(), 0)]; known != nil {
 		delete(known.tickets, in.boot())
 		delete(known.asked, in.boot())
 	}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -31,8 +31,8 @@
 	placed   int
 	left     int
 	rounds   []*round
-	// consults is what the policy service has said of each step, by the place of its first task.
-	consults map[workload.Place]*consult
+	// advice is what the policy service has said of each step, by the place of its first task.
+	advice map[workload.Place]*advice
 }
 
 // round is one occurrence of the steps of a job.
