Keep standing steps on two racks

Change: a pool has two instances that hold standing tasks before these are packed, and a step spreads over racks and instances among them.

--- a/internal/scheduler/moves_test.go
+++ b/internal/scheduler/moves_test.go
@@ -116,6 +116,28 @@
 	assert.Equal(t, len(b.movedTo("off"))+len(b.movedTo("o")), 5)
 }
 
+// TestStandingStepIsNotOnOneRack answers a rack that is lost: packed as they are, the tasks of a standing step are never all
+// on it where the pool has instances in two racks.
+func TestStandingStepIsNotOnOneRack(t *testing.T) {
+	b := newBench(t)
+	for i := range 6 {
+		b.joinRack(fmt.Sprint(i), "p", fmt.Sprintf("r%d", i/4))
+	}
+	b.join("x", "o")
+	b.join("y", "o")
+	b.pass(time.Second)
+	for range 3 {
+		job := b.submit(workload.Step{Count: 5, Need: workload.Need{Processors: 4000}, Standing: true})
+		b.pass(300 * time.Millisecond)
+		racks := map[string]int{}
+		for _, id := range b.where(job) {
+			racks[b.racks[id]]++
+		}
+		assert.Equal(t, len(racks), 2, "%v", racks)
+		assert.Assert(t, len(b.instancesOf(job)) == 2, "packed on two instances")
+	}
+}
+
 // TestInstanceWithFewStandingTasksIsVacated answers a turn that is over in a pool whose standing tasks were started all
 // over it meanwhile: they move together, one of a step at a time, and the instances that come free go to standby.
 func TestInstanceWithFewStandingTasksIsVacated(t *testing.T) {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -27,6 +27,10 @@
 	round int
 	stage *stage
 	class class
+	// anchors is how many instances of the pool hold standing tasks, and racks how many tasks of the stage each rack has;
+	// both are known for standing stages only.
+	anchors int
+	racks   map[string]int
 }
 
 // Tick makes all decisions that are due.
@@ -220,6 +224,9 @@
 // choose returns the instance that suits a task best, or nil.
 func (s *Scheduler) choose(c candidate, t *task, instances []*instance) *instance {
 	step := &c.job.Steps[c.stage.step]
+	if step.Standing {
+		c.spread(instances)
+	}
 	var best *instance
 	bestScore := 0.0
 	for _, in := range instances {
@@ -262,9 +269,10 @@
 	weightFault   = 20.0  // an instance that failed tasks lately is the last choice
 	weightLast    = 10.0  // a run that was lost or failed is tried elsewhere
 	weightDisturb = 5.0   // filling and serving tasks disturb each other
-	weightAnchor  = 3.0   // standing tasks on few instances let the others go to standby when other work ends
+	weightAnchor  = 4.0   // standing tasks on few instances let the others go to standby when other work ends
+	weightRack    = 0.5   // a rack that is lost should not take all tasks of a standing step
 	weightPack    = 1.0   // packed instances leave others empty for maintenance and moves
-	weightSame    = 0.02  // below the load of the smallest task, so that it only decides between equals
+	weightSame    = 0.3   // nor an instance; both stay below what an instance more would cost
 )
 
 func (in *instance) score(c candidate, step *workload.Step, t *task) float64 {
@@ -280,18 +288,33 @@
 	if !step.Standing {
 		return score + weightPack*load
 	}
-	standing := workload.Need{}
+	anchor := false
 	for _, r := range in.runs {
 		other := r.job.step(r.task.Place)
-		if other.Standing {
-			standing = standing.Add(other.Need)
-		}
+		anchor = anchor || other.Standing
 		if step.TailTarget > 0 && other.Fills || step.Fills && other.TailTarget > 0 || step.TailTarget > 0 && other.TailTarget > 0 {
 			score -= weightDisturb
 		}
 	}
-	anchored := float64(standing.Processors) / float64(max(1, in.Capacity.Processors))
-	return score + weightAnchor*anchored + weightPack*load - weightSame*float64(in.count(c))
+	if anchor || c.anchors < leastPool {
+		score += weightAnchor
+	}
+	return score + weightPack*load - weightSame*float64(in.count(c)) - weightRack*float64(c.racks[in.Rack])
+}
+
+// spread notes where the tasks of a standing stage run, and how many instances hold standing tasks.
+func (c *candidate) spread(instances []*instance) {
+	c.anchors, c.racks = 0, map[string]int{}
+	for _, in := range instances {
+		anchor := false
+		for _, r := range in.runs {
+			anchor = anchor || r.job.step(r.task.Place).Standing
+		}
+		if anchor {
+			c.anchors++
+		}
+		c.racks[in.Rack] += in.count(*c)
+	}
 }
 
 // stopStandstills stops tasks that make no progress, so that they run elsewhere.
