--- a/internal/scheduler/moves_test.go
+++ b/internal/scheduler/moves_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
 	"github.com/sapphiresail/sapphiresail/internal/scheduler"
 	"github.com/sapphiresail/sapphiresail/internal/workload"
 )
@@ -182,3 +184,29 @@
 	b.pass(2 * time.Second)
 	assert.DeepEqual(t, b.movedTo("p"), []string{"m-kept", "m-moving"})
 }
+
+// TestOwnMoveIsNewerThanTheList answers a list that was read before machines went to standby: they must come back for the
+// next turn although the list still shows them in their old pool.
+func TestOwnMoveIsNewerThanTheList(t *testing.T) {
+	b := newBench(t)
+	for i := range 6 {
+		b.join(fmt.Sprint(i), "p")
+	}
+	b.join("x", "o")
+	b.join("y", "o")
+	b.submit(workload.Step{Count: 1, Need: workload.Need{Processors: 1000}})
+	b.pass(8 * time.Second)
+	var stale []scheduler.Machine
+	for _, o := range b.machines {
+		assert.Equal(t, string(o.Pool), "off")
+		stale = append(stale, scheduler.Machine{Name: o.Machine, Pool: "p", Up: true})
+		b.scheduler.MachineAnswered(b.now, o, scheduler.MachineDone)
+		delete(b.runs, fleet.InstanceID("i-"+strings.TrimPrefix(o.Machine, "m-")))
+	}
+	assert.Equal(t, len(stale), 4)
+	b.scheduler.SetMachines(stale)
+	b.pass(3 * time.Second)
+	b.submit(workload.Step{Count: 60, Need: workload.Need{Processors: 7000}})
+	b.pass(time.Second)
+	assert.Equal(t, len(b.movedTo("p")), 4)
+}
--- a/internal/scheduler/promises_test.go
+++ b/internal/scheduler/promises_test.go
@@ -131,3 +131,24 @@
 	b.pass(500 * time.Millisecond)
 	assert.Equal(t, b.scheduler.Pending("q"), 3, "a later leader sees what runs")
 }
+
+// TestCompletedJobIsReportedOnce answers an operator who looks for the end of a job in the log.
+func TestCompletedJobIsReportedOnce(t *testing.T) {
+	b := newBench(t)
+	id := b.join("a", "p")
+	b.pass(time.Second)
+	job := b.submit(workload.Step{Count: 2, Need: workload.Need{Processors: 1000}})
+	b.pass(500 * time.Millisecond)
+	for i, want := range []int{0, 1, 0} {
+		if i < 2 {
+			b.end(id, workload.TaskID{Job: job, Place: workload.At(0, 0, i)}, workload.EndedDone)
+		}
+		b.pass(200 * time.Millisecond)
+		list := b.scheduler.Completed()
+		assert.Equal(t, len(list), want, "after end %d", i)
+		if want > 0 {
+			assert.Equal(t, list[0].Job, job)
+			assert.Assert(t, list[0].Took >= 700*time.Millisecond, "%s", list[0].Took)
+		}
+	}
+}
--- a/internal/supervisor/roster_test.go
+++ b/internal/supervisor/roster_test.go
@@ -99,3 +99,36 @@
 	}
 	t.Fatal("the announcement was not taken")
 }
+
+// patient is a fleet that tells how long a look may take.
+type patient struct {
+	silent
+	allowed chan time.Duration
+}
+
+func (p patient) Look(ctx context.Context, q scheduler.Inquiry) (scheduler.Look, scheduler.Outcome, error) {
+	deadline, _ := ctx.Deadline()
+	select {
+	case p.allowed <- time.Until(deadline) - q.Wait:
+	default:
+	}
+	return scheduler.Look{}, scheduler.Uncertain, context.DeadlineExceeded
+}
+
+// TestLookWithoutAnAnswerIsGivenUpSoon answers instances that leave a part of their calls unanswered: what ended there is
+// seen a quarter of a second late at most.
+func TestLookWithoutAnAnswerIsGivenUpSoon(t *testing.T) {
+	p := patient{allowed: make(chan time.Duration, 1)}
+	s := Start(Options{
+		Entry: "k", Replica: &replica{state: state.New()}, Instances: p, Machines: silent{}, Lease: 5 * time.Second, Retain: time.Minute,
+		Logger: zap.NewNop(), Metrics: metrics.NewRegistry(),
+	})
+	defer func() { assert.NilError(t, s.Close()) }()
+	announce(t, s, &workload.Instance{ID: "i", Boot: 1, Pool: "p", Address: "a", Sequence: 1, Clock: time.Second})
+	select {
+	case allowed := <-p.allowed:
+		assert.Assert(t, allowed <= 250*time.Millisecond, "%s", allowed)
+	case <-time.After(30 * time.Second):
+		t.Fatal("no look was sent")
+	}
+}
