Read the clock of an instance when its response arrives

What callers saw: runs that lapse while the leader is slow. Cause: leases are computed from the clock in the last report, and the time of that reading was taken when the event loop processed the report. While the report waits, the clock of the instance goes on, so each lease was shorter than meant by the wait of the report before it. With long polls of 2 s and a lease of 5.4 s, a wait of 1.7 s is enough to end every run of an instance that is reachable and polled all the time.

The poll goroutine now notes the arrival. The clock was read before that, so deadlines are never beyond what the deployment allows and leases expire no later than computed.

TestLateProcessingDoesNotShortenLeases failed before: rules_test.go:212: assertion failed: clock() is >= deadline: the lease was over before it was renewed

--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -17,7 +17,7 @@
 	polled bool
 	// departed is set once the instance or its machine is shutting down.
 	departed bool
-	// clockReadAt is when clock was read from the instance.
+	// clockReadAt is when the response that contained clock arrived.
 	clockReadAt time.Duration
 	clock       time.Duration
 	// maxDeadlineSent is the latest lease deadline in any order or poll sent to the instance.
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -24,10 +25,12 @@
 
 // StatusReport is the response of an instance to a poll.
 type StatusReport struct {
-	Boot    int64
-	Clock   time.Duration
-	Running []ReportedRun
-	Ended   []ReportedEnd
+	Boot  int64
+	Clock time.Duration
+	// ReceivedAt is when the response arrived; zero stands for the time at which the report is processed.
+	ReceivedAt time.Duration
+	Running    []ReportedRun
+	Ended      []ReportedEnd
 }
 
 // ReportedRun is a run in a status report.
@@ -101,7 +104,7 @@
 		s.replaceRestarted(in, report.Boot)
 		return
 	}
-	in.clockReadAt = now
+	in.clockReadAt = cmp.Or(report.ReceivedAt, now)
 	in.clock = report.Clock
 	in.failedPolls = 0
 	firstReport := !in.polled
--- a/internal/scheduler/rules_test.go
+++ b/internal/scheduler/rules_test.go
@@ -193,3 +193,32 @@
 		highest = f.startOrders[4].Run
 	}
 }
+
+// TestLateProcessingDoesNotShortenLeases guards against runs that lapse on a slow leader: a report that waited to be processed must
+// not make the next lease shorter by its wait. Load pattern: each report waits 2 s on the leader, each long poll takes 2 s.
+func TestLateProcessingDoesNotShortenLeases(t *testing.T) {
+	const processingDelay, responseDelay, lease = 2 * time.Second, 2 * time.Second, 5400 * time.Millisecond
+	f := newTestFleet(t)
+	id := f.addInstance("a", "p")
+	f.advance(time.Second)
+	job := f.submitJob(workload.Step{Count: 1, Resources: workload.Resources{Processors: 1000}, Service: true})
+	f.advance(300 * time.Millisecond)
+	assert.Equal(t, len(f.placements(job)), 1)
+	clock := func() time.Duration { return time.Minute + f.now }
+	deadline := clock() + lease // of the start, sent just now
+	for range 5 {
+		request, ok := f.scheduler.NextPoll(f.now, id, true)
+		assert.Assert(t, ok)
+		assert.Assert(t, clock() < deadline, "the lease was over before it was renewed")
+		deadline = max(deadline, request.Deadline)
+		assert.Assert(t, request.Deadline <= clock()+lease, "lease is longer than the deployment allows")
+		sentAt := f.now
+		f.now += responseDelay
+		report := scheduler.StatusReport{Clock: clock(), ReceivedAt: f.now}
+		for task, run := range f.runs[id] {
+			report.Running = append(report.Running, scheduler.ReportedRun{Task: task, Run: run, Percent: 100})
+		}
+		f.now += processingDelay
+		f.scheduler.HandleReport(f.now, id, sentAt, report)
+	}
+}
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -62,6 +62,7 @@
 		return false
 	}
 	t.instruments.polls.Inc(1)
+	report.ReceivedAt = monotonicNow()
 	if outcome == scheduler.Accepted {
 		t.post(func() { t.scheduler.HandleReport(monotonicNow(), id, sentAt, report) })
 		return true
