Space polls by the load of the leader

Cause: with short tasks every poll returns at once, and the response lists ends until they are acknowledged, so an instance is polled every 80 ms while its ends are still being committed. Slower commits make more polls that bring nothing, which make commits slower.

Polls now follow two averages over 250 ms: how long a poll that is due waits for the loop, and how long ends wait for their commit. From 1 ms of delay on, polls that may bring ends are spread from 80 up to 400 ms, so that one brings several; with unacknowledged ends the next poll comes after their commit; long polls of empty instances and of service tasks at work pause before that. Polls that settle what an instance runs (after a change of leader, an uncertain start, a failed poll, a stop) are never delayed, and a start ends the pause of an empty instance. Two polls may still fail within a lease.

--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -71,6 +71,46 @@
 	return request, true
 }
 
+// PollNeed is what the next poll of an instance is for.
+type PollNeed uint8
+
+// Needs for a poll, the most urgent first.
+const (
+	// PollToReconcile shows whether runs of unknown status exist; it must not wait.
+	PollToReconcile PollNeed = iota + 1
+	// PollForEnds brings the ends of runs and shows whether tasks advance.
+	PollForEnds
+	// PollAfterCommit acknowledges ends that are being committed; before that, the response lists the same ends without waiting.
+	PollAfterCommit
+	// PollForRenewal extends the leases of service tasks that are at work.
+	PollForRenewal
+	// PollWhenIdle shows that an instance without runs responds.
+	PollWhenIdle
+)
+
+// PollNeed returns what the next poll of an instance is for.
+func (s *Scheduler) PollNeed(id fleet.InstanceID) PollNeed {
+	in := s.instances[id]
+	if in == nil || !in.polled || in.failedPolls > 0 || in.hasOrphans {
+		return PollToReconcile
+	}
+	need := PollWhenIdle
+	for _, r := range in.runs {
+		switch {
+		case r.status == statusUncertain || r.stopping:
+			return PollToReconcile
+		case r.status != statusRunning || r.percent < 100 || !r.job.step(r.task.Position).Service:
+			need = min(need, PollForEnds)
+		default:
+			need = min(need, PollForRenewal)
+		}
+	}
+	if n := len(in.pendingEnds); n > 0 && in.pendingEnds[n-1].batch > s.committedBatch {
+		return PollAfterCommit
+	}
+	return need
+}
+
 // pollWait returns how long the instance may hold its response.
 func (s *Scheduler) pollWait(in *instance) time.Duration {
 	for _, r := range in.runs {
--- a/internal/scheduler/rules_test.go
+++ b/internal/scheduler/rules_test.go
@@ -222,3 +222,35 @@
 		f.scheduler.HandleReport(f.now, id, sentAt, report)
 	}
 }
+
+// TestPollNeedFollowsTheRuns guards against a poll that settles what an instance runs, or that brings the end of a run, being delayed
+// like one that only renews leases.
+func TestPollNeedFollowsTheRuns(t *testing.T) {
+	f := newTestFleet(t)
+	id := f.addInstance("a", "p")
+	assert.Equal(t, f.scheduler.PollNeed(id), scheduler.PollToReconcile, "nothing is known of its runs")
+	f.advance(time.Second)
+	assert.Equal(t, f.scheduler.PollNeed(id), scheduler.PollWhenIdle)
+	f.submitJob(workload.Step{Count: 1, Resources: workload.Resources{Processors: 1000}, Service: true})
+	f.advance(300 * time.Millisecond)
+	assert.Equal(t, f.scheduler.PollNeed(id), scheduler.PollForRenewal)
+	job := f.submitJob(workload.Step{Count: 1, Resources: workload.Resources{Processors: 1000}})
+	f.scheduler.Tick(f.now, f.now.Milliseconds())
+	assert.Equal(t, f.scheduler.PollNeed(id), scheduler.PollForEnds, "a start is in flight")
+	for _, o := range f.scheduler.TakeOrders() {
+		f.scheduler.HandleOrderOutcome(f.now, o, scheduler.Uncertain)
+		assert.Equal(t, f.scheduler.PollNeed(id), scheduler.PollToReconcile, "the start is uncertain")
+		f.executeOrder(o)
+	}
+	f.advance(300 * time.Millisecond)
+	assert.Equal(t, f.scheduler.PollNeed(id), scheduler.PollForEnds)
+	for task := range f.placements(job) {
+		f.endRun(id, task, workload.EndedDone)
+	}
+	f.pollAll()
+	assert.Equal(t, f.scheduler.PollNeed(id), scheduler.PollAfterCommit)
+	f.advance(300 * time.Millisecond)
+	assert.Equal(t, f.scheduler.PollNeed(id), scheduler.PollForRenewal)
+	f.scheduler.HandlePollFailure(f.now, id, scheduler.Uncertain)
+	assert.Equal(t, f.scheduler.PollNeed(id), scheduler.PollToReconcile, "a poll failed")
+}
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -26,56 +26,80 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(t.ctx)
-	t.dispatchers[id] = &dispatcher{slots: make(chan struct{}, maxOrdersInFlight), cancel: cancel}
-	t.spawn(func() { t.pollLoop(ctx, id) })
+	d := &dispatcher{slots: make(chan struct{}, maxOrdersInFlight), started: make(chan struct{}, 1), cancel: cancel}
+	t.dispatchers[id] = d
+	t.spawn(func() { t.pollLoop(ctx, id, d.started) })
 }
 
-// pollLoop polls an instance until ctx ends: at most every minPollInterval, and after missedPollBackoff once two polls in a
-// row have failed.
-func (t *term) pollLoop(ctx context.Context, id fleet.InstanceID) {
+// pollLoop polls an instance until ctx ends: at the pace of pollPacer, and after missedPollBackoff once two polls in a row have
+// failed. A start that is sent ends the pause of an instance on which nothing was about to end.
+func (t *term) pollLoop(ctx context.Context, id fleet.InstanceID, started <-chan struct{}) {
 	previousMissed := false
 	for ctx.Err() == nil {
-		start := time.Now()
-		answered := t.poll(ctx, id, true)
-		switch remaining := minPollInterval - time.Since(start); {
+		next, answered := t.poll(ctx, id, true)
+		switch {
 		case !answered && previousMissed:
-			sleep(ctx, missedPollBackoff)
-		case answered && remaining > 0:
-			sleep(ctx, remaining)
+			sleep(ctx, missedPollBackoff, nil)
+		case answered && next.need >= scheduler.PollForRenewal:
+			sleep(ctx, next.pause, started)
+		case answered:
+			sleep(ctx, next.pause, nil)
 		}
 		previousMissed = !answered // a single lost response is requested again at once
 	}
 }
 
-// poll requests the status report of an instance and reports whether it was received; wait makes it a long poll.
-func (t *term) poll(ctx context.Context, id fleet.InstanceID, wait bool) bool {
+// nextPoll says when and for what to poll an instance again.
+type nextPoll struct {
+	need  scheduler.PollNeed
+	pause time.Duration
+}
+
+// poll requests the status report of an instance, has it processed, and reports whether it was received; wait makes it a long poll.
+func (t *term) poll(ctx context.Context, id fleet.InstanceID, wait bool) (next nextPoll, answered bool) {
 	var request scheduler.PollRequest
 	enrolled := false
-	if !t.postAndWait(ctx, func() { request, enrolled = t.scheduler.NextPoll(monotonicNow(), id, wait) }) || !enrolled || !t.leads() {
-		return false
+	dueAt := monotonicNow()
+	ask := func() {
+		now := monotonicNow()
+		t.pacer.loopDelay.observe(now, now-dueAt)
+		request, enrolled = t.scheduler.NextPoll(now, id, wait)
+	}
+	if !t.postAndWait(ctx, ask) || !enrolled || !t.leads() {
+		return nextPoll{}, false
 	}
 	sentAt := monotonicNow()
 	requestCtx, cancel := context.WithTimeout(ctx, request.Wait+pollTimeoutMargin)
 	defer cancel()
 	report, outcome, err := t.options.Instances.Poll(requestCtx, request)
 	if ctx.Err() != nil {
-		return false
+		return nextPoll{}, false
 	}
 	t.instruments.polls.Inc(1)
 	report.ReceivedAt = monotonicNow()
 	if outcome == scheduler.Accepted {
-		t.post(func() { t.scheduler.HandleReport(monotonicNow(), id, sentAt, report) })
-		return true
+		answered = t.postAndWait(ctx, func() {
+			now := monotonicNow()
+			t.scheduler.HandleReport(now, id, sentAt, report)
+			next.need = t.scheduler.PollNeed(id)
+			next.pause = t.pacer.pause(next.need, now-dueAt)
+		})
+		return next, answered
 	}
 	t.instruments.pollsMissed.Inc(1)
 	event.PollFailed.Info(t.options.Logger, zap.String("instance", string(id)), zap.Stringer("outcome", outcome), zap.NamedError("error", err))
 	t.post(func() { t.scheduler.HandlePollFailure(monotonicNow(), id, outcome) })
-	return false
+	return nextPoll{}, false
 }
 
-func sleep(ctx context.Context, d time.Duration) {
+// sleep waits for d, or until ctx ends or interrupt receives.
+func sleep(ctx context.Context, d time.Duration, interrupt <-chan struct{}) {
+	if d <= 0 {
+		return
+	}
 	select {
 	case <-ctx.Done():
+	case <-interrupt:
 	case <-time.After(d):
 	}
 }
@@ -86,6 +110,12 @@
 	if d == nil {
 		return
 	}
+	if o.Kind == scheduler.Start {
+		select {
+		case d.started <- struct{}{}:
+		default:
+		}
+	}
 	t.spawn(func() {
 		select {
 		case d.slots <- struct{}{}:
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -23,7 +23,6 @@
 	idlePlanInterval   = 50 * time.Millisecond  // due times, leases and retries are checked at this interval
 	jobReleaseInterval = 2 * time.Second        // a job past its retention only costs memory
 	maxOrdersInFlight  = 3                      // concurrent orders to one instance, to limit the connections opened
-	minPollInterval    = 80 * time.Millisecond  // run ends close in time are fetched with one poll
 	missedPollBackoff  = 200 * time.Millisecond // an unresponsive instance is polled five times a second
 )
 
@@ -50,16 +49,19 @@
 	settledLogged        bool
 	lastRelease          time.Duration
 	logLimiter           logLimiter
+	pacer                pollPacer
 }
 
 // dispatcher limits the orders in flight to one boot of an instance and cancels its polling.
 type dispatcher struct {
-	slots  chan struct{}
-	cancel context.CancelFunc
+	slots chan struct{}
+	// started receives when a start is sent.
+	started chan struct{}
+	cancel  context.CancelFunc
 }
 
 func newTerm(ctx context.Context, o *Options, m *instruments, number, resumptions uint64) *term {
-	t := &term{options: o, instruments: m, number: number, resumptions: resumptions, inbox: make(chan func(), inboxCapacity), dispatchers: map[fleet.InstanceID]*dispatcher{}}
+	t := &term{options: o, instruments: m, number: number, resumptions: resumptions, inbox: make(chan func(), inboxCapacity), dispatchers: map[fleet.InstanceID]*dispatcher{}, pacer: pollPacer{limits: defaultPollLimits}}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	return t
 }
@@ -225,6 +227,7 @@
 		return
 	}
 	t.committingEnds = true
+	takenAt := monotonicNow()
 	completed := t.scheduler.TakeCompleted()
 	for _, id := range failed {
 		event.JobFailed.Info(t.options.Logger, zap.String("job", string(id)))
@@ -235,6 +238,7 @@
 			return
 		}
 		t.committingEnds = false
+		t.pacer.commitDelay.observe(monotonicNow(), monotonicNow()-takenAt)
 		t.scheduler.ConfirmEnds(batch)
 		for _, c := range completed {
 			event.JobCompleted.Info(t.options.Logger, zap.String("job", string(c.Job)), zap.Duration("took", c.Elapsed))
