Begin each session of a leader with a committed barrier

What callers saw: a job that was acknowledged and of which nothing was ever started; it would have stayed so until the next change of leader.

Cause: when the leader lease lapses for a moment, the term object ends, and with it the callbacks that tell the scheduler of committed commands. Commands that are in the inbox of the replicator or in the log stay there and may commit after the next session of the same term has read the committed state, which it does once.

Fix: before it reads the state, a session commits a command without effect. The earlier session proposes nothing after its close; proposals are kept in order from CommitAll to the log; so all of them are applied before the barrier, or never. Requests that arrive before that are answered NotLeading. A session that loses its lease while it waits uses up no block of run numbers: a term has 1000 of them, and attempts are made every 20 ms.

A replica of an earlier version refuses the command as one that it cannot decode, which changes no table either.

--- a/internal/replicator/propose.go
+++ b/internal/replicator/propose.go
@@ -116,7 +116,9 @@
 // CommitAll proposes commands at this member, which must be the leader, and waits for all of them.
 //
 // The commands are queued in order, without waiting for one another, and not retried. Replies and errors are in the order of
-// the commands; a command that failed or whose outcome is unknown has an error.
+// the commands; a command that failed or whose outcome is unknown has an error. If ctx ends first, the commands stay queued and
+// may be committed later, but before the commands of any later call: the inbox is a queue, handleInputs proposes in its order,
+// and the log keeps that order within a term and across terms.
 func (r *Replicator) CommitAll(ctx context.Context, commands []state.Command) ([]state.Reply, []error) {
 	replies, errs := make([]state.Reply, len(commands)), make([]error, len(commands))
 	proposals := make([]*proposal, len(commands))
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -235,7 +235,7 @@
 	Configure{}, GrantKey{}, WithdrawKey{}, AssignInstance{}, Disrupt{}, AdvancePhase{}, CompleteMove{}, Restore{}, SetLost{}, RemoveInstance{},
 	AssignOwner{}, SetPermit{}, RegisterMember{}, RemoveMember{}, OpenClaim{}, DispatchClaim{}, SettleClaim{}, ExpireClaims{}, Halt{}, Resume{}, SetIsolated{}, Roll{}, SetDeprioritized{},
 	PublishCatalogue{}, SubmitJob{}, CancelJob{}, RecordRunEnds{}, DeleteJobs{}, EnrolInstance{}, DeregisterInstances{}, AddWave{}, RecordMaintenanceStart{},
-	CordonInstances{}, UncordonInstances{},
+	CordonInstances{}, UncordonInstances{}, Barrier{},
 )
 
 func newCommandCodec(commands ...any) *codec.Codec {
@@ -246,6 +246,11 @@
 	return codec.MustNew(registrations...)
 }
 
+// Barrier changes no table. Its proposer waits for it to learn that all commands proposed before it are applied or never will be.
+type Barrier struct{}
+
+func (Barrier) apply(*State) (Reply, error) { return Reply{}, nil }
+
 // Encode returns the log record of a command.
 func Encode(c Command) ([]byte, error) { return commandCodec.Encode(envelope{Command: c}) }
 
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -236,3 +236,20 @@
 	assert.Assert(t, s.ClaimBytes <= state.MaxClaimsBytes+len(response))
 	assert.Assert(t, opened > 1000 && opened < 40_000, "%d claims opened", opened)
 }
+
+// TestBarrierChangesOnlyAppliedIndex guards against a barrier that differs between replicas or restarts: leaders commit one
+// whenever they begin.
+func TestBarrierChangesOnlyAppliedIndex(t *testing.T) {
+	s := state.New()
+	assert.NilError(t, s.ApplyCommand(1, state.RegisterMember{Member: state.Member{Entry: "e1"}}).Err())
+	before, err := s.Snapshot()
+	assert.NilError(t, err)
+	record, err := state.Encode(state.Barrier{})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, s.Apply(2, record), state.Reply{Index: 2})
+	assert.Equal(t, s.AppliedIndex, uint64(2))
+	s.AppliedIndex = 1
+	after, err := s.Snapshot()
+	assert.NilError(t, err)
+	assert.DeepEqual(t, before, after)
+}
--- a/internal/supervisor/resumption_test.go
+++ b/internal/supervisor/resumption_test.go
@@ -114,7 +114,7 @@
 	boot     int64
 	bootedAt time.Time
 	running  []scheduler.ReportedRun
-	started  []workload.JobID
+	started  []scheduler.Order
 	machines []scheduler.MachineOrder
 }
 
@@ -124,7 +124,7 @@
 	f.running = slices.DeleteFunc(f.running, func(r scheduler.ReportedRun) bool { return r.Task == o.Task && r.Run == o.Run })
 	if o.Kind == scheduler.Start {
 		f.running = append(f.running, scheduler.ReportedRun{Task: o.Task, Run: o.Run, Percent: 100})
-		f.started = append(f.started, o.Task.Job)
+		f.started = append(f.started, o)
 	}
 	return scheduler.Accepted, nil
 }
@@ -142,12 +142,11 @@
 	return scheduler.MachineDone, nil
 }
 
-// runs reports whether the instance runs a task of the job, and whether it has ever started one.
-func (f *responsiveFleet) runs(id workload.JobID) (now, ever bool) {
+// runs reports whether the instance runs a task of the job.
+func (f *responsiveFleet) runs(id workload.JobID) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	now = slices.ContainsFunc(f.running, func(r scheduler.ReportedRun) bool { return r.Task.Job == id })
-	return now, slices.Contains(f.started, id)
+	return slices.ContainsFunc(f.running, func(r scheduler.ReportedRun) bool { return r.Task.Job == id })
 }
 
 func (f *responsiveFleet) maintained(machine string) bool {
@@ -265,15 +264,15 @@
 		s := startResumption(t)
 		s.commitAcrossResumption(submission(jobID, "/q/"))
 		s.submit(submission(jobID, "/q/"))
-		s.waitFor("the start of the job", func() bool { s.announce(); running, _ := s.fleet.runs(jobID); return running })
+		s.waitFor("the start of the job", func() bool { s.announce(); return s.fleet.runs(jobID) })
 	})
 	t.Run("cancellation", func(t *testing.T) {
 		t.Parallel()
 		s := startResumption(t)
 		s.submit(submission(jobID, "/q/"))
-		s.waitFor("the start of the job", func() bool { running, _ := s.fleet.runs(jobID); return running })
+		s.waitFor("the start of the job", func() bool { return s.fleet.runs(jobID) })
 		s.commitAcrossResumption(forwarder.Request{Operation: forwarder.CancelJob, Host: "h", Path: "/q/" + string(jobID)})
-		s.waitFor("the end of the job's run", func() bool { s.announce(); running, _ := s.fleet.runs(jobID); return !running })
+		s.waitFor("the end of the job's run", func() bool { s.announce(); return !s.fleet.runs(jobID) })
 	})
 	t.Run("catalogue", func(t *testing.T) {
 		t.Parallel()
@@ -281,7 +280,7 @@
 		catalogue := routedCatalogue(2, "p")
 		s.commitAcrossResumption(forwarder.Request{Operation: forwarder.Publish, Catalogue: &catalogue, Source: []byte("y")})
 		s.submit(submission(jobID, "/r/"))
-		s.waitFor("the start of a job in the new pool of its queue", func() bool { s.announce(); running, _ := s.fleet.runs(jobID); return running })
+		s.waitFor("the start of a job in the new pool of its queue", func() bool { s.announce(); return s.fleet.runs(jobID) })
 	})
 	t.Run("wave", func(t *testing.T) {
 		t.Parallel()
@@ -291,3 +290,28 @@
 		s.waitFor("the maintenance of the machine", func() bool { s.announce(); return s.fleet.maintained("m") })
 	})
 }
+
+// TestSessionBeginsWithCommittedBarrier guards against a session that handles requests before it knows the commands of earlier
+// sessions, or that uses up one of the 1000 blocks of run numbers of its term without having started a run.
+func TestSessionBeginsWithCommittedBarrier(t *testing.T) {
+	s := startResumption(t)
+	s.replica.setLapsed(true)
+	s.waitFor("the end of the session", func() bool { return s.term.Load() == nil })
+	s.replica.hold()
+	for range 5 {
+		before, abandoned := s.replica.counts()
+		s.replica.setLapsed(false)
+		s.waitFor("a barrier", func() bool { proposed, _ := s.replica.counts(); return proposed > before })
+		assert.Assert(t, !s.announce(), "accepted before the barrier is committed")
+		leads, _ := s.Leads()
+		assert.Assert(t, !leads)
+		s.replica.setLapsed(true)
+		s.waitFor("the end of the wait", func() bool { _, now := s.replica.counts(); return now > abandoned })
+	}
+	s.replica.setLapsed(false)
+	s.replica.release()
+	s.waitFor("an announcement", s.announce)
+	s.submit(submission(jobID, "/q/"))
+	s.waitFor("the start of the job", func() bool { return s.fleet.runs(jobID) })
+	assert.Equal(t, s.fleet.started[0].Run, workload.Run(1_000_000_000+1_000_000+1), "the first run of the second session of term 1")
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -24,7 +24,8 @@
 	Leads() (term uint64, ok bool)
 	// View calls read with the committed state.
 	View(read func(s *state.State))
-	// CommitAll commits commands in order and returns a reply and an error for each.
+	// CommitAll commits commands in order and returns a reply and an error for each. It returns early once ctx ends; the commands
+	// may still be committed then, but only before any that are passed to a later call.
 	CommitAll(ctx context.Context, commands []state.Command) ([]state.Reply, []error)
 }
 
@@ -71,9 +72,9 @@
 	cancel      context.CancelFunc
 	goroutines  sync.WaitGroup
 	term        atomic.Pointer[term]
-	// lastTerm is the latest term led, and resumptions how often it was resumed after the lease had expired within it.
-	lastTerm    uint64
-	resumptions uint64
+	// lastTerm is the latest term led, and sessions the number of schedulers that were run in it.
+	lastTerm uint64
+	sessions uint64
 }
 
 // Start runs a supervisor until Close.
@@ -106,13 +107,18 @@
 	}
 }
 
-// runTerm runs one term until its leadership ends.
+// runTerm runs one session of a term until its leadership ends. Requests are handled once the session knows all commands of
+// the earlier ones.
 func (s *Supervisor) runTerm(number uint64) {
-	s.resumptions++
 	if number != s.lastTerm {
-		s.lastTerm, s.resumptions = number, 0
+		s.lastTerm, s.sessions = number, 0
 	}
-	t := newTerm(s.ctx, &s.options, s.instruments, number, s.resumptions)
+	t := newTerm(s.ctx, &s.options, s.instruments, number, s.sessions)
+	defer t.close()
+	if !t.commitBarrier() {
+		return
+	}
+	s.sessions++
 	s.instruments.termsLed.Inc(1)
 	s.term.Store(t)
 	t.run()
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -32,7 +32,7 @@
 	options     *Options
 	instruments *instruments
 	number      uint64
-	resumptions uint64
+	session     uint64
 	ctx         context.Context
 	cancel      context.CancelFunc
 	inbox       chan func()
@@ -58,8 +58,8 @@
 	cancel context.CancelFunc
 }
 
-func newTerm(ctx context.Context, o *Options, m *instruments, number, resumptions uint64) *term {
-	t := &term{options: o, instruments: m, number: number, resumptions: resumptions, inbox: make(chan func(), inboxCapacity), dispatchers: map[fleet.InstanceID]*dispatcher{}}
+func newTerm(ctx context.Context, o *Options, m *instruments, number, session uint64) *term {
+	t := &term{options: o, instruments: m, number: number, session: session, inbox: make(chan func(), inboxCapacity), dispatchers: map[fleet.InstanceID]*dispatcher{}}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	return t
 }
@@ -73,7 +73,6 @@
 func (t *term) run() {
 	t.start()
 	reason := t.loop()
-	t.cancel()
 	t.close()
 	event.LeadershipEnded.Info(t.options.Logger, zap.Uint64("term", t.number), zap.String("reason", reason))
 }
@@ -87,20 +86,49 @@
 	}
 }
 
+// close ends the goroutines of the term. No command of the term is proposed after that.
 func (t *term) close() {
+	t.cancel()
 	t.mutex.Lock()
 	t.closed = true
 	t.mutex.Unlock()
 	t.goroutines.Wait()
 }
 
+// commitBarrier commits a barrier and reports whether it is applied and the lease still held.
+//
+// Earlier sessions of this process may have proposed commands that are not committed yet, and their callbacks are gone. The
+// scheduler is built from one reading of the committed state, so all of these commands must be in it or never be committed:
+// close has waited for the goroutines that propose them, the replicator keeps proposals in order from its inbox to the log,
+// and entries are applied in the order of the log. A proposal that Raft has refused or that a later term has overwritten is
+// never committed.
+func (t *term) commitBarrier() bool {
+	committed := make(chan error, 1)
+	t.spawn(func() {
+		_, errs := t.options.Replica.CommitAll(t.ctx, []state.Command{state.Barrier{}})
+		committed <- errs[0]
+	})
+	ticker := time.NewTicker(leadershipCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case err := <-committed:
+			return err == nil && t.leads()
+		case <-ticker.C:
+			if !t.leads() {
+				return false
+			}
+		}
+	}
+}
+
 // start builds the scheduler from the committed state and runs it once.
 func (t *term) start() {
 	now := monotonicNow()
 	jobs, instances := 0, 0
 	t.options.Replica.View(func(s *state.State) {
 		t.scheduler = scheduler.New(now, wallMillis(), scheduler.Options{
-			Fence: t.number, Session: t.resumptions, LeaseDuration: t.options.Lease, LeadingSince: now,
+			Fence: t.number, Session: t.session, LeaseDuration: t.options.Lease, LeadingSince: now,
 		}, &s.Workload)
 		t.ready.Store(s.Workload.Catalogue.Version > 0)
 		jobs, instances = len(s.Workload.Jobs), len(s.Workload.Enrolled)
