Keep the input that follows a full batch

The event loop of the replicator handles at most 1024 queued inputs at once. After the last of them it took one more from the queue and forgot it. If that was a proposal, its proposer waited until the leadership ended: after a lost batch of run ends no end was committed any more, and after a lost enrolment no instance was enrolled or cordoned. A lost message is sent again by Raft.

Found by reading the code for the order of proposals.

--- a/internal/replicator/loop.go
+++ b/internal/replicator/loop.go
@@ -82,7 +82,7 @@
 // handleInputs handles an input and further queued ones, at most maxBatchInputs, with the proposals among them as one batch.
 func (r *Replicator) handleInputs(in input) {
 	var proposals []*proposal
-	for range maxBatchInputs {
+	for handled := 1; ; handled++ {
 		switch {
 		case in.message != nil:
 			r.step(*in.message)
@@ -91,16 +91,23 @@
 		default:
 			in.callback()
 		}
-		select {
-		case in = <-r.inbox:
-			continue
-		default:
+		if handled == maxBatchInputs || !r.takeInput(&in) {
+			break
 		}
-		break
 	}
 	r.propose(proposals)
 }
 
+// takeInput takes the next queued input, or reports that there is none.
+func (r *Replicator) takeInput(in *input) bool {
+	select {
+	case *in = <-r.inbox:
+		return true
+	default:
+		return false
+	}
+}
+
 func (r *Replicator) step(m raft.Message) {
 	if m.Kind == raft.Join {
 		m.To = r.id
