Log sessions, the leader's load, waiting tasks and jobs out of step

No decision changes.

401 and 402 carry the session, 402 how long ago the lease ended. New: 404 leader load (each second), 415 jobs mismatched (two checks in a row, in the walk of releaseJobs), 426 task waiting (at most 10 a second, 5 s per job). New metrics: timers look, plan and post-delay; gauges jobs-waiting and jobs-mismatched.{unknown,finished,cancelled,over}.

Replica gains LeaderLeaseLeft.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -66,21 +66,26 @@
 
 // Events of jobs.
 var (
-	LeaderFound            = define(400, "leader found", "leader")
-	LeadershipAcquired     = define(401, "leadership acquired", "term", "jobs", "instances")
-	LeadershipEnded        = define(402, "leadership ended", "term", "reason")
-	RunsReconciled         = define(403, "inherited runs reconciled", "term")
+	LeaderFound        = define(400, "leader found", "leader")
+	LeadershipAcquired = define(401, "leadership acquired", "term", "session", "jobs", "instances")
+	LeadershipEnded    = define(402, "leadership ended", "term", "session", "reason", "lapsed")
+	RunsReconciled     = define(403, "inherited runs reconciled", "term")
+	LeaderLoad         = define(404, "leader load", "term", "session", "over", "processor", "plans", "planning", "plan-max", "plan-gap", "posts", "posted",
+		"post-delay", "inbox", "polls", "polls-in-flight", "reports", "report-age", "report-age-max", "orders-in-flight", "orders-waiting", "commits",
+		"commits-in-flight", "commit", "jobs", "instances", "waiting", "lease-left")
 	JobAccepted            = define(410, "job accepted", "job", "queue", "customer", "tasks", "version")
 	JobRefused             = define(411, "job refused", "job", "host", "path", "reason", "version")
 	JobCancelled           = define(412, "job cancelled", "job")
 	JobFailed              = define(413, "job failed", "job")
 	JobCompleted           = define(414, "job completed", "job", "took")
+	JobsMismatched         = define(415, "jobs mismatched", "term", "session", "what", "count", "jobs")
 	DecisionMade           = define(420, "scheduling decision made", "what", "task", "run", "instance", "machine", "reason")
 	OrderCompleted         = define(421, "order completed", "order", "task", "run", "instance", "outcome", "took", "error")
 	PollFailed             = define(422, "poll failed", "instance", "outcome", "error")
 	InstanceEnrolled       = define(423, "instance enrolled", "instance", "pool", "machine", "address")
 	AdviceRequestCompleted = define(425, "advice request completed", "step", "asked", "good", "error")
 	InstanceDraining       = define(424, "instance draining", "instance", "left")
+	TaskWaiting            = define(426, "task waiting", "task", "class", "waited", "tasks", "reason", "pool", "free", "total")
 	CataloguePublished     = define(430, "catalogue published", "version", "sent-version")
 	CatalogueRefused       = define(431, "catalogue refused", "sent-version", "reason")
 	WaveOpened             = define(432, "wave opened", "wave", "machines", "at-once", "within")
--- a/internal/replicator/reconcile.go
+++ b/internal/replicator/reconcile.go
@@ -22,10 +22,27 @@
 type leadership struct {
 	term       uint64
 	validUntil time.Duration
+	// latest is validUntil or, after the end of a leadership, its last value.
+	latest time.Duration
 }
 
 func (r *Replicator) updateLeadership() {
-	r.leadership.Store(&leadership{term: r.raft.Term(), validUntil: r.raft.LeaderLeaseUntil()})
+	l := &leadership{term: r.raft.Term(), validUntil: r.raft.LeaderLeaseUntil()}
+	l.latest = l.validUntil
+	if previous := r.leadership.Load(); l.validUntil == 0 && previous != nil {
+		l.latest = previous.latest
+	}
+	r.leadership.Store(l)
+}
+
+// LeaderLeaseLeft returns the remaining time of the latest leader lease; it is negative since the lease expired. It is
+// positive without a lease if the member gave up its leadership before the lease expired.
+func (r *Replicator) LeaderLeaseLeft() time.Duration {
+	l := r.leadership.Load()
+	if l == nil {
+		return 0
+	}
+	return l.latest - r.clock()
 }
 
 // Leads returns the term that this member leads; ok is false if it holds no valid leader lease, so that another leader may
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -34,6 +34,8 @@
 	occurrences []*occurrence
 	// advice holds the responses of the policy service for each step, by the position of its first task.
 	advice map[workload.Position]*advice
+	// explainedAt is when ExplainWaiting explained the wait of a task of the job last.
+	explainedAt time.Duration
 }
 
 // occurrence is one execution of the steps of a job.
@@ -57,6 +59,8 @@
 	done         bool
 	checkpoint   string
 	failedRuns   []workload.Run
+	// waitingSince is zero unless ExplainWaiting found the task waiting.
+	waitingSince time.Duration
 }
 
 func (j *job) step(p workload.Position) *workload.Step { return &j.Steps[p.Step()] }
--- a/internal/supervisor/decision_log.go
+++ b/internal/supervisor/decision_log.go
@@ -13,6 +13,7 @@
 const (
 	maxRoutineLines = 300 // starts and successful ends; a burst of a thousand starts is sampled
 	maxNotableLines = 300 // all decisions that explain a failure
+	maxWaitingLines = 10  // jobs with waiting tasks; the oldest lines of a play's log give way to new ones
 )
 
 // logLimiter limits the number of decisions logged per second.
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -54,16 +54,24 @@
 	if !t.postAndWait(ctx, func() { request, enrolled = t.scheduler.NextPoll(monotonicNow(), id, wait) }) || !enrolled || !t.leads() {
 		return false
 	}
-	sentAt := monotonicNow()
+	sentAt, start := monotonicNow(), time.Now()
 	requestCtx, cancel := context.WithTimeout(ctx, request.Wait+pollTimeoutMargin)
 	defer cancel()
+	t.load.polls.Add(1)
+	t.load.pollsInFlight.Add(1)
 	report, outcome, err := t.options.Instances.Poll(requestCtx, request)
+	t.load.pollsInFlight.Add(-1)
+	arrivedAt := time.Now()
 	if ctx.Err() != nil {
 		return false
 	}
 	t.instruments.polls.Inc(1)
 	if outcome == scheduler.Accepted {
-		t.post(func() { t.scheduler.HandleReport(monotonicNow(), id, sentAt, report) })
+		t.instruments.pollDuration.Update(arrivedAt.Sub(start))
+		t.post(func() {
+			t.countReport(arrivedAt)
+			t.scheduler.HandleReport(monotonicNow(), id, sentAt, report)
+		})
 		return true
 	}
 	t.instruments.pollsMissed.Inc(1)
@@ -86,11 +94,13 @@
 		return
 	}
 	t.spawn(func() {
+		t.load.ordersWaiting.Add(1)
 		select {
 		case d.slots <- struct{}{}:
 		case <-t.ctx.Done():
 			return
 		}
+		t.load.ordersWaiting.Add(-1)
 		defer func() { <-d.slots }()
 		if o.Kind == scheduler.ImmediatePoll {
 			t.poll(t.ctx, o.Instance, false)
@@ -105,6 +115,8 @@
 	if !t.leads() {
 		return
 	}
+	t.load.ordersInFlight.Add(1)
+	defer t.load.ordersInFlight.Add(-1)
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
 	defer cancel()
--- a/internal/supervisor/instruments.go
+++ b/internal/supervisor/instruments.go
@@ -6,7 +6,7 @@
 	"github.com/sapphiresail/sapphiresail/internal/scheduler"
 )
 
-// instruments are the counters and timers of a supervisor.
+// instruments are the counters, gauges and timers of a supervisor.
 type instruments struct {
 	jobsAccepted   metrics.Counter
 	jobsRefused    metrics.Counter
@@ -15,11 +15,16 @@
 	pollsMissed    metrics.Counter
 	commitDuration metrics.Timer
 	orderDuration  metrics.Timer
+	pollDuration   metrics.Timer
+	planDuration   metrics.Timer
+	postDelay      metrics.Timer
+	jobsWaiting    metrics.Gauge
+	mismatches     map[mismatch]metrics.Gauge
 	registry       metrics.Registry
 }
 
 func newInstruments(r metrics.Registry) *instruments {
-	return &instruments{
+	m := &instruments{
 		jobsAccepted:   metrics.GetOrRegisterCounter("jobs-accepted", r),
 		jobsRefused:    metrics.GetOrRegisterCounter("jobs-refused", r),
 		termsLed:       metrics.GetOrRegisterCounter("terms-led", r),
@@ -27,8 +32,27 @@
 		pollsMissed:    metrics.GetOrRegisterCounter("looks-missed", r),
 		commitDuration: metrics.GetOrRegisterTimer("commit", r),
 		orderDuration:  metrics.GetOrRegisterTimer("order", r),
+		pollDuration:   metrics.GetOrRegisterTimer("look", r),
+		planDuration:   metrics.GetOrRegisterTimer("plan", r),
+		postDelay:      metrics.GetOrRegisterTimer("post-delay", r),
+		jobsWaiting:    metrics.GetOrRegisterGauge("jobs-waiting", r),
+		mismatches:     map[mismatch]metrics.Gauge{},
 		registry:       r,
 	}
+	for kind, name := range map[mismatch]string{
+		mismatchUnknown: "unknown", mismatchFinished: "finished", mismatchCancelled: "cancelled", mismatchOver: "over",
+	} {
+		m.mismatches[kind] = metrics.GetOrRegisterGauge("jobs-mismatched."+name, r)
+	}
+	return m
+}
+
+// resetGauges sets the gauges of a leader to zero.
+func (m *instruments) resetGauges() {
+	m.jobsWaiting.Update(0)
+	for _, g := range m.mismatches {
+		g.Update(0)
+	}
 }
 
 // countDecision counts a scheduling decision by its kind.
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -22,6 +22,8 @@
 type Replica interface {
 	// Leads returns the term in which this member holds the leader lease now; ok is false if it does not hold it.
 	Leads() (term uint64, ok bool)
+	// LeaderLeaseLeft returns the remaining time of the leader lease; it is negative since the lease expired.
+	LeaderLeaseLeft() time.Duration
 	// View calls read with the committed state.
 	View(read func(s *state.State))
 	// CommitAll commits commands in order and returns a reply and an error for each.
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -50,6 +50,9 @@
 	settledLogged        bool
 	lastRelease          time.Duration
 	logLimiter           logLimiter
+	mismatched           map[workload.JobID]mismatch
+
+	load load
 }
 
 // dispatcher limits the orders in flight to one boot of an instance and cancels its polling.
@@ -73,9 +76,12 @@
 func (t *term) run() {
 	t.start()
 	reason := t.loop()
+	lapsed := -t.options.Replica.LeaderLeaseLeft()
 	t.cancel()
+	t.logLoad(time.Now())
 	t.close()
-	event.LeadershipEnded.Info(t.options.Logger, zap.Uint64("term", t.number), zap.String("reason", reason))
+	t.instruments.resetGauges()
+	event.LeadershipEnded.Info(t.options.Logger, zap.Uint64("term", t.number), zap.Uint64("session", t.resumptions), zap.String("reason", reason), zap.Duration("lapsed", lapsed))
 }
 
 // spawn starts a goroutine that close waits for; after close it starts none.
@@ -105,8 +111,9 @@
 		t.ready.Store(s.Workload.Catalogue.Version > 0)
 		jobs, instances = len(s.Workload.Jobs), len(s.Workload.Enrolled)
 	})
-	event.LeadershipAcquired.Info(t.options.Logger, zap.Uint64("term", t.number), zap.Int("jobs", jobs), zap.Int("instances", instances))
-	t.runScheduler()
+	event.LeadershipAcquired.Info(t.options.Logger, zap.Uint64("term", t.number), zap.Uint64("session", t.resumptions), zap.Int("jobs", jobs), zap.Int("instances", instances))
+	t.load.reset(time.Now())
+	t.plan()
 }
 
 // loop runs posted functions and the scheduler, and returns the reason why the leadership ended.
@@ -119,8 +126,7 @@
 		case <-t.ctx.Done():
 			return "stopped"
 		case f := <-t.inbox:
-			f()
-			t.drainInbox()
+			t.runBatch(f)
 			if planTimer == nil {
 				planTimer = time.After(planDelay)
 			}
@@ -132,7 +138,7 @@
 		if !t.leads() {
 			return "lease is over"
 		}
-		t.runScheduler()
+		t.plan()
 		if t.scheduler.Superseded() {
 			return "superseded by a newer leader: fencing token rejected"
 		}
@@ -154,7 +160,7 @@
 // post queues f for the loop; it returns false if the term ended first.
 func (t *term) post(f func()) bool {
 	select {
-	case t.inbox <- f:
+	case t.inbox <- t.sampled(f):
 		return true
 	case <-t.ctx.Done():
 		return false
@@ -208,9 +214,7 @@
 // commitAsync commits a command and calls callback in the loop with the outcome, without a timeout.
 func (t *term) commitAsync(c state.Command, callback func(reply state.Reply, err error)) {
 	t.spawn(func() {
-		start := time.Now()
-		replies, errs := t.options.Replica.CommitAll(t.ctx, []state.Command{c})
-		t.instruments.commitDuration.UpdateSince(start)
+		replies, errs := t.commitAll([]state.Command{c})
 		t.post(func() { callback(replies[0], errs[0]) })
 	})
 }
@@ -289,7 +293,7 @@
 		commands[i] = r.command
 	}
 	t.spawn(func() {
-		_, errs := t.options.Replica.CommitAll(t.ctx, commands)
+		_, errs := t.commitAll(commands)
 		t.post(func() { t.handleRegistrationsCommitted(batch, errs) })
 	})
 }
@@ -306,21 +310,26 @@
 	t.commitRegistrations()
 }
 
-// releaseJobs deletes the records of jobs whose retention is over.
+// releaseJobs deletes the records of jobs whose retention is over, and compares the others with the scheduler.
 func (t *term) releaseJobs(now time.Duration) {
 	if now-t.lastRelease < jobReleaseInterval {
 		return
 	}
 	t.lastRelease = now
-	var jobs []workload.JobID
+	var jobs, active []workload.JobID
+	var over map[workload.JobID]bool
 	cutoff := state.Timestamp(wallMillis() - t.options.JobRetention.Milliseconds())
 	t.options.Replica.View(func(s *state.State) {
 		for id, r := range s.Workload.Jobs {
-			if !r.Active() && r.FinishedAt < cutoff {
+			if r.Active() {
+				active = append(active, id)
+			} else if r.FinishedAt < cutoff {
 				jobs = append(jobs, id)
 			}
 		}
+		over = t.unfinishedButOver(s)
 	})
+	t.reportMismatches(t.findMismatches(active, over))
 	if len(jobs) > 0 {
 		t.commitAsync(state.DeleteJobs{Jobs: jobs}, func(state.Reply, error) {})
 	}
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -26,6 +26,11 @@
 	Accelerators int64 `cbor:"3,keyasint,omitempty"`
 }
 
+// String returns the amounts as logs show them, such as "1500m 2048Mi 1a".
+func (n Resources) String() string {
+	return fmt.Sprintf("%dm %dMi %da", n.Processors, n.Memory, n.Accelerators)
+}
+
 // Add returns n plus o.
 func (n Resources) Add(o Resources) Resources {
 	return Resources{n.Processors + o.Processors, n.Memory + o.Memory, n.Accelerators + o.Accelerators}
