--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -50,6 +50,9 @@
 	settledLogged        bool
 	lastRelease          time.Duration
 	logLimiter           logLimiter
+	mismatched           map[workload.JobID]mismatch
+
+	load load
 }
 
 // dispatcher limits the orders in flight to one boot of an instance and cancels its polling.
@@ -73,8 +76,12 @@
 func (t *term) run() {
 	t.start()
 	reason := t.loop()
+	lapsed := -t.options.Replica.LeaderLeaseLeft()
+	t.cancel()
+	t.logLoad(time.Now())
 	t.close()
-	event.LeadershipEnded.Info(t.options.Logger, zap.Uint64("term", t.number), zap.String("reason", reason))
+	t.instruments.resetGauges()
+	event.LeadershipEnded.Info(t.options.Logger, zap.Uint64("term", t.number), zap.Uint64("session", t.session), zap.String("reason", reason), zap.Duration("lapsed", lapsed))
 }
 
 // spawn starts a goroutine that close waits for; after close it starts none.
@@ -105,7 +112,7 @@
 func (t *term) commitBarrier() bool {
 	committed := make(chan error, 1)
 	t.spawn(func() {
-		_, errs := t.options.Replica.CommitAll(t.ctx, []state.Command{state.Barrier{}})
+		_, errs := t.commitAll([]state.Command{state.Barrier{}})
 		committed <- errs[0]
 	})
 	ticker := time.NewTicker(leadershipCheckInterval)
@@ -133,8 +140,9 @@
 		t.ready.Store(s.Workload.Catalogue.Version > 0)
 		jobs, instances = len(s.Workload.Jobs), len(s.Workload.Enrolled)
 	})
-	event.LeadershipAcquired.Info(t.options.Logger, zap.Uint64("term", t.number), zap.Int("jobs", jobs), zap.Int("instances", instances))
-	t.runScheduler()
+	event.LeadershipAcquired.Info(t.options.Logger, zap.Uint64("term", t.number), zap.Uint64("session", t.session), zap.Int("jobs", jobs), zap.Int("instances", instances))
+	t.load.reset(time.Now())
+	t.plan()
 }
 
 // loop runs posted functions and the scheduler, and returns the reason why the leadership ended.
@@ -147,8 +155,7 @@
 		case <-t.ctx.Done():
 			return "stopped"
 		case f := <-t.inbox:
-			f()
-			t.drainInbox()
+			t.runBatch(f)
 			if planTimer == nil {
 				planTimer = time.After(planDelay)
 			}
@@ -160,7 +167,7 @@
 		if !t.leads() {
 			return "lease is over"
 		}
-		t.runScheduler()
+		t.plan()
 		if t.scheduler.Superseded() {
 			return "superseded by a newer leader: fencing token rejected"
 		}
@@ -182,7 +189,7 @@
 // post queues f for the loop; it returns false if the term ended first.
 func (t *term) post(f func()) bool {
 	select {
-	case t.inbox <- f:
+	case t.inbox <- t.sampled(f):
 		return true
 	case <-t.ctx.Done():
 		return false
@@ -236,9 +243,7 @@
 // commitAsync commits a command and calls callback in the loop with the outcome, without a timeout.
 func (t *term) commitAsync(c state.Command, callback func(reply state.Reply, err error)) {
 	t.spawn(func() {
-		start := time.Now()
-		replies, errs := t.options.Replica.CommitAll(t.ctx, []state.Command{c})
-		t.instruments.commitDuration.UpdateSince(start)
+		replies, errs := t.commitAll([]state.Command{c})
 		t.post(func() { callback(replies[0], errs[0]) })
 	})
 }
@@ -317,7 +322,7 @@
 		commands[i] = r.command
 	}
 	t.spawn(func() {
-		_, errs := t.options.Replica.CommitAll(t.ctx, commands)
+		_, errs := t.commitAll(commands)
 		t.post(func() { t.handleRegistrationsCommitted(batch, errs) })
 	})
 }
@@ -334,21 +339,26 @@
 	t.commitRegistrations()
 }
 
-// releaseJobs deletes the records of jobs whose retention is over.
+// releaseJobs deletes the records of jobs whose retention is over, and compares the others with the scheduler.
 func (t *term) releaseJobs(now time.Duration) {
 	if now-t.lastRelease < jobReleaseInterval {
 		return
 	}
 	t.lastRelease = now
-	var jobs []workload.JobID
+	var jobs, active []workload.JobID
+	var over map[workload.JobID]bool
 	cutoff := state.Timestamp(wallMillis() - t.options.JobRetention.Milliseconds())
 	t.options.Replica.View(func(s *state.State) {
 		for id, r := range s.Workload.Jobs {
-			if !r.Active() && r.FinishedAt < cutoff {
+			if r.Active() {
+				active = append(active, id)
+			} else if r.FinishedAt < cutoff {
 				jobs = append(jobs, id)
 			}
 		}
+		over = t.unfinishedButOver(s)
 	})
+	t.reportMismatches(t.findMismatches(active, over))
 	if len(jobs) > 0 {
 		t.commitAsync(state.DeleteJobs{Jobs: jobs}, func(state.Reply, error) {})
 	}
