--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -85,7 +85,7 @@
 	InstanceEnrolled       = define(423, "instance enrolled", "instance", "pool", "machine", "address")
 	AdviceRequestCompleted = define(425, "advice request completed", "step", "asked", "good", "error")
 	InstanceDraining       = define(424, "instance draining", "instance", "left")
-	TaskWaiting            = define(426, "task waiting", "task", "class", "waited", "tasks", "reason", "pool", "free", "total")
+	TaskWaiting            = define(426, "task waiting", "task", "class", "waited", "inherited", "tasks", "reason", "pool", "free", "total")
 	CataloguePublished     = define(430, "catalogue published", "version", "sent-version")
 	CatalogueRefused       = define(431, "catalogue refused", "sent-version", "reason")
 	WaveOpened             = define(432, "wave opened", "wave", "machines", "at-once", "within")
--- a/internal/scheduler/waiting.go
+++ b/internal/scheduler/waiting.go
@@ -22,6 +22,9 @@
 	Task   workload.TaskID
 	Class  string
 	Waited time.Duration
+	// Inherited is set for a job accepted under an earlier leader. Waited may then count from its acceptance although the
+	// task has run since.
+	Inherited bool
 	// Tasks is the number of tasks of the job that wait.
 	Tasks  int
 	Reason string
@@ -150,7 +153,7 @@
 	c := candidate{job: j, occurrence: p.Occurrence(), stage: j.stage(p)}
 	pool := s.summarisePool(j.pool)
 	explained := WaitingTask{
-		Task: workload.TaskID{Job: j.ID, Position: p}, Class: s.classOf(j, c.stage).String(), Waited: s.now - w.since, Tasks: w.tasks,
+		Task: workload.TaskID{Job: j.ID, Position: p}, Class: s.classOf(j, c.stage).String(), Waited: s.now - w.since, Inherited: j.inherited, Tasks: w.tasks,
 		Pool: j.pool, Free: pool.free, Total: pool.total,
 	}
 	explained.Reason = s.reasonForWaiting(c, j.task(p), pool)
--- a/internal/scheduler/waiting_test.go
+++ b/internal/scheduler/waiting_test.go
@@ -110,6 +110,7 @@
 			assert.Equal(t, list[0].Class, c.class)
 			assert.Assert(t, list[0].Waited > 3*time.Second, list[0].Waited)
 			assert.Equal(t, list[0].Pool, fleet.PoolID("p"))
+			assert.Equal(t, list[0].Inherited, name == "unreconciled instance")
 		})
 	}
 }
--- a/internal/supervisor/load.go
+++ b/internal/supervisor/load.go
@@ -143,7 +143,7 @@
 	list, total := t.scheduler.ExplainWaiting(monotonicNow(), maxWaitingLines)
 	for _, w := range list {
 		event.TaskWaiting.Info(t.options.Logger, zap.Stringer("task", w.Task), zap.String("class", w.Class), zap.Duration("waited", w.Waited),
-			zap.Int("tasks", w.Tasks), zap.String("reason", w.Reason), zap.String("pool", string(w.Pool)), zap.Stringer("free", w.Free), zap.Stringer("total", w.Total))
+			zap.Bool("inherited", w.Inherited), zap.Int("tasks", w.Tasks), zap.String("reason", w.Reason), zap.String("pool", string(w.Pool)), zap.Stringer("free", w.Free), zap.Stringer("total", w.Total))
 	}
 	t.instruments.jobsWaiting.Update(int64(total))
 	return total
