--- /dev/null
+++ b/internal/scheduler/large_fleet_test.go
@@ -0,0 +1,402 @@
+package scheduler_test
+
+import (
+	"cmp"
+	"fmt"
+	"hash"
+	"maps"
+	"math/rand"
+	"slices"
+	"time"
+
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/scheduler"
+	"github.com/sapphiresail/sapphiresail/internal/state"
+	"github.com/sapphiresail/sapphiresail/internal/workload"
+)
+
+// largeFleetStep is the time between planning runs of a busy leader.
+const largeFleetStep = 4 * time.Millisecond
+
+// largeFleet simulates a leader with 349 instances in 5 pools, 8 queues and 20 customers. The batch demand of the pools
+// rises by turns above their capacity. The simulation is seeded: equal decisions give equal days.
+type largeFleet struct {
+	random    *rand.Rand
+	start     time.Duration
+	now       time.Duration
+	state     *state.State
+	index     uint64
+	scheduler *scheduler.Scheduler
+	instances []*simulatedInstance
+	byID      map[fleet.InstanceID]*simulatedInstance
+	arrivals  []arrival
+	// digest, if set, takes the orders in an order that does not depend on that of maps.
+	digest hash.Hash
+	// tick, report and add are the time spent in Tick, in NextPoll and HandleReport, and in AddJob.
+	tick, report, add       time.Duration
+	ticks, reports, addings int
+}
+
+// simulatedInstance is one boot of an instance.
+type simulatedInstance struct {
+	workload.Instance
+	runs     map[workload.TaskID]*simulatedRun
+	ended    []scheduler.ReportedEnd
+	lastEnd  uint64
+	polledAt time.Duration
+	pollDue  time.Duration
+	cut      bool
+	gone     bool
+}
+
+type simulatedRun struct {
+	number        workload.Run
+	start, length time.Duration
+	service       bool
+}
+
+// arrival is a machine that comes up after a move or after maintenance.
+type arrival struct {
+	at       time.Duration
+	instance workload.Instance
+}
+
+var largeFleetPools = []struct {
+	name fleet.PoolID
+	size int
+	rate float64 // mean of submitted jobs a second
+	step workload.Step
+	work time.Duration
+	prio int
+}{
+	{"counter", 61, 13.8, workload.Step{Resources: workload.Resources{Processors: 4100, Memory: 7500}}, time.Second, 0},
+	{"studio", 69, 3.41, workload.Step{Resources: workload.Resources{Processors: 8800, Memory: 9000}, Checkpointing: true}, 1700 * time.Millisecond, 1},
+	{"rush", 78, 17.3, workload.Step{Resources: workload.Resources{Processors: 4100, Memory: 7500}}, time.Second, 0},
+	{"events", 85, 4.17, workload.Step{Resources: workload.Resources{Processors: 8800, Memory: 9000}, Checkpointing: true}, 1700 * time.Millisecond, 1},
+	{"backoffice", 56, 0, workload.Step{}, 0, 0},
+}
+
+func largeFleetCatalogue() workload.Catalogue {
+	c := workload.Catalogue{Version: 1}
+	for _, p := range largeFleetPools {
+		c.Pools = append(c.Pools, workload.Pool{Name: p.name, Standby: p.rate == 0})
+		if p.rate > 0 {
+			name := fleet.QueueID(p.name)
+			c.Queues = append(c.Queues,
+				workload.Queue{Name: name, Host: "h", Prefix: "/" + string(p.name), Pool: p.name, Priority: p.prio, MaxAttempts: 2, Objective: 600 * time.Millisecond, Stretch: 1.6},
+				workload.Queue{Name: name + "-hold", Host: "h", Prefix: "/hold/" + string(p.name), Pool: p.name, MaxAttempts: 2, Objective: 2500 * time.Millisecond, Stretch: 2.2})
+		}
+	}
+	for i := range 20 {
+		customer := workload.Customer{Name: customerName(i), Weight: float64(1 + i%4)}
+		customer.Limit = workload.Resources{Processors: 900_000, Memory: 3_000_000}
+		if i < 3 {
+			customer.Limit = workload.Resources{Processors: 3_000_000, Memory: 9_000_000}
+		}
+		c.Customers = append(c.Customers, customer)
+	}
+	return c
+}
+
+func customerName(i int) fleet.CustomerID { return fleet.CustomerID(fmt.Sprint("c-", i)) }
+
+func newLargeFleet(seed int64) *largeFleet {
+	f := &largeFleet{random: rand.New(rand.NewSource(seed)), start: time.Hour, now: time.Hour, state: state.New(), byID: map[fleet.InstanceID]*simulatedInstance{}}
+	f.commit(state.PublishCatalogue{Source: []byte("x"), Catalogue: largeFleetCatalogue()})
+	f.startLeader()
+	number := 0
+	for _, p := range largeFleetPools {
+		for i := range p.size {
+			f.addInstance(workload.Instance{
+				ID: fleet.InstanceID(fmt.Sprintf("i-%04d", number)), Boot: 1, Pool: p.name, Address: fmt.Sprint("a-", number), Machine: fmt.Sprintf("m-%04d", number),
+				Sequence: 1, Capacity: workload.Resources{Processors: 32000, Memory: 65536}, Clock: time.Minute, Rack: fmt.Sprint(p.name, "-", i/12),
+			})
+			number++
+		}
+	}
+	f.listMachines()
+	return f
+}
+
+// startLeader replaces the scheduler by one that starts from the committed state.
+func (f *largeFleet) startLeader() {
+	f.scheduler = scheduler.New(f.now, f.now.Milliseconds(), scheduler.Options{Fence: f.index + 1, LeaseDuration: 3 * time.Second, LeadingSince: f.now}, &f.state.Workload)
+	f.listMachines()
+}
+
+func (f *largeFleet) listMachines() {
+	var machines []scheduler.Machine
+	for _, in := range f.instances {
+		if !in.gone {
+			machines = append(machines, scheduler.Machine{Name: in.Machine, Pool: in.Pool, Available: true})
+		}
+	}
+	f.scheduler.SetMachines(machines)
+}
+
+func (f *largeFleet) commit(command state.Command) {
+	f.index++
+	f.state.ApplyCommand(f.index, command)
+}
+
+func (f *largeFleet) addInstance(announced workload.Instance) {
+	in := &simulatedInstance{Instance: announced, runs: map[workload.TaskID]*simulatedRun{}, polledAt: f.now, pollDue: f.now}
+	f.instances = append(f.instances, in)
+	f.byID[in.ID] = in
+	f.scheduler.HandleAnnouncement(f.now, announced)
+	f.commit(state.EnrolInstance{Instance: announced})
+	f.scheduler.ConfirmEnrolled(in.ID)
+}
+
+// advance simulates one step.
+func (f *largeFleet) advance() {
+	f.now += largeFleetStep
+	elapsed := f.now - f.start
+	f.submitDue(elapsed)
+	switch elapsed {
+	case 3500 * time.Millisecond:
+		f.addWave()
+	case 6 * time.Second, 9 * time.Second:
+		for i := 0; i < len(f.instances); i += 16 {
+			f.instances[i].cut = elapsed == 6*time.Second
+		}
+	}
+	f.endDueRuns()
+	for _, in := range slices.Clone(f.instances) {
+		if f.now >= in.pollDue {
+			f.poll(in)
+		}
+	}
+	for len(f.arrivals) > 0 && f.arrivals[0].at <= f.now {
+		f.addInstance(f.arrivals[0].instance)
+		f.arrivals = f.arrivals[1:]
+	}
+	start := time.Now()
+	f.scheduler.Tick(f.now, f.now.Milliseconds())
+	f.tick += time.Since(start)
+	f.ticks++
+	f.takeOrders()
+	f.commitResults()
+}
+
+// submitDue submits the jobs of this step.
+func (f *largeFleet) submitDue(elapsed time.Duration) {
+	if elapsed == largeFleetStep {
+		for _, p := range largeFleetPools[:4] {
+			for i := range 8 {
+				f.submit(fleet.QueueID(p.name+"-hold"), customerName(i), workload.Step{
+					Count: 24, Resources: workload.Resources{Processors: 4500, Memory: 15000}, Service: true, MaxPerInstance: 1, MaxUnavailable: 24, Estimate: 700 * time.Millisecond,
+				})
+			}
+		}
+	}
+	turn := int(elapsed/(4500*time.Millisecond)) % 4
+	for i, p := range largeFleetPools[:4] {
+		rate := p.rate * 0.05
+		if i == turn {
+			rate = p.rate * 5
+		}
+		if f.random.Float64() >= rate*largeFleetStep.Seconds() {
+			continue
+		}
+		var steps []workload.Step
+		for k := range 1 + f.random.Intn(3) {
+			step := p.step
+			step.Count = 2 + f.random.Intn(13)
+			step.Estimate = p.work
+			step.Resources.Processors += int64(f.random.Intn(20) * 100)
+			if k > 0 {
+				step.After = []int{k - 1}
+			}
+			if f.random.Intn(7) == 0 {
+				step.MaxPerInstance = 2
+			}
+			steps = append(steps, step)
+		}
+		f.submit(fleet.QueueID(p.name), customerName(min(f.random.Intn(20), f.random.Intn(20))), steps...)
+	}
+}
+
+func (f *largeFleet) submit(queue fleet.QueueID, customer fleet.CustomerID, steps ...workload.Step) {
+	id := workload.JobID(fmt.Sprintf("%016x", f.index))
+	f.commit(state.SubmitJob{Job: workload.Job{ID: id, Steps: steps}, Queue: queue, Customer: customer, At: state.Timestamp(f.now.Milliseconds())})
+	start := time.Now()
+	f.scheduler.AddJob(f.now, f.now.Milliseconds(), f.state.Workload.Jobs[id], false)
+	f.add += time.Since(start)
+	f.addings++
+}
+
+// addWave adds a maintenance wave over 150 machines, 56 at a time.
+func (f *largeFleet) addWave() {
+	w := workload.Wave{Number: 1, TimeLimit: 27 * time.Second, MaxConcurrent: 56}
+	for i, in := range f.instances {
+		if i%2 == 0 && len(w.Machines) < 150 {
+			w.Machines = append(w.Machines, in.Machine)
+		}
+	}
+	f.commit(state.AddWave{Wave: w, At: state.Timestamp(f.now.Milliseconds())})
+	f.scheduler.AddWave(f.now, f.now.Milliseconds(), f.state.Workload.Waves[1])
+}
+
+// endDueRuns ends the runs that are done, and lets their instances answer the poll.
+func (f *largeFleet) endDueRuns() {
+	for _, in := range f.instances {
+		for _, task := range simulatedTasks(in.runs) {
+			if r := in.runs[task]; !r.service && f.now >= r.start+r.length {
+				f.end(in, task, workload.EndedDone)
+			}
+		}
+	}
+}
+
+func (f *largeFleet) end(in *simulatedInstance, task workload.TaskID, ending workload.Ending) {
+	in.lastEnd++
+	in.ended = append(in.ended, scheduler.ReportedEnd{Number: in.lastEnd, Task: task, Run: in.runs[task].number, Ending: ending})
+	delete(in.runs, task)
+	in.pollDue = min(in.pollDue, max(f.now, in.polledAt+80*time.Millisecond))
+}
+
+func simulatedTasks(runs map[workload.TaskID]*simulatedRun) []workload.TaskID {
+	return slices.SortedFunc(maps.Keys(runs), compareTasks)
+}
+
+func compareTasks(a, b workload.TaskID) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Position, b.Position))
+}
+
+// poll polls an instance, and sets the time of its next poll.
+func (f *largeFleet) poll(in *simulatedInstance) {
+	in.polledAt = f.now
+	start := time.Now()
+	request, enrolled := f.scheduler.NextPoll(f.now, in.ID, true)
+	f.report += time.Since(start)
+	in.pollDue = f.now + max(request.Wait, 80*time.Millisecond)
+	switch {
+	case !enrolled:
+		return
+	case in.gone:
+		f.scheduler.HandlePollFailure(f.now, in.ID, scheduler.Refused)
+		return
+	case in.cut:
+		f.scheduler.HandlePollFailure(f.now, in.ID, scheduler.Uncertain)
+		return
+	}
+	in.ended = slices.DeleteFunc(in.ended, func(e scheduler.ReportedEnd) bool { return e.Number <= request.AckedEnd })
+	report := scheduler.StatusReport{Boot: in.Boot, Clock: time.Minute + f.now - f.start, Ended: slices.Clone(in.ended)}
+	for _, task := range simulatedTasks(in.runs) {
+		r := in.runs[task]
+		percent := 100
+		if !r.service {
+			percent = int(100 * (f.now - r.start) / r.length)
+		}
+		report.Running = append(report.Running, scheduler.ReportedRun{Task: task, Run: r.number, Percent: percent})
+	}
+	start = time.Now()
+	f.scheduler.HandleReport(f.now, in.ID, f.now, report)
+	f.report += time.Since(start)
+	f.reports++
+}
+
+// takeOrders executes the orders of a planning run, sorted.
+func (f *largeFleet) takeOrders() {
+	orders := f.scheduler.TakeOrders()
+	slices.SortStableFunc(orders, func(a, b scheduler.Order) int {
+		return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Kind, b.Kind), compareTasks(a.Task, b.Task), cmp.Compare(a.Run, b.Run))
+	})
+	for _, o := range orders {
+		f.record("%d %s %s %s %d %d\n", f.now, o.Kind, o.Instance, o.Task, o.Run, o.Deadline)
+		f.execute(o)
+	}
+	machineOrders := f.scheduler.TakeMachineOrders()
+	slices.SortFunc(machineOrders, func(a, b scheduler.MachineOrder) int { return cmp.Compare(a.Machine, b.Machine) })
+	for _, o := range machineOrders {
+		f.record("%d %s %d %s\n", f.now, o.Machine, o.Wave, o.Pool)
+		f.executeMachineOrder(o)
+	}
+}
+
+func (f *largeFleet) record(format string, values ...any) {
+	if f.digest != nil {
+		fmt.Fprintf(f.digest, format, values...)
+	}
+}
+
+func (f *largeFleet) execute(o scheduler.Order) {
+	in := f.byID[o.Instance]
+	outcome := scheduler.Accepted
+	switch {
+	case in.gone:
+		outcome = scheduler.Refused
+	case in.cut:
+		outcome = scheduler.Uncertain
+	case o.Kind == scheduler.Start:
+		step := f.state.Workload.Jobs[o.Task.Job].Job.Steps[o.Task.Position.Step()]
+		length := time.Duration(float64(step.Estimate) * (0.5 + f.random.Float64()))
+		in.runs[o.Task] = &simulatedRun{number: o.Run, start: f.now, length: length, service: step.Service}
+		in.pollDue = min(in.pollDue, f.now+700*time.Millisecond)
+	case o.Kind == scheduler.Stop:
+		if r := in.runs[o.Task]; r != nil && r.number == o.Run {
+			f.end(in, o.Task, workload.EndedStopped)
+		}
+	case o.Kind == scheduler.ImmediatePoll:
+		in.pollDue = f.now
+		return
+	}
+	f.scheduler.HandleOrderOutcome(f.now, o, outcome)
+}
+
+// executeMachineOrder shuts the machine down and lets it come up again under a later boot.
+func (f *largeFleet) executeMachineOrder(o scheduler.MachineOrder) {
+	i := slices.IndexFunc(f.instances, func(in *simulatedInstance) bool { return in.Machine == o.Machine && !in.gone })
+	if i < 0 {
+		f.scheduler.HandleMachineOutcome(f.now, o, scheduler.MachineBusy)
+		return
+	}
+	in := f.instances[i]
+	in.gone = true
+	clear(in.runs)
+	next := in.Instance
+	next.Boot++
+	next.ID = fleet.InstanceID(fmt.Sprintf("%s-%d", in.ID[:6], next.Boot))
+	next.Address = fmt.Sprintf("%s-%d", next.Machine, next.Boot)
+	length := 2 * time.Second
+	if o.Pool != "" {
+		next.Pool = o.Pool
+		length = 1500 * time.Millisecond
+	}
+	f.arrivals = append(f.arrivals, arrival{f.now + length, next})
+	slices.SortStableFunc(f.arrivals, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
+	if f.scheduler.HandleMachineOutcome(f.now, o, scheduler.MachineDone) {
+		f.commit(state.RecordMaintenanceStart{Wave: o.Wave, Machine: o.Machine})
+	}
+}
+
+func (f *largeFleet) commitResults() {
+	if ends, failed, batch := f.scheduler.TakeEnds(); batch > 0 {
+		slices.SortFunc(ends, func(a, b state.RunEnd) int { return compareTasks(a.Task, b.Task) })
+		for _, e := range ends {
+			f.record("%d end %s %d %t\n", f.now, e.Task, e.Run, e.Failed)
+		}
+		f.commit(state.RecordRunEnds{Ends: ends, Failed: failed, At: state.Timestamp(f.now.Milliseconds())})
+		f.scheduler.ConfirmEnds(batch)
+	}
+	f.scheduler.TakeCompleted()
+	f.scheduler.TakeDecisions()
+	if list := f.scheduler.TakeCordons(); len(list) > 0 {
+		f.commit(state.CordonInstances{Instances: list})
+	}
+	if list := f.scheduler.TakeUncordons(); len(list) > 0 {
+		f.commit(state.UncordonInstances{Instances: list})
+		f.scheduler.ConfirmUncordoned(list)
+	}
+	for _, in := range f.scheduler.TakeEnrolments() {
+		f.commit(state.EnrolInstance{Instance: in})
+		f.scheduler.ConfirmEnrolled(in.ID)
+	}
+	for _, id := range f.scheduler.TakeDeregistrations() {
+		f.commit(state.DeregisterInstances{Instances: []fleet.InstanceID{id}})
+		if in := f.byID[id]; in != nil && in.gone {
+			f.instances = slices.DeleteFunc(f.instances, func(other *simulatedInstance) bool { return other == in })
+		}
+	}
+}
--- a/internal/scheduler/scheduler_bench_test.go
+++ b/internal/scheduler/scheduler_bench_test.go
@@ -95,3 +95,22 @@
 		})
 	}
 }
+
+// BenchmarkLargeFleet measures the scheduler of a leader with 349 instances from the sixth second of a day on: the time of
+// one planning run, poll and submission, and the share of a core that they use together.
+func BenchmarkLargeFleet(b *testing.B) {
+	f := newLargeFleet(1)
+	for f.now < f.start+5*time.Second {
+		f.advance()
+	}
+	f.tick, f.report, f.add, f.ticks, f.reports, f.addings = 0, 0, 0, 0, 0, 0
+	begun := f.now
+	b.ResetTimer()
+	for range b.N {
+		f.advance()
+	}
+	b.ReportMetric(float64(f.tick.Microseconds())/float64(f.ticks), "µs/tick")
+	b.ReportMetric(float64(f.report.Microseconds())/float64(max(1, f.reports)), "µs/poll")
+	b.ReportMetric(float64(f.add.Microseconds())/float64(max(1, f.addings)), "µs/job")
+	b.ReportMetric((f.tick+f.report+f.add).Seconds()/(f.now-begun).Seconds(), "cores")
+}
