Keep the scheduler's instances in order and by machine

Each planning run walked the map of instances several times and sorted it, and searched all instances for the one on each machine of a wave. Benchmark of 349 instances, 5 times: 0.94 to 1.23 ms a planning run before, 0.78 to 0.89 ms after (the machine was busy with other work in both).

--- a/internal/scheduler/consolidate.go
+++ b/internal/scheduler/consolidate.go
@@ -31,7 +31,7 @@
 
 // consolidatingInstance returns the instance of a pool that is being emptied, or nil.
 func (s *Scheduler) consolidatingInstance(pool fleet.PoolID) *instance {
-	for _, in := range s.instances {
+	for _, in := range s.instances.sorted {
 		if in.Pool == pool && in.consolidating {
 			return in
 		}
@@ -42,7 +42,7 @@
 // consolidationCandidate returns the instance of a pool with the fewest runs that can all be relocated, or nil.
 func (s *Scheduler) consolidationCandidate(pool fleet.PoolID) *instance {
 	var best *instance
-	for _, in := range s.instances {
+	for _, in := range s.instances.sorted {
 		if in.Pool != pool || in.Machine == "" || !s.schedulable(in) || len(in.runs) == 0 || len(in.runs) > maxRelocatedTasks || !s.canRelocateAll(in) {
 			continue
 		}
--- a/internal/scheduler/cordon.go
+++ b/internal/scheduler/cordon.go
@@ -44,7 +44,7 @@
 // ConfirmUncordoned records that the removal of the cordons is committed.
 func (s *Scheduler) ConfirmUncordoned(list []fleet.InstanceID) {
 	for _, id := range list {
-		if in := s.instances[id]; in != nil && in.uncordoning {
+		if in := s.instances.byID[id]; in != nil && in.uncordoning {
 			in.cordoned, in.uncordoning = false, false
 		}
 	}
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -131,7 +131,7 @@
 // evacuatingInstances returns the number of instances of a pool that are being emptied for maintenance.
 func (s *Scheduler) evacuatingInstances(pool fleet.PoolID) int {
 	n := 0
-	for _, in := range s.instances {
+	for _, in := range s.instances.sorted {
 		if in.Pool == pool && in.enrolled && in.evacuating && s.moves[in.Machine] == nil {
 			n++
 		}
@@ -142,7 +142,7 @@
 // meanCapacity returns the mean processors and memory of all instances.
 func (s *Scheduler) meanCapacity() workload.Resources {
 	total, n := workload.Resources{}, int64(0)
-	for _, in := range s.instances {
+	for _, in := range s.instances.sorted {
 		total = total.Add(in.Capacity)
 		n++
 	}
@@ -155,7 +155,7 @@
 // availableInstances returns the number of instances of a pool that can run tasks, plus the machines being moved to it.
 func (s *Scheduler) availableInstances(pool fleet.PoolID) int {
 	n := 0
-	for _, in := range s.instances {
+	for _, in := range s.instances.sorted {
 		if in.Pool == pool && in.enrolled && !in.Draining && !in.departed && in.failedPolls == 0 && s.moves[in.Machine] == nil {
 			n++
 		}
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -96,7 +96,7 @@
 
 func (s *Scheduler) addInstance(announced workload.Instance) *instance {
 	in := &instance{Instance: announced, runs: map[workload.TaskID]*run{}, orphans: map[runKey]time.Duration{}, clockReadAt: s.now, announcedAt: s.now, throttlePercent: 100}
-	s.instances[announced.ID] = in
+	s.instances.put(in)
 	return in
 }
 
@@ -106,7 +106,7 @@
 	if s.supersedeBoots(announced) {
 		return false
 	}
-	in := s.instances[announced.ID]
+	in := s.instances.byID[announced.ID]
 	if in != nil && announced.Boot > in.Boot {
 		s.removeInstance(in, "instance restarted")
 		in = nil
@@ -119,7 +119,7 @@
 		return in.needsEnrolment()
 	}
 	in.observeClock(now, announced.Clock)
-	in.Instance = announced
+	s.instances.update(in, announced)
 	in.announcedAt = now
 	return in.needsEnrolment()
 }
@@ -127,7 +127,7 @@
 // supersedeBoots removes the other instances with an earlier boot at the same address or machine. It reports whether the
 // announced boot itself is older than a known one and must be ignored.
 func (s *Scheduler) supersedeBoots(announced workload.Instance) bool {
-	for _, other := range s.instances {
+	for _, other := range s.instances.sorted {
 		conflicts := other.ID == announced.ID || other.Address == announced.Address || announced.Machine != "" && other.Machine == announced.Machine
 		if !conflicts {
 			continue
@@ -162,7 +162,7 @@
 
 // ConfirmEnrolled records that the enrolment is committed, which allows starts on the instance.
 func (s *Scheduler) ConfirmEnrolled(id fleet.InstanceID) {
-	if in := s.instances[id]; in != nil {
+	if in := s.instances.byID[id]; in != nil {
 		in.enrolled = true
 	}
 }
@@ -171,7 +171,7 @@
 // a zero boot matches any boot.
 func (s *Scheduler) HandleDeparture(now time.Duration, id fleet.InstanceID, boot int64) {
 	s.now = now
-	in := s.instances[id]
+	in := s.instances.byID[id]
 	if in == nil || boot != 0 && in.Boot > boot {
 		return
 	}
@@ -180,10 +180,10 @@
 
 // EnrolledInstances returns the instances to poll.
 func (s *Scheduler) EnrolledInstances() []fleet.InstanceID {
-	list := make([]fleet.InstanceID, 0, len(s.instances))
-	for id, in := range s.instances {
+	list := make([]fleet.InstanceID, 0, len(s.instances.sorted))
+	for _, in := range s.instances.sorted {
 		if in.enrolled {
-			list = append(list, id)
+			list = append(list, in.ID)
 		}
 	}
 	return list
@@ -213,7 +213,7 @@
 // removeInstance deletes an instance that certainly runs nothing any more, and reports its remaining runs as lost.
 func (s *Scheduler) removeInstance(in *instance, reason string) {
 	s.dropRuns(in, reason)
-	delete(s.instances, in.ID)
+	s.instances.remove(in.ID)
 	delete(s.unreconciled, in.ID)
 	s.deregistrations = append(s.deregistrations, in.ID)
 }
@@ -236,7 +236,7 @@
 
 // cancelEvacuation makes an instance schedulable again after its move was refused.
 func (s *Scheduler) cancelEvacuation(in *instance) {
-	if in == nil || s.instances[in.ID] != in {
+	if in == nil || s.instances.byID[in.ID] != in {
 		return
 	}
 	in.evacuating = false
@@ -305,7 +305,7 @@
 //
 // Empty instances that are draining or have departed are deregistered, so that a later leader does not wait for them.
 func (s *Scheduler) expireInstances() {
-	for _, in := range s.instances {
+	for _, in := range s.instances.sorted {
 		if (in.Draining || in.departed) && in.polled && len(in.runs) == 0 && !in.hasOrphans {
 			s.deregister(in)
 		}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -157,7 +157,7 @@
 		return true
 	}
 	for id := range s.unreconciled {
-		in := s.instances[id]
+		in := s.instances.byID[id]
 		cordonedBefore := in.cordonIndex > 0 && in.cordonIndex < j.acceptedIndex
 		if slices.Contains(j.pools, in.Pool) && !cordonedBefore {
 			return false
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -108,7 +108,7 @@
 // idleInstance returns an eligible instance without runs from the pool with the largest surplus, or nil.
 func (s *Scheduler) idleInstance(eligible func(in *instance) bool) *instance {
 	var best *instance
-	for _, in := range s.instances {
+	for _, in := range s.instances.sorted {
 		if len(in.runs) > 0 || in.Machine == "" || !s.schedulable(in) && !in.consolidating || s.moves[in.Machine] != nil || s.now < s.machineOf(in.Machine).backoffUntil || !eligible(in) {
 			continue
 		}
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -37,7 +37,7 @@
 // HandleOrderOutcome processes the outcome of an order.
 func (s *Scheduler) HandleOrderOutcome(now time.Duration, order Order, outcome Outcome) {
 	s.now = now
-	in := s.instances[order.Instance]
+	in := s.instances.byID[order.Instance]
 	if outcome == Fenced {
 		s.superseded = true
 	}
@@ -107,7 +107,7 @@
 
 // retryStops repeats stops that were not accepted.
 func (s *Scheduler) retryStops() {
-	for _, in := range s.instances {
+	for _, in := range s.instances.sorted {
 		if in.failedPolls > 0 {
 			continue
 		}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -118,14 +118,11 @@
 
 func (s *Scheduler) schedulableInstances() map[fleet.PoolID][]*instance {
 	pools := map[fleet.PoolID][]*instance{}
-	for _, in := range s.instances {
+	for _, in := range s.instances.sorted {
 		if s.schedulable(in) {
 			pools[in.Pool] = append(pools[in.Pool], in)
 		}
 	}
-	for _, list := range pools {
-		slices.SortFunc(list, func(a, b *instance) int { return cmp.Compare(a.ID, b.ID) })
-	}
 	return pools
 }
 
@@ -218,7 +215,7 @@
 func (s *Scheduler) withinLimit(j *job, requested workload.Resources) bool {
 	total := s.customerUsage[j.customer].Add(requested)
 	for id := range s.unreconciled {
-		total = total.Add(s.instances[id].Capacity)
+		total = total.Add(s.instances.byID[id].Capacity)
 	}
 	return total.WithinLimit(s.catalogue.CustomerLimit(j.customer))
 }
@@ -321,7 +318,7 @@
 
 // stopStalledRuns stops runs that make no progress, so that their tasks run elsewhere.
 func (s *Scheduler) stopStalledRuns() {
-	for _, in := range s.instances {
+	for _, in := range s.instances.sorted {
 		if in.failedPolls > 0 || !in.polled {
 			continue
 		}
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -53,7 +53,7 @@
 // instance responds immediately.
 func (s *Scheduler) NextPoll(now time.Duration, id fleet.InstanceID, wait bool) (PollRequest, bool) {
 	s.now = now
-	in := s.instances[id]
+	in := s.instances.byID[id]
 	if in == nil || !in.enrolled {
 		return PollRequest{}, false
 	}
@@ -93,7 +93,7 @@
 // HandleReport processes the response to a poll that was sent at sentAt.
 func (s *Scheduler) HandleReport(now time.Duration, id fleet.InstanceID, sentAt time.Duration, report StatusReport) {
 	s.now = now
-	in := s.instances[id]
+	in := s.instances.byID[id]
 	if in == nil {
 		return
 	}
@@ -322,7 +322,7 @@
 // HandlePollFailure records that a poll was not answered with a report.
 func (s *Scheduler) HandlePollFailure(now time.Duration, id fleet.InstanceID, outcome Outcome) {
 	s.now = now
-	in := s.instances[id]
+	in := s.instances.byID[id]
 	if in == nil {
 		return
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -109,7 +109,7 @@
 	now           time.Duration
 	wallMillis    int64 // Unix time
 	catalogue     *workload.Catalogue
-	instances     map[fleet.InstanceID]*instance
+	instances     instanceTable
 	jobs          map[workload.JobID]*job
 	customerUsage map[fleet.CustomerID]workload.Resources
 	// poolUsage is what the batch runs of each customer claim in each pool.
@@ -167,7 +167,7 @@
 		now:              now,
 		wallMillis:       wallMillis,
 		catalogue:        &catalogue,
-		instances:        map[fleet.InstanceID]*instance{},
+		instances:        newInstanceTable(),
 		jobs:             map[workload.JobID]*job{},
 		customerUsage:    map[fleet.CustomerID]workload.Resources{},
 		poolUsage:        map[poolCustomer]workload.Resources{},
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -119,8 +119,8 @@
 }
 
 func (s *Scheduler) instanceOn(machine string) *instance {
-	for _, in := range s.instances {
-		if in.Machine == machine && !in.departed {
+	for _, in := range s.instances.byMachine[machine] {
+		if !in.departed {
 			return in
 		}
 	}
@@ -134,7 +134,7 @@
 		}
 		return
 	}
-	if in := m.instance; in != nil && s.instances[in.ID] == in {
+	if in := m.instance; in != nil && s.instances.byID[in.ID] == in {
 		s.evacuate(w, in)
 		if len(in.runs) > 0 || in.failedPolls > 0 {
 			return
@@ -143,7 +143,7 @@
 	if m.inFlight || s.now-m.requestedAt < maintenanceRetryInterval {
 		return
 	}
-	if m.instance != nil && s.instances[m.instance.ID] == m.instance {
+	if m.instance != nil && s.instances.byID[m.instance.ID] == m.instance {
 		s.deregisterEvacuated(m.instance)
 	}
 	m.inFlight = true
@@ -190,7 +190,7 @@
 // fitsElsewhere reports whether a schedulable instance of the pool can take the task of the run.
 func (s *Scheduler) fitsElsewhere(r *run, step *workload.Step) bool {
 	c := candidate{job: r.job, occurrence: r.task.Position.Occurrence(), stage: r.job.stage(r.task.Position)}
-	for _, in := range s.instances {
+	for _, in := range s.instances.sorted {
 		if in.Pool == r.job.pool && s.schedulable(in) && in.admits(c, step) {
 			return true
 		}
@@ -230,11 +230,9 @@
 // markDeparted marks the instances of a machine as departed and returns their latest boot. Only a later boot counts as
 // the machine's return.
 func (s *Scheduler) markDeparted(machine string) (boot int64) {
-	for _, in := range s.instances {
-		if in.Machine == machine {
-			in.departed = true
-			boot = max(boot, in.Boot)
-		}
+	for _, in := range s.instances.byMachine[machine] {
+		in.departed = true
+		boot = max(boot, in.Boot)
 	}
 	return boot
 }
