--- a/internal/scheduler/large_fleet_decisions_test.go
+++ b/internal/scheduler/large_fleet_decisions_test.go
@@ -25,7 +25,7 @@
 		{2, []time.Duration{2 * time.Second, 7 * time.Second}, "f5bee620acd6f4f9059b0c91848ba813313c3b285137c9d2d3acbe5f393130f7"},
 	}
 	for _, day := range days {
-		f := newLargeFleet(day.seed)
+		f := newLargeFleet(day.seed, 0)
 		f.digest = sha256.New()
 		for f.now < f.start+9*time.Second {
 			f.advance()
--- a/internal/scheduler/large_fleet_test.go
+++ b/internal/scheduler/large_fleet_test.go
@@ -76,8 +76,13 @@
 	{"backoffice", 56, 0, workload.Step{}, 0, 0},
 }
 
-func largeFleetCatalogue() workload.Catalogue {
+// largeFleetCatalogue has extraQueues queues without jobs beside the used ones.
+func largeFleetCatalogue(extraQueues int) workload.Catalogue {
 	c := workload.Catalogue{Version: 1}
+	for i := range extraQueues {
+		name := fmt.Sprint("extra-", i)
+		c.Queues = append(c.Queues, workload.Queue{Name: fleet.QueueID(name), Host: "h", Prefix: "/" + name, Pool: "counter"})
+	}
 	for _, p := range largeFleetPools {
 		c.Pools = append(c.Pools, workload.Pool{Name: p.name, Standby: p.rate == 0})
 		if p.rate > 0 {
@@ -100,9 +105,9 @@
 
 func customerName(i int) fleet.CustomerID { return fleet.CustomerID(fmt.Sprint("c-", i)) }
 
-func newLargeFleet(seed int64) *largeFleet {
+func newLargeFleet(seed int64, extraQueues int) *largeFleet {
 	f := &largeFleet{random: rand.New(rand.NewSource(seed)), start: time.Hour, now: time.Hour, state: state.New(), byID: map[fleet.InstanceID]*simulatedInstance{}}
-	f.commit(state.PublishCatalogue{Source: []byte("x"), Catalogue: largeFleetCatalogue()})
+	f.commit(state.PublishCatalogue{Source: []byte("x"), Catalogue: largeFleetCatalogue(extraQueues)})
 	f.startLeader()
 	number := 0
 	for _, p := range largeFleetPools {
--- a/internal/scheduler/scheduler_bench_test.go
+++ b/internal/scheduler/scheduler_bench_test.go
@@ -97,20 +97,25 @@
 }
 
 // BenchmarkLargeFleet measures the scheduler of a leader with 349 instances from the sixth second of a day on: the time of
-// one planning run, poll and submission, and the share of a core that they use together.
+// one planning run, poll and submission, and the share of a core that they use together. It runs once with as many more
+// queues as a large configuration adds.
 func BenchmarkLargeFleet(b *testing.B) {
-	f := newLargeFleet(1)
-	for f.now < f.start+5*time.Second {
-		f.advance()
-	}
-	f.tick, f.report, f.add, f.ticks, f.reports, f.addings = 0, 0, 0, 0, 0, 0
-	begun := f.now
-	b.ResetTimer()
-	for range b.N {
-		f.advance()
+	for _, extraQueues := range []int{0, 1200} {
+		b.Run(fmt.Sprint("queues=", 8+extraQueues), func(b *testing.B) {
+			f := newLargeFleet(1, extraQueues)
+			for f.now < f.start+5*time.Second {
+				f.advance()
+			}
+			f.tick, f.report, f.add, f.ticks, f.reports, f.addings = 0, 0, 0, 0, 0, 0
+			begun := f.now
+			b.ResetTimer()
+			for range b.N {
+				f.advance()
+			}
+			b.ReportMetric(float64(f.tick.Microseconds())/float64(f.ticks), "µs/tick")
+			b.ReportMetric(float64(f.report.Microseconds())/float64(max(1, f.reports)), "µs/poll")
+			b.ReportMetric(float64(f.add.Microseconds())/float64(max(1, f.addings)), "µs/job")
+			b.ReportMetric((f.tick+f.report+f.add).Seconds()/(f.now-begun).Seconds(), "cores")
+		})
 	}
-	b.ReportMetric(float64(f.tick.Microseconds())/float64(f.ticks), "µs/tick")
-	b.ReportMetric(float64(f.report.Microseconds())/float64(max(1, f.reports)), "µs/poll")
-	b.ReportMetric(float64(f.add.Microseconds())/float64(max(1, f.addings)), "µs/job")
-	b.ReportMetric((f.tick+f.report+f.add).Seconds()/(f.now-begun).Seconds(), "cores")
 }
