Look up the queue and customer of a job once a catalogue

Each planning run looked up the queue of each waiting stage by name, to see whether it needs advice, and the limit of its customer. Benchmark of 349 instances with 1208 queues, 3 times: 1.52 to 1.65 ms a planning run before, 0.83 to 0.87 ms after; with 8 queues 0.87 to 0.99 ms before and 0.81 to 0.93 ms after.

--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -46,8 +46,7 @@
 // advisedInstances returns the instances on which tasks of the stage may start: all of them, or on a queue with advice
 // those with a valid ticket. If these have too little free capacity, it requests advice for more.
 func (s *Scheduler) advisedInstances(c candidate, instances []*instance) []*instance {
-	q, ok := s.catalogue.QueueByName(c.job.queue)
-	if !ok || q.Advice == nil {
+	if c.job.adviceConfig == nil {
 		return instances
 	}
 	received := c.job.adviceOf(workload.NewPosition(c.occurrence, c.stage.stepIndex, 0))
@@ -141,8 +140,7 @@
 	if j == nil {
 		return
 	}
-	q, ok := s.catalogue.QueueByName(j.queue)
-	if !ok || q.Advice == nil {
+	if j.adviceConfig == nil {
 		return
 	}
 	received := j.adviceOf(request.Step.Position)
@@ -150,7 +148,7 @@
 		k := bootID{id, request.boots[i]}
 		received.requested[k] = true
 		if value := tickets[id]; value != "" {
-			received.tickets[k] = ticket{value: value, expiresAt: now + time.Duration(ticketValidityMargin*float64(q.Advice.Validity))}
+			received.tickets[k] = ticket{value: value, expiresAt: now + time.Duration(ticketValidityMargin*float64(j.adviceConfig.Validity))}
 		}
 	}
 }
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -22,7 +22,10 @@
 	acceptedAt time.Duration
 	dueAt      time.Duration
 	objective  time.Duration
-	inherited  bool
+	// adviceConfig is that of the queue, and limit that of the customer.
+	adviceConfig *workload.Advice
+	limit        workload.Resources
+	inherited    bool
 	// acceptedIndex is the log index of the submission.
 	acceptedIndex uint64
 	finished      bool
@@ -84,7 +87,7 @@
 	for index := range record.Job.OccurrenceCount() {
 		j.occurrences = append(j.occurrences, newOccurrence(&j.Job, index))
 	}
-	s.applyQueue(j)
+	s.applyCatalogue(j)
 	j.acceptedAt = now - time.Duration(wallMillis-int64(record.AcceptedAt))*time.Millisecond
 	j.dueAt = j.acceptedAt + j.objective
 	for p := range record.Completed {
@@ -115,13 +118,16 @@
 	return o
 }
 
-// applyQueue copies pool, priority, attempts and latency objective from the job's queue. If the queue was removed, the
-// job keeps its values.
-func (s *Scheduler) applyQueue(j *job) {
+// applyCatalogue copies the customer's limit, and pool, priority, attempts, latency objective and advice of the queue. If
+// the queue was removed, the job needs no advice and keeps the other values.
+func (s *Scheduler) applyCatalogue(j *job) {
+	j.limit = s.catalogue.CustomerLimit(j.customer)
+	j.adviceConfig = nil
 	q, ok := s.catalogue.QueueByName(j.queue)
 	if !ok {
 		return
 	}
+	j.adviceConfig = q.Advice
 	j.pool = q.Pool
 	if !slices.Contains(j.pools, j.pool) {
 		j.pools = append(j.pools, j.pool)
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -217,7 +217,7 @@
 	for id := range s.unreconciled {
 		total = total.Add(s.instances.byID[id].Capacity)
 	}
-	return total.WithinLimit(s.catalogue.CustomerLimit(j.customer))
+	return total.WithinLimit(j.limit)
 }
 
 // chooseInstance returns the instance with the highest score for a task, or nil.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -201,7 +201,7 @@
 func (s *Scheduler) SetCatalogue(c *workload.Catalogue) {
 	s.catalogue = c
 	for _, j := range s.jobs {
-		s.applyQueue(j)
+		s.applyCatalogue(j)
 	}
 }
 
