Count the runs of a stage on each instance as they start and end

Placing a task scanned the runs of every instance of the pool, several times for a service task, also when no instance had room.

--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -76,8 +76,7 @@
 	if s.adviceInFlight || s.now < s.adviceBackoffUntil {
 		return
 	}
-	step := &c.job.Steps[c.stage.stepIndex]
-	missing := c.waitingTasks() - placeableTasks(c, step, withTicket)
+	missing := c.waitingTasks() - placeableTasks(c.stage, withTicket)
 	if missing <= 0 {
 		return
 	}
@@ -85,7 +84,7 @@
 	for _, in := range instances {
 		t, hasTicket := received.tickets[in.bootID()]
 		unknown := !received.requested[in.bootID()] || hasTicket && s.now >= t.expiresAt
-		if unknown && in.admits(c, step) && len(request.Instances) < min(maxAdviceInstances, max(minAdviceInstances, missing)) {
+		if unknown && in.admits(c.stage) && len(request.Instances) < min(maxAdviceInstances, max(minAdviceInstances, missing)) {
 			request.Instances = append(request.Instances, in.ID)
 			request.boots = append(request.boots, in.Boot)
 		}
@@ -107,13 +106,13 @@
 	return n
 }
 
-// placeableTasks returns how many tasks of the step fit into the free capacity of the instances.
-func placeableTasks(c candidate, step *workload.Step, instances []*instance) int {
+// placeableTasks returns how many tasks of the stage fit into the free capacity of the instances.
+func placeableTasks(st *stage, instances []*instance) int {
 	n := 0
 	for _, in := range instances {
 		free := in.free()
-		for k := in.taskCount(c); free.Fits(step.Claim()) && (step.MaxPerInstance == 0 || k < step.MaxPerInstance) && n < len(c.stage.tasks); k++ {
-			free = free.Sub(step.Claim())
+		for k := st.runCounts[in]; free.Fits(st.claim) && (st.step.MaxPerInstance == 0 || k < st.step.MaxPerInstance) && n < len(st.tasks); k++ {
+			free = free.Sub(st.claim)
 			n++
 		}
 	}
--- a/internal/scheduler/consolidate.go
+++ b/internal/scheduler/consolidate.go
@@ -59,7 +59,7 @@
 	defer func() { in.consolidating = false }()
 	for _, r := range in.runs {
 		step := r.job.step(r.task.Position)
-		if !step.Service || step.MaxUnavailable == 0 || step.Gang || r.status != statusRunning || r.percent < 100 || !s.fitsElsewhere(r, step) {
+		if !step.Service || step.MaxUnavailable == 0 || step.Gang || r.status != statusRunning || r.percent < 100 || !s.fitsElsewhere(r) {
 			return false
 		}
 	}
--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -23,7 +23,7 @@
 			step := r.job.step(r.task.Position)
 			switch {
 			case step.Gang:
-			case step.Service && s.fitsElsewhere(r, step) && (remaining < drainServiceWindow || s.budgetAllowsStop(r, step)):
+			case step.Service && s.fitsElsewhere(r) && (remaining < drainServiceWindow || s.budgetAllowsStop(r, step)):
 				s.stopRun(in, r, "instance is draining")
 			case !step.Service && step.Checkpointing && remaining < drainCheckpointWindow && r.remainingTime(s.now) > remaining:
 				s.stopRun(in, r, "instance is draining")
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -90,11 +90,11 @@
 	var assigned []*instance
 	count := len(c.stage.tasks)
 	for _, in := range instances {
-		if !in.admits(c, step) {
+		if !in.admits(c.stage) {
 			continue
 		}
 		free := in.free()
-		for n := in.taskCount(c); free.Fits(step.Claim()) && len(assigned) < count && (step.MaxPerInstance == 0 || n < step.MaxPerInstance); n++ {
+		for n := c.stage.runCounts[in]; free.Fits(step.Claim()) && len(assigned) < count && (step.MaxPerInstance == 0 || n < step.MaxPerInstance); n++ {
 			free = free.Sub(step.Claim())
 			assigned = append(assigned, in)
 		}
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -24,6 +24,7 @@
 	maxDeadlineSent time.Duration
 	failedPolls     int
 	runs            map[workload.TaskID]*run
+	serviceRuns     int
 	claimed         workload.Resources
 	// lastEndNumber is the highest end number that was processed, ackedEnd the highest that is acknowledged.
 	lastEndNumber uint64
@@ -260,6 +261,9 @@
 }
 
 func (s *Scheduler) attachRun(in *instance, r *run) {
+	if in.runs[r.task] == nil {
+		in.count(r, 1)
+	}
 	in.runs[r.task] = r
 	in.claimed = in.claimed.Add(r.claim)
 	s.customerUsage[r.job.customer] = s.customerUsage[r.job.customer].Add(r.job.step(r.task.Position).Resources)
@@ -278,6 +282,7 @@
 		return
 	}
 	delete(in.runs, r.task)
+	in.count(r, -1)
 	in.claimed = in.claimed.Sub(r.claim)
 	s.customerUsage[r.job.customer] = s.customerUsage[r.job.customer].Sub(r.job.step(r.task.Position).Resources)
 	s.releaseUsage(r)
@@ -293,6 +298,18 @@
 	}
 }
 
+// count adds n to the number of the instance's runs of the run's stage, and of service tasks.
+func (in *instance) count(r *run, n int) {
+	st := r.job.stage(r.task.Position)
+	st.runCounts[in] += n
+	if st.runCounts[in] == 0 {
+		delete(st.runCounts, in)
+	}
+	if st.step.Service {
+		in.serviceRuns += n
+	}
+}
+
 // free returns the unclaimed capacity of the instance.
 func (in *instance) free() workload.Resources { return in.Capacity.Sub(in.claimed) }
 
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -48,8 +48,12 @@
 // stage is one step of an occurrence.
 type stage struct {
 	stepIndex int
+	step      *workload.Step
+	claim     workload.Resources
 	tasks     []task
 	doneCount int
+	// runCounts is the number of runs on each instance that has some.
+	runCounts map[*instance]int
 }
 
 // task is one task of a stage.
@@ -112,8 +116,9 @@
 	if j.Repetitions > 0 {
 		o.dueMillis = j.FirstDueMillis + int64(index)*j.Interval.Milliseconds()
 	}
-	for i, st := range j.Steps {
-		o.stages = append(o.stages, &stage{stepIndex: i, tasks: make([]task, st.Count)})
+	for i := range j.Steps {
+		step := &j.Steps[i]
+		o.stages = append(o.stages, &stage{stepIndex: i, step: step, claim: step.Claim(), tasks: make([]task, step.Count), runCounts: map[*instance]int{}})
 	}
 	return o
 }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -85,7 +85,7 @@
 func (s *Scheduler) placeStage(c candidate, pools map[fleet.PoolID][]*instance) {
 	pool := c.job.pool
 	instances := s.advisedInstances(c, pools[pool])
-	if c.stage.isGang(c.job) {
+	if c.stage.step.Gang {
 		s.placeGang(c, instances)
 	} else if !s.placeTasks(c, instances) && c.class == classService {
 		s.demandOf(pool).unplacedAt = s.now
@@ -96,13 +96,16 @@
 // withoutReserved returns the instances without the one that is closest to having capacity for the waiting service task,
 // so that batch work does not fill it again.
 func withoutReserved(c candidate, instances []*instance) []*instance {
-	step := &c.job.Steps[c.stage.stepIndex]
-	best := -1
+	step := c.stage.step
+	best, least := -1, 0.0
 	for i, in := range instances {
-		eligible := in.Capacity.Fits(step.Claim()) && (step.MaxPerInstance == 0 || in.taskCount(c) < step.MaxPerInstance) &&
+		eligible := in.Capacity.Fits(c.stage.claim) && (step.MaxPerInstance == 0 || c.stage.runCounts[in] < step.MaxPerInstance) &&
 			(step.RequiredLabel == "" || slices.Contains(in.Labels, step.RequiredLabel))
-		if eligible && (best < 0 || in.shortfall(step) < instances[best].shortfall(step)) {
-			best = i
+		if !eligible {
+			continue
+		}
+		if shortfall := in.shortfall(c.stage.claim); best < 0 || shortfall < least {
+			best, least = i, shortfall
 		}
 	}
 	if best < 0 {
@@ -111,9 +114,9 @@
 	return slices.Delete(slices.Clone(instances), best, best+1)
 }
 
-// shortfall returns the part of the instance's capacity that must be released before a task of the step fits.
-func (in *instance) shortfall(step *workload.Step) float64 {
-	return in.Capacity.DominantShare(step.Claim().Add(in.claimed)) - 1
+// shortfall returns the part of the instance's capacity that must be released before the claim fits.
+func (in *instance) shortfall(claim workload.Resources) float64 {
+	return in.Capacity.DominantShare(claim.Add(in.claimed)) - 1
 }
 
 func (s *Scheduler) schedulableInstances() map[fleet.PoolID][]*instance {
@@ -160,7 +163,7 @@
 }
 
 func (s *Scheduler) classOf(j *job, st *stage) class {
-	step := j.Steps[st.stepIndex]
+	step := st.step
 	switch {
 	case step.Service && step.BestEffort:
 		return classBestEffort
@@ -185,8 +188,6 @@
 	return true
 }
 
-func (st *stage) isGang(j *job) bool { return j.Steps[st.stepIndex].Gang }
-
 // placeTasks starts the waiting tasks of a stage. It returns false if a task finds no instance; a task held back by its
 // customer's limit does not count.
 func (s *Scheduler) placeTasks(c candidate, instances []*instance) bool {
@@ -195,7 +196,7 @@
 		if t.done || t.run != nil {
 			continue
 		}
-		if !s.withinLimit(c.job, c.job.Steps[c.stage.stepIndex].Resources) {
+		if !s.withinLimit(c.job, c.stage.step.Resources) {
 			return true
 		}
 		in := s.chooseInstance(c, t, instances)
@@ -222,17 +223,16 @@
 
 // chooseInstance returns the instance with the highest score for a task, or nil.
 func (s *Scheduler) chooseInstance(c candidate, t *task, instances []*instance) *instance {
-	step := &c.job.Steps[c.stage.stepIndex]
-	if step.Service {
-		c.measureSpread(instances)
-	}
 	var best *instance
 	bestScore := 0.0
 	for _, in := range instances {
-		if !in.admits(c, step) {
+		if !in.admits(c.stage) {
 			continue
 		}
-		score := in.score(c, step, t)
+		if best == nil && c.stage.step.Service {
+			c.measureSpread(instances)
+		}
+		score := in.score(c, t)
 		if best == nil || score > bestScore {
 			best, bestScore = in, score
 		}
@@ -240,26 +240,19 @@
 	return best
 }
 
-// admits reports whether a task of the step may start on the instance.
-func (in *instance) admits(c candidate, step *workload.Step) bool {
-	if !in.free().Fits(step.Claim()) || step.BestEffort && in.Capacity.Processors < step.Resources.Processors {
+// admits reports whether a task of the stage may start on the instance.
+func (in *instance) admits(st *stage) bool { return in.free().Fits(st.claim) && in.accepts(st) }
+
+// accepts reports whether a task of the stage may start on the instance if it has the capacity.
+func (in *instance) accepts(st *stage) bool {
+	step := st.step
+	if step.BestEffort && in.Capacity.Processors < step.Resources.Processors {
 		return false
 	}
 	if step.RequiredLabel != "" && !slices.Contains(in.Labels, step.RequiredLabel) {
 		return false
 	}
-	return step.MaxPerInstance == 0 || in.taskCount(c) < step.MaxPerInstance
-}
-
-// taskCount returns the number of tasks of the candidate's stage on the instance.
-func (in *instance) taskCount(c candidate) int {
-	n := 0
-	for id := range in.runs {
-		if id.Job == c.job.ID && id.Position.Step() == c.stage.stepIndex && id.Position.Occurrence() == c.occurrence {
-			n++
-		}
-	}
-	return n
+	return step.MaxPerInstance == 0 || st.runCounts[in] < step.MaxPerInstance
 }
 
 // Weights of the placement score, in units of a fully used instance.
@@ -274,7 +267,8 @@
 	weightInstanceSpread  = 0.3   // the loss of an instance should not either; both spread weights are below the cost of another instance
 )
 
-func (in *instance) score(c candidate, step *workload.Step, t *task) float64 {
+func (in *instance) score(c candidate, t *task) float64 {
+	step := c.stage.step
 	score := 0.0
 	if step.DataRack != "" && in.Rack == step.DataRack {
 		score += weightDataRack
@@ -287,32 +281,35 @@
 	if !step.Service {
 		return score + weightPacking*load
 	}
-	hostsService := false
-	for _, r := range in.runs {
-		otherStep := r.job.step(r.task.Position)
-		hostsService = hostsService || otherStep.Service
-		if step.TailLatencyTarget > 0 && otherStep.BestEffort || step.BestEffort && otherStep.TailLatencyTarget > 0 || step.TailLatencyTarget > 0 && otherStep.TailLatencyTarget > 0 {
-			score -= weightInterference
-		}
+	if step.TailLatencyTarget > 0 || step.BestEffort {
+		score -= weightInterference * float64(in.interferingRuns(step))
 	}
-	if hostsService || c.serviceInstances < minPoolInstances {
+	if in.serviceRuns > 0 || c.serviceInstances < minPoolInstances {
 		score += weightServiceInstance
 	}
-	return score + weightPacking*load - weightInstanceSpread*float64(in.taskCount(c)) - weightRackSpread*float64(c.tasksPerRack[in.Rack])
+	return score + weightPacking*load - weightInstanceSpread*float64(c.stage.runCounts[in]) - weightRackSpread*float64(c.tasksPerRack[in.Rack])
+}
+
+// interferingRuns returns the number of runs that tasks of the step and their neighbours slow down.
+func (in *instance) interferingRuns(step *workload.Step) int {
+	n := 0
+	for _, r := range in.runs {
+		other := r.job.step(r.task.Position)
+		if step.TailLatencyTarget > 0 && other.BestEffort || step.BestEffort && other.TailLatencyTarget > 0 || step.TailLatencyTarget > 0 && other.TailLatencyTarget > 0 {
+			n++
+		}
+	}
+	return n
 }
 
 // measureSpread counts the tasks of a service stage in each rack, and the instances that run service tasks.
 func (c *candidate) measureSpread(instances []*instance) {
 	c.serviceInstances, c.tasksPerRack = 0, map[string]int{}
 	for _, in := range instances {
-		hostsService := false
-		for _, r := range in.runs {
-			hostsService = hostsService || r.job.step(r.task.Position).Service
-		}
-		if hostsService {
+		if in.serviceRuns > 0 {
 			c.serviceInstances++
 		}
-		c.tasksPerRack[in.Rack] += in.taskCount(*c)
+		c.tasksPerRack[in.Rack] += c.stage.runCounts[in]
 	}
 }
 
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -184,14 +184,14 @@
 			unavailable++
 		}
 	}
-	return unavailable < max(1, step.MaxUnavailable) && s.fitsElsewhere(r, step)
+	return unavailable < max(1, step.MaxUnavailable) && s.fitsElsewhere(r)
 }
 
 // fitsElsewhere reports whether a schedulable instance of the pool can take the task of the run.
-func (s *Scheduler) fitsElsewhere(r *run, step *workload.Step) bool {
-	c := candidate{job: r.job, occurrence: r.task.Position.Occurrence(), stage: r.job.stage(r.task.Position)}
+func (s *Scheduler) fitsElsewhere(r *run) bool {
+	st := r.job.stage(r.task.Position)
 	for _, in := range s.instances.sorted {
-		if in.Pool == r.job.pool && s.schedulable(in) && in.admits(c, step) {
+		if in.Pool == r.job.pool && s.schedulable(in) && in.admits(st) {
 			return true
 		}
 	}
