Remember which claims fit nowhere while tasks are placed

In a full pool each waiting stage scanned all instances, although a claim at least as large had just found no room. Free capacity only shrinks during a planning run.

--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -21,6 +21,29 @@
 	classExpired
 )
 
+// poolCapacity is what the tasks of a pool can be placed on in one planning run.
+type poolCapacity struct {
+	// instances are the schedulable ones without those reserved for service tasks, and total the capacity of all of them.
+	instances []*instance
+	total     workload.Resources
+	// full holds claims that fit on no instance. The free capacity only shrinks while tasks are placed.
+	full []workload.Resources
+}
+
+type poolCapacities map[fleet.PoolID]*poolCapacity
+
+func (p poolCapacities) of(id fleet.PoolID) *poolCapacity {
+	if p[id] == nil {
+		p[id] = &poolCapacity{}
+	}
+	return p[id]
+}
+
+// hasRoom reports whether the claim may fit on an instance.
+func (p *poolCapacity) hasRoom(claim workload.Resources) bool {
+	return !slices.ContainsFunc(p.full, claim.Fits)
+}
+
 // candidate is a stage with tasks that wait for placement.
 type candidate struct {
 	job        *job
@@ -82,14 +105,13 @@
 	return n
 }
 
-func (s *Scheduler) placeStage(c candidate, pools map[fleet.PoolID][]*instance) {
-	pool := c.job.pool
-	instances := s.advisedInstances(c, pools[pool])
+func (s *Scheduler) placeStage(c candidate, pools poolCapacities) {
+	pool := pools.of(c.job.pool)
 	if c.stage.step.Gang {
-		s.placeGang(c, instances)
-	} else if !s.placeTasks(c, instances) && c.class == classService {
-		s.demandOf(pool).unplacedAt = s.now
-		pools[pool] = withoutReserved(c, pools[pool])
+		s.placeGang(c, s.advisedInstances(c, pool.instances))
+	} else if !s.placeTasks(c, pool) && c.class == classService {
+		s.demandOf(c.job.pool).unplacedAt = s.now
+		pool.instances = withoutReserved(c, pool.instances)
 	}
 }
 
@@ -119,12 +141,15 @@
 	return in.Capacity.DominantShare(claim.Add(in.claimed)) - 1
 }
 
-func (s *Scheduler) schedulableInstances() map[fleet.PoolID][]*instance {
-	pools := map[fleet.PoolID][]*instance{}
+func (s *Scheduler) schedulableInstances() poolCapacities {
+	pools := poolCapacities{}
 	for _, in := range s.instances.sorted {
-		if s.schedulable(in) {
-			pools[in.Pool] = append(pools[in.Pool], in)
+		if !s.schedulable(in) {
+			continue
 		}
+		pool := pools.of(in.Pool)
+		pool.instances = append(pool.instances, in)
+		pool.total = pool.total.Add(in.Capacity)
 	}
 	return pools
 }
@@ -190,7 +215,8 @@
 
 // placeTasks starts the waiting tasks of a stage. It returns false if a task finds no instance; a task held back by its
 // customer's limit does not count.
-func (s *Scheduler) placeTasks(c candidate, instances []*instance) bool {
+func (s *Scheduler) placeTasks(c candidate, pool *poolCapacity) bool {
+	instances := s.advisedInstances(c, pool.instances)
 	for i := range c.stage.tasks {
 		t := &c.stage.tasks[i]
 		if t.done || t.run != nil {
@@ -199,7 +225,13 @@
 		if !s.withinLimit(c.job, c.stage.step.Resources) {
 			return true
 		}
-		in := s.chooseInstance(c, t, instances)
+		if !pool.hasRoom(c.stage.claim) {
+			return false
+		}
+		in, hasRoom := s.chooseInstance(c, t, instances)
+		if !hasRoom && c.job.adviceConfig == nil {
+			pool.full = append(pool.full, c.stage.claim)
+		}
 		if in == nil {
 			return false
 		}
@@ -221,12 +253,16 @@
 	return total.WithinLimit(j.limit)
 }
 
-// chooseInstance returns the instance with the highest score for a task, or nil.
-func (s *Scheduler) chooseInstance(c candidate, t *task, instances []*instance) *instance {
-	var best *instance
+// chooseInstance returns the instance with the highest score for a task, or nil. hasRoom reports whether the task's claim
+// fits on any of the instances.
+func (s *Scheduler) chooseInstance(c candidate, t *task, instances []*instance) (best *instance, hasRoom bool) {
 	bestScore := 0.0
 	for _, in := range instances {
-		if !in.admits(c.stage) {
+		if !in.free().Fits(c.stage.claim) {
+			continue
+		}
+		hasRoom = true
+		if !in.accepts(c.stage) {
 			continue
 		}
 		if best == nil && c.stage.step.Service {
@@ -237,7 +273,7 @@
 			best, bestScore = in, score
 		}
 	}
-	return best
+	return best, hasRoom
 }
 
 // admits reports whether a task of the stage may start on the instance.
--- a/internal/scheduler/promote.go
+++ b/internal/scheduler/promote.go
@@ -13,48 +13,43 @@
 
 // promoteLate ranks late stages before on-time ones, by priority and then the oldest due time, while late work takes less
 // than promotionShare of their pool.
-func (s *Scheduler) promoteLate(list []candidate, pools map[fleet.PoolID][]*instance) []candidate {
+func (s *Scheduler) promoteLate(list []candidate, pools poolCapacities) []candidate {
 	if !slices.ContainsFunc(list, func(c candidate) bool { return c.class == classLate }) {
 		return list
 	}
 	lateShares := map[fleet.PoolID]float64{}
 	for i := range list {
 		c := &list[i]
-		pool := c.job.pool
+		pool := pools.of(c.job.pool)
 		if c.class != classLate {
 			continue
 		}
-		if _, known := lateShares[pool]; !known {
-			lateShares[pool] = s.lateShare(pools[pool])
+		if _, known := lateShares[c.job.pool]; !known {
+			lateShares[c.job.pool] = s.lateShare(pool)
 		}
-		if lateShares[pool] < promotionShare {
+		if lateShares[c.job.pool] < promotionShare {
 			c.class = classPromoted
-			lateShares[pool] += waitingShare(c, pools[pool])
+			lateShares[c.job.pool] += pool.waitingShare(c)
 		}
 	}
 	slices.SortStableFunc(list, compareCandidates)
 	return list
 }
 
-// lateShare returns the dominant share of late work in the capacity of the instances.
-func (s *Scheduler) lateShare(instances []*instance) float64 {
-	total, late := workload.Resources{}, workload.Resources{}
-	for _, in := range instances {
-		total = total.Add(in.Capacity)
+// lateShare returns the dominant share of late work in the capacity of the pool.
+func (s *Scheduler) lateShare(pool *poolCapacity) float64 {
+	late := workload.Resources{}
+	for _, in := range pool.instances {
 		for _, r := range in.runs {
 			if s.classOf(r.job, r.job.stage(r.task.Position)) == classLate {
 				late = late.Add(r.claim)
 			}
 		}
 	}
-	return total.DominantShare(late)
+	return pool.total.DominantShare(late)
 }
 
-// waitingShare returns the dominant share of a stage's waiting tasks in the capacity of the instances.
-func waitingShare(c *candidate, instances []*instance) float64 {
-	total := workload.Resources{}
-	for _, in := range instances {
-		total = total.Add(in.Capacity)
-	}
-	return float64(c.waitingTasks()) * total.DominantShare(c.job.Steps[c.stage.stepIndex].Claim())
+// waitingShare returns the dominant share of a stage's waiting tasks in the capacity of the pool.
+func (p *poolCapacity) waitingShare(c *candidate) float64 {
+	return float64(c.waitingTasks()) * p.total.DominantShare(c.stage.claim)
 }
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -25,7 +25,7 @@
 }
 
 // computeShares returns the fair shares of the customers in the pools.
-func (s *Scheduler) computeShares(list []candidate, pools map[fleet.PoolID][]*instance) *fairShares {
+func (s *Scheduler) computeShares(list []candidate, pools poolCapacities) *fairShares {
 	f := &fairShares{
 		capacity: map[fleet.PoolID]workload.Resources{}, usage: s.poolUsage, weights: map[fleet.CustomerID]float64{},
 		activeWeight: map[fleet.PoolID]float64{}, active: map[poolCustomer]bool{},
@@ -33,10 +33,8 @@
 	for _, customer := range s.catalogue.Customers {
 		f.weights[customer.Name] = customer.Weight
 	}
-	for pool, instances := range pools {
-		for _, in := range instances {
-			f.capacity[pool] = f.capacity[pool].Add(in.Capacity)
-		}
+	for pool, capacity := range pools {
+		f.capacity[pool] = capacity.total
 	}
 	for k, used := range s.poolUsage {
 		if used != (workload.Resources{}) {
