--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -46,8 +46,7 @@
 // advisedInstances returns the instances on which tasks of the stage may start: all of them, or on a queue with advice
 // those with a valid ticket. If these have too little free capacity, it requests advice for more.
 func (s *Scheduler) advisedInstances(c candidate, instances []*instance) []*instance {
-	q, ok := s.catalogue.QueueByName(c.job.queue)
-	if !ok || q.Advice == nil {
+	if c.job.adviceConfig == nil {
 		return instances
 	}
 	received := c.job.adviceOf(workload.NewPosition(c.occurrence, c.stage.stepIndex, 0))
@@ -77,8 +76,7 @@
 	if s.adviceInFlight || s.now < s.adviceBackoffUntil {
 		return
 	}
-	step := &c.job.Steps[c.stage.stepIndex]
-	missing := c.waitingTasks() - placeableTasks(c, step, withTicket)
+	missing := c.waitingTasks() - placeableTasks(c.stage, withTicket)
 	if missing <= 0 {
 		return
 	}
@@ -86,7 +84,7 @@
 	for _, in := range instances {
 		t, hasTicket := received.tickets[in.bootID()]
 		unknown := !received.requested[in.bootID()] || hasTicket && s.now >= t.expiresAt
-		if unknown && in.admits(c, step) && len(request.Instances) < min(maxAdviceInstances, max(minAdviceInstances, missing)) {
+		if unknown && in.admits(c.stage) && len(request.Instances) < min(maxAdviceInstances, max(minAdviceInstances, missing)) {
 			request.Instances = append(request.Instances, in.ID)
 			request.boots = append(request.boots, in.Boot)
 		}
@@ -108,13 +106,13 @@
 	return n
 }
 
-// placeableTasks returns how many tasks of the step fit into the free capacity of the instances.
-func placeableTasks(c candidate, step *workload.Step, instances []*instance) int {
+// placeableTasks returns how many tasks of the stage fit into the free capacity of the instances.
+func placeableTasks(st *stage, instances []*instance) int {
 	n := 0
 	for _, in := range instances {
 		free := in.free()
-		for k := in.taskCount(c); free.Fits(step.Claim()) && (step.MaxPerInstance == 0 || k < step.MaxPerInstance) && n < len(c.stage.tasks); k++ {
-			free = free.Sub(step.Claim())
+		for k := st.runCounts[in]; free.Fits(st.claim) && (st.step.MaxPerInstance == 0 || k < st.step.MaxPerInstance) && n < len(st.tasks); k++ {
+			free = free.Sub(st.claim)
 			n++
 		}
 	}
@@ -141,8 +139,7 @@
 	if j == nil {
 		return
 	}
-	q, ok := s.catalogue.QueueByName(j.queue)
-	if !ok || q.Advice == nil {
+	if j.adviceConfig == nil {
 		return
 	}
 	received := j.adviceOf(request.Step.Position)
@@ -150,7 +147,7 @@
 		k := bootID{id, request.boots[i]}
 		received.requested[k] = true
 		if value := tickets[id]; value != "" {
-			received.tickets[k] = ticket{value: value, expiresAt: now + time.Duration(ticketValidityMargin*float64(q.Advice.Validity))}
+			received.tickets[k] = ticket{value: value, expiresAt: now + time.Duration(ticketValidityMargin*float64(j.adviceConfig.Validity))}
 		}
 	}
 }
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -22,7 +22,10 @@
 	acceptedAt time.Duration
 	dueAt      time.Duration
 	objective  time.Duration
-	inherited  bool
+	// adviceConfig is that of the queue, and limit that of the customer.
+	adviceConfig *workload.Advice
+	limit        workload.Resources
+	inherited    bool
 	// acceptedIndex is the log index of the submission.
 	acceptedIndex uint64
 	finished      bool
@@ -47,8 +50,12 @@
 // stage is one step of an occurrence.
 type stage struct {
 	stepIndex int
+	step      *workload.Step
+	claim     workload.Resources
 	tasks     []task
 	doneCount int
+	// runCounts is the number of runs on each instance that has some.
+	runCounts map[*instance]int
 }
 
 // task is one task of a stage.
@@ -88,7 +95,7 @@
 	for index := range record.Job.OccurrenceCount() {
 		j.occurrences = append(j.occurrences, newOccurrence(&j.Job, index))
 	}
-	s.applyQueue(j)
+	s.applyCatalogue(j)
 	j.acceptedAt = now - time.Duration(wallMillis-int64(record.AcceptedAt))*time.Millisecond
 	j.dueAt = j.acceptedAt + j.objective
 	for p := range record.Completed {
@@ -113,19 +120,23 @@
 	if j.Repetitions > 0 {
 		o.dueMillis = j.FirstDueMillis + int64(index)*j.Interval.Milliseconds()
 	}
-	for i, st := range j.Steps {
-		o.stages = append(o.stages, &stage{stepIndex: i, tasks: make([]task, st.Count)})
+	for i := range j.Steps {
+		step := &j.Steps[i]
+		o.stages = append(o.stages, &stage{stepIndex: i, step: step, claim: step.Claim(), tasks: make([]task, step.Count), runCounts: map[*instance]int{}})
 	}
 	return o
 }
 
-// applyQueue copies pool, priority, attempts and latency objective from the job's queue. If the queue was removed, the
-// job keeps its values.
-func (s *Scheduler) applyQueue(j *job) {
+// applyCatalogue copies the customer's limit, and pool, priority, attempts, latency objective and advice of the queue. If
+// the queue was removed, the job needs no advice and keeps the other values.
+func (s *Scheduler) applyCatalogue(j *job) {
+	j.limit = s.catalogue.CustomerLimit(j.customer)
+	j.adviceConfig = nil
 	q, ok := s.catalogue.QueueByName(j.queue)
 	if !ok {
 		return
 	}
+	j.adviceConfig = q.Advice
 	j.pool = q.Pool
 	if !slices.Contains(j.pools, j.pool) {
 		j.pools = append(j.pools, j.pool)
@@ -161,7 +172,7 @@
 		return true
 	}
 	for id := range s.unreconciled {
-		in := s.instances[id]
+		in := s.instances.byID[id]
 		cordonedBefore := in.cordonIndex > 0 && in.cordonIndex < j.acceptedIndex
 		if slices.Contains(j.pools, in.Pool) && !cordonedBefore {
 			return false
