--- a/internal/supervisor/load.go
+++ b/internal/supervisor/load.go
@@ -100,9 +100,8 @@
 	}
 }
 
-// countReport counts a status report that is handled now and arrived at arrivedAt.
-func (t *term) countReport(arrivedAt time.Time) {
-	age := time.Since(arrivedAt)
+// countReport counts a status report that is handled age after its arrival.
+func (t *term) countReport(age time.Duration) {
 	t.load.reports++
 	t.load.reportAge += age
 	t.load.reportAgeMax = max(t.load.reportAgeMax, age)
