--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -11,7 +11,7 @@
 // evacuateDraining stops runs on draining instances: service tasks within the availability budgets of their steps while
 // time is left, and checkpointing tasks shortly before the shutdown if they would not be done by then.
 func (s *Scheduler) evacuateDraining() {
-	for _, in := range s.instances {
+	for _, in := range s.instances.sorted {
 		if !in.Draining || in.departed || in.failedPolls > 0 || !in.polled {
 			continue
 		}
@@ -23,7 +23,7 @@
 			step := r.job.step(r.task.Position)
 			switch {
 			case step.Gang:
-			case step.Service && s.fitsElsewhere(r, step) && (remaining < drainServiceWindow || s.budgetAllowsStop(r, step)):
+			case step.Service && s.fitsElsewhere(r) && (remaining < drainServiceWindow || s.budgetAllowsStop(r, step)):
 				s.stopRun(in, r, "instance is draining")
 			case !step.Service && step.Checkpointing && remaining < drainCheckpointWindow && r.remainingTime(s.now) > remaining:
 				s.stopRun(in, r, "instance is draining")
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -71,20 +71,29 @@
 	sentAt := monotonicNow()
 	requestCtx, cancel := context.WithTimeout(ctx, request.Wait+pollTimeoutMargin)
 	defer cancel()
+	t.load.polls.Add(1)
+	t.load.pollsInFlight.Add(1)
 	report, outcome, err := t.options.Instances.Poll(requestCtx, request)
+	t.load.pollsInFlight.Add(-1)
 	if ctx.Err() != nil {
 		return nextPoll{}, false
 	}
 	t.instruments.polls.Inc(1)
 	report.ReceivedAt = monotonicNow()
 	if outcome == scheduler.Accepted {
-		answered = t.postAndWait(ctx, func() {
+		t.instruments.pollDuration.Update(report.ReceivedAt - sentAt)
+		var following nextPoll
+		handle := func() {
 			now := monotonicNow()
+			t.countReport(now - report.ReceivedAt)
 			t.scheduler.HandleReport(now, id, sentAt, report)
-			next.need = t.scheduler.PollNeed(id)
-			next.pause = t.pacer.pause(next.need, now-dueAt)
-		})
-		return next, answered
+			following.need = t.scheduler.PollNeed(id)
+			following.pause = t.pacer.pause(following.need, now-dueAt)
+		}
+		if !t.postAndWait(ctx, handle) {
+			return nextPoll{}, false
+		}
+		return following, true
 	}
 	t.instruments.pollsMissed.Inc(1)
 	event.PollFailed.Info(t.options.Logger, zap.String("instance", string(id)), zap.Stringer("outcome", outcome), zap.NamedError("error", err))
@@ -117,11 +126,13 @@
 		}
 	}
 	t.spawn(func() {
+		t.load.ordersWaiting.Add(1)
 		select {
 		case d.slots <- struct{}{}:
 		case <-t.ctx.Done():
 			return
 		}
+		t.load.ordersWaiting.Add(-1)
 		defer func() { <-d.slots }()
 		if o.Kind == scheduler.ImmediatePoll {
 			t.poll(t.ctx, o.Instance, false)
@@ -136,6 +147,8 @@
 	if !t.leads() {
 		return
 	}
+	t.load.ordersInFlight.Add(1)
+	defer t.load.ordersInFlight.Add(-1)
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
 	defer cancel()
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -31,7 +31,7 @@
 	options     *Options
 	instruments *instruments
 	number      uint64
-	resumptions uint64
+	session     uint64
 	ctx         context.Context
 	cancel      context.CancelFunc
 	inbox       chan func()
@@ -49,7 +49,10 @@
 	settledLogged        bool
 	lastRelease          time.Duration
 	logLimiter           logLimiter
+	mismatched           map[workload.JobID]mismatch
 	pacer                pollPacer
+
+	load load
 }
 
 // dispatcher limits the orders in flight to one boot of an instance and cancels its polling.
@@ -60,8 +63,8 @@
 	cancel  context.CancelFunc
 }
 
-func newTerm(ctx context.Context, o *Options, m *instruments, number, resumptions uint64) *term {
-	t := &term{options: o, instruments: m, number: number, resumptions: resumptions, inbox: make(chan func(), inboxCapacity), dispatchers: map[fleet.InstanceID]*dispatcher{}, pacer: pollPacer{limits: defaultPollLimits}}
+func newTerm(ctx context.Context, o *Options, m *instruments, number, session uint64) *term {
+	t := &term{options: o, instruments: m, number: number, session: session, inbox: make(chan func(), inboxCapacity), dispatchers: map[fleet.InstanceID]*dispatcher{}, pacer: pollPacer{limits: defaultPollLimits}}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	return t
 }
@@ -75,9 +78,12 @@
 func (t *term) run() {
 	t.start()
 	reason := t.loop()
+	lapsed := -t.options.Replica.LeaderLeaseLeft()
 	t.cancel()
+	t.logLoad(time.Now())
 	t.close()
-	event.LeadershipEnded.Info(t.options.Logger, zap.Uint64("term", t.number), zap.String("reason", reason))
+	t.instruments.resetGauges()
+	event.LeadershipEnded.Info(t.options.Logger, zap.Uint64("term", t.number), zap.Uint64("session", t.session), zap.String("reason", reason), zap.Duration("lapsed", lapsed))
 }
 
 // spawn starts a goroutine that close waits for; after close it starts none.
@@ -89,26 +95,56 @@
 	}
 }
 
+// close ends the goroutines of the term. No command of the term is proposed after that.
 func (t *term) close() {
+	t.cancel()
 	t.mutex.Lock()
 	t.closed = true
 	t.mutex.Unlock()
 	t.goroutines.Wait()
 }
 
+// commitBarrier commits a barrier and reports whether it is applied and the lease still held.
+//
+// Earlier sessions of this process may have proposed commands that are not committed yet, and their callbacks are gone. The
+// scheduler is built from one reading of the committed state, so all of these commands must be in it or never be committed:
+// close has waited for the goroutines that propose them, the replicator keeps proposals in order from its inbox to the log,
+// and entries are applied in the order of the log. A proposal that Raft has refused or that a later term has overwritten is
+// never committed.
+func (t *term) commitBarrier() bool {
+	committed := make(chan error, 1)
+	t.spawn(func() {
+		_, errs := t.commitAll([]state.Command{state.Barrier{}})
+		committed <- errs[0]
+	})
+	ticker := time.NewTicker(leadershipCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case err := <-committed:
+			return err == nil && t.leads()
+		case <-ticker.C:
+			if !t.leads() {
+				return false
+			}
+		}
+	}
+}
+
 // start builds the scheduler from the committed state and runs it once.
 func (t *term) start() {
 	now := monotonicNow()
 	jobs, instances := 0, 0
 	t.options.Replica.View(func(s *state.State) {
 		t.scheduler = scheduler.New(now, wallMillis(), scheduler.Options{
-			Fence: t.number, Session: t.resumptions, LeaseDuration: t.options.Lease, LeadingSince: now,
+			Fence: t.number, Session: t.session, LeaseDuration: t.options.Lease, LeadingSince: now,
 		}, &s.Workload)
 		t.ready.Store(s.Workload.Catalogue.Version > 0)
 		jobs, instances = len(s.Workload.Jobs), len(s.Workload.Enrolled)
 	})
-	event.LeadershipAcquired.Info(t.options.Logger, zap.Uint64("term", t.number), zap.Int("jobs", jobs), zap.Int("instances", instances))
-	t.runScheduler()
+	event.LeadershipAcquired.Info(t.options.Logger, zap.Uint64("term", t.number), zap.Uint64("session", t.session), zap.Int("jobs", jobs), zap.Int("instances", instances))
+	t.load.reset(time.Now())
+	t.plan()
 }
 
 // loop runs posted functions and the scheduler, and returns the reason why the leadership ended.
@@ -121,8 +157,7 @@
 		case <-t.ctx.Done():
 			return "stopped"
 		case f := <-t.inbox:
-			f()
-			t.drainInbox()
+			t.runBatch(f)
 			if planTimer == nil {
 				planTimer = time.After(planDelay)
 			}
@@ -134,7 +169,7 @@
 		if !t.leads() {
 			return "lease is over"
 		}
-		t.runScheduler()
+		t.plan()
 		if t.scheduler.Superseded() {
 			return "superseded by a newer leader: fencing token rejected"
 		}
@@ -156,7 +191,7 @@
 // post queues f for the loop; it returns false if the term ended first.
 func (t *term) post(f func()) bool {
 	select {
-	case t.inbox <- f:
+	case t.inbox <- t.sampled(f):
 		return true
 	case <-t.ctx.Done():
 		return false
@@ -210,9 +245,7 @@
 // commitAsync commits a command and calls callback in the loop with the outcome, without a timeout.
 func (t *term) commitAsync(c state.Command, callback func(reply state.Reply, err error)) {
 	t.spawn(func() {
-		start := time.Now()
-		replies, errs := t.options.Replica.CommitAll(t.ctx, []state.Command{c})
-		t.instruments.commitDuration.UpdateSince(start)
+		replies, errs := t.commitAll([]state.Command{c})
 		t.post(func() { callback(replies[0], errs[0]) })
 	})
 }
@@ -293,7 +326,7 @@
 		commands[i] = r.command
 	}
 	t.spawn(func() {
-		_, errs := t.options.Replica.CommitAll(t.ctx, commands)
+		_, errs := t.commitAll(commands)
 		t.post(func() { t.handleRegistrationsCommitted(batch, errs) })
 	})
 }
@@ -310,21 +343,26 @@
 	t.commitRegistrations()
 }
 
-// releaseJobs deletes the records of jobs whose retention is over.
+// releaseJobs deletes the records of jobs whose retention is over, and compares the others with the scheduler.
 func (t *term) releaseJobs(now time.Duration) {
 	if now-t.lastRelease < jobReleaseInterval {
 		return
 	}
 	t.lastRelease = now
-	var jobs []workload.JobID
+	var jobs, active []workload.JobID
+	var over map[workload.JobID]bool
 	cutoff := state.Timestamp(wallMillis() - t.options.JobRetention.Milliseconds())
 	t.options.Replica.View(func(s *state.State) {
 		for id, r := range s.Workload.Jobs {
-			if !r.Active() && r.FinishedAt < cutoff {
+			if r.Active() {
+				active = append(active, id)
+			} else if r.FinishedAt < cutoff {
 				jobs = append(jobs, id)
 			}
 		}
+		over = t.unfinishedButOver(s)
 	})
+	t.reportMismatches(t.findMismatches(active, over))
 	if len(jobs) > 0 {
 		t.commitAsync(state.DeleteJobs{Jobs: jobs}, func(state.Reply, error) {})
 	}
