--- a/internal/replicator/commit_bench_test.go
+++ b/internal/replicator/commit_bench_test.go
@@ -22,7 +22,7 @@
 )
 
 // startGroup starts keepers and learners on the loopback interface and returns them with their shared metrics registry.
-func startGroup(b *testing.B, keepers, learners int) ([]*replicator.Replicator, metrics.Registry) {
+func startGroup(tb testing.TB, keepers, learners int) ([]*replicator.Replicator, metrics.Registry) {
 	registry := metrics.NewRegistry()
 	key := identity.RandomHex(identity.MinKeyBytes)
 	var names []fleet.EntryID
@@ -32,9 +32,9 @@
 	var messengers []*messenger.Messenger
 	for _, n := range names {
 		id, err := identity.New(string(n), key)
-		assert.NilError(b, err)
+		assert.NilError(tb, err)
 		m, err := messenger.New(id, "127.0.0.1:0", registry)
-		assert.NilError(b, err)
+		assert.NilError(tb, err)
 		messengers = append(messengers, m)
 	}
 	var replicators []*replicator.Replicator
@@ -44,16 +44,16 @@
 		}
 		o := replicator.Options{Entry: names[i], Messenger: m, Keepers: names[:keepers], Peers: names, Logger: zap.NewNop()}
 		if i < keepers {
-			j, err := journaler.Open(b.TempDir())
-			assert.NilError(b, err)
+			j, err := journaler.Open(tb.TempDir())
+			assert.NilError(tb, err)
 			o.Journal = j
-			b.Cleanup(func() { _ = j.Close() })
+			tb.Cleanup(func() { _ = j.Close() })
 		}
 		r, err := replicator.Start(o)
-		assert.NilError(b, err)
+		assert.NilError(tb, err)
 		replicators = append(replicators, r)
 	}
-	b.Cleanup(func() {
+	tb.Cleanup(func() {
 		for i := range replicators {
 			_ = replicators[i].Close()
 		}
