Pause a leader whose lease has expired instead of starting it anew

What callers saw: a leader that was slow for a moment (a lease is 1 s without the acknowledgement of a quorum) forgot all runs.

If a member regains the lease in the term in which it lost it, no other keeper has led in between, for the quorum that acknowledged it has not joined a later term. So what the scheduler knows is still true. The term now ends only when the member ceases to be its leader (Replica.LeaderTerm) or a commit fails. Without the lease it decides and sends nothing; the lease is checked immediately before each order, poll and request, as before.

What was dropped silently, because the term was about to end, now has an outcome: a start that was held back (the task is placed again), a throttle (sent with the next report), a machine order and a request for advice (both repeated). Stops are repeated anyway. A failed commit of the start of a maintenance ends the session, as other failed commits do.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -70,6 +70,7 @@
 	LeadershipAcquired     = define(401, "leadership acquired", "term", "jobs", "instances")
 	LeadershipEnded        = define(402, "leadership ended", "term", "reason")
 	RunsReconciled         = define(403, "inherited runs reconciled", "term")
+	LeadershipResumed      = define(404, "leadership resumed", "term", "paused")
 	JobAccepted            = define(410, "job accepted", "job", "queue", "customer", "tasks", "version")
 	JobRefused             = define(411, "job refused", "job", "host", "path", "reason", "version")
 	JobCancelled           = define(412, "job cancelled", "job")
--- a/internal/replicator/reconcile.go
+++ b/internal/replicator/reconcile.go
@@ -18,14 +18,16 @@
 	voterFailureTimeout = 3 * time.Second // three election timeouts; a restart takes one
 )
 
-// leadership is the current term and the expiry of this member's leader lease in it, zero if it does not lead.
+// leadership is the current term, whether this member is the leader of it, and the expiry of its leader lease in it, zero if it
+// holds none.
 type leadership struct {
 	term       uint64
+	leader     bool
 	validUntil time.Duration
 }
 
 func (r *Replicator) updateLeadership() {
-	r.leadership.Store(&leadership{term: r.raft.Term(), validUntil: r.raft.LeaderLeaseUntil()})
+	r.leadership.Store(&leadership{term: r.raft.Term(), leader: r.raft.Role() == raft.Leader, validUntil: r.raft.LeaderLeaseUntil()})
 }
 
 // Leads returns the term that this member leads; ok is false if it holds no valid leader lease, so that another leader may
@@ -38,6 +40,16 @@
 	return l.term, true
 }
 
+// LeaderTerm returns the term of which this member is the leader, whether or not its leader lease is valid; ok is false if it is
+// not the leader or has stopped. A member that ceases to be the leader of a term never becomes it again.
+func (r *Replicator) LeaderTerm() (term uint64, ok bool) {
+	l := r.leadership.Load()
+	if l == nil || !l.leader || r.ctx.Err() != nil || r.Failed() != nil {
+		return 0, false
+	}
+	return l.term, true
+}
+
 // reconcileVoters changes the membership towards the desired number of voters, one voter at a time: durable learners that have
 // caught up become voters, and a voter that is unresponsive or whose disk was replaced is removed once a learner has replaced it.
 func (r *Replicator) reconcileVoters(now time.Duration) {
--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -33,11 +33,13 @@
 	MachineFenced
 	MachineGone
 	MachineUncertain
+	// MachineUnsent means that the order was never sent, because the leader lease had expired.
+	MachineUnsent
 )
 
 // String returns the name that logs use.
 func (o MachineOutcome) String() string {
-	return [...]string{"none", "done", "busy", "fenced", "gone", "uncertain"}[o]
+	return [...]string{"none", "done", "busy", "fenced", "gone", "uncertain", "unsent"}[o]
 }
 
 // machineTransitionTime is how long a machine in a move or maintenance gets no further order. Both take at most 2 s.
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -57,6 +57,10 @@
 		s.handleStartOutcome(in, r, outcome)
 	case Stop:
 		s.handleStopOutcome(in, r, outcome)
+	case Throttle:
+		if outcome == Unsent {
+			r.throttlePercent = throttleUnset
+		}
 	}
 }
 
@@ -80,6 +84,9 @@
 		s.detachRun(in, r)
 		in.recentFailures++
 		in.backoffUntil = s.now + unhealthyBackoff
+	case Unsent:
+		s.logRunDecision("run unsent", r, in, "leader lease expired")
+		s.detachRun(in, r)
 	default:
 		s.logRunDecision("run uncertain", r, in, outcome.String())
 		if r.status == statusOrdered {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -63,11 +63,13 @@
 	Refused
 	// Uncertain means that the order may still be executed.
 	Uncertain
+	// Unsent means that the order was never sent, because the leader lease had expired.
+	Unsent
 )
 
 // String returns the name that logs and metrics use.
 func (o Outcome) String() string {
-	return [...]string{"none", "accepted", "fenced", "rejected", "unhealthy", "mismatched", "refused", "uncertain"}[o]
+	return [...]string{"none", "accepted", "fenced", "rejected", "unhealthy", "mismatched", "refused", "uncertain", "unsent"}[o]
 }
 
 // Timing and limits of decisions.
--- a/internal/scheduler/throttle.go
+++ b/internal/scheduler/throttle.go
@@ -6,6 +6,7 @@
 	releaseBelowRatio  = 0.6
 	releaseStepPercent = 20 // percent; the full range takes five polls
 	throttleDivisor    = 2
+	throttleUnset      = -1 // differs from every throttle, so that the next report sends it again
 )
 
 // updateThrottle throttles the best-effort runs of an instance as the tail latency of a service task on it approaches its
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -49,6 +49,9 @@
 
 // poll requests the status report of an instance and reports whether it was received; wait makes it a long poll.
 func (t *term) poll(ctx context.Context, id fleet.InstanceID, wait bool) bool {
+	if !t.leads() {
+		return false
+	}
 	var request scheduler.PollRequest
 	enrolled := false
 	if !t.postAndWait(ctx, func() { request, enrolled = t.scheduler.NextPoll(monotonicNow(), id, wait) }) || !enrolled || !t.leads() {
@@ -103,6 +106,7 @@
 // sendOrder sends an order and passes its outcome to the scheduler.
 func (t *term) sendOrder(o scheduler.Order) {
 	if !t.leads() {
+		t.post(func() { t.scheduler.HandleOrderOutcome(monotonicNow(), o, scheduler.Unsent) })
 		return
 	}
 	start := time.Now()
@@ -121,6 +125,7 @@
 // sendMachineOrder requests the move or the maintenance of a machine from the platform.
 func (t *term) sendMachineOrder(o scheduler.MachineOrder) {
 	if !t.leads() {
+		t.post(func() { t.scheduler.HandleMachineOutcome(monotonicNow(), o, scheduler.MachineUnsent) })
 		return
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, platformTimeout)
@@ -130,7 +135,11 @@
 		zap.String("pool", string(o.Pool)), zap.Stringer("outcome", outcome), zap.NamedError("error", err))
 	t.post(func() {
 		if t.scheduler.HandleMachineOutcome(monotonicNow(), o, outcome) {
-			t.commitAsync(state.RecordMaintenanceStart{Wave: o.Wave, Machine: o.Machine}, func(state.Reply, error) {})
+			t.commitAsync(state.RecordMaintenanceStart{Wave: o.Wave, Machine: o.Machine}, func(_ state.Reply, err error) {
+				if err != nil {
+					t.cancel() // the next session orders the maintenance again
+				}
+			})
 		}
 	})
 }
@@ -150,6 +159,7 @@
 // requestAdvice requests from the policy service which instances may run a step.
 func (t *term) requestAdvice(o scheduler.AdviceRequest) {
 	if !t.leads() {
+		t.post(func() { t.scheduler.HandleAdvice(monotonicNow(), o, nil, false) })
 		return
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, adviceTimeout)
--- a/internal/supervisor/instruments.go
+++ b/internal/supervisor/instruments.go
@@ -11,6 +11,7 @@
 	jobsAccepted   metrics.Counter
 	jobsRefused    metrics.Counter
 	termsLed       metrics.Counter
+	leaseLapses    metrics.Counter
 	polls          metrics.Counter
 	pollsMissed    metrics.Counter
 	commitDuration metrics.Timer
@@ -23,6 +24,7 @@
 		jobsAccepted:   metrics.GetOrRegisterCounter("jobs-accepted", r),
 		jobsRefused:    metrics.GetOrRegisterCounter("jobs-refused", r),
 		termsLed:       metrics.GetOrRegisterCounter("terms-led", r),
+		leaseLapses:    metrics.GetOrRegisterCounter("lease-lapses", r),
 		polls:          metrics.GetOrRegisterCounter("looks", r),
 		pollsMissed:    metrics.GetOrRegisterCounter("looks-missed", r),
 		commitDuration: metrics.GetOrRegisterTimer("commit", r),
--- a/internal/supervisor/registration_test.go
+++ b/internal/supervisor/registration_test.go
@@ -26,6 +26,8 @@
 
 func (r *singleReplica) Leads() (uint64, bool) { return 1, true }
 
+func (r *singleReplica) LeaderTerm() (uint64, bool) { return 1, true }
+
 func (r *singleReplica) View(read func(s *state.State)) {
 	r.mutex.RLock()
 	defer r.mutex.RUnlock()
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -22,6 +22,8 @@
 type Replica interface {
 	// Leads returns the term in which this member holds the leader lease now; ok is false if it does not hold it.
 	Leads() (term uint64, ok bool)
+	// LeaderTerm returns the term of which this member is the leader, with or without the lease; ok is false if there is none.
+	LeaderTerm() (term uint64, ok bool)
 	// View calls read with the committed state.
 	View(read func(s *state.State))
 	// CommitAll commits commands in order and returns a reply and an error for each. It returns early once ctx ends; the commands
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -48,6 +48,7 @@
 	pendingRegistrations []registration
 	registrationInFlight bool
 	settledLogged        bool
+	pausedAt             time.Duration // zero while the lease is held
 	lastRelease          time.Duration
 	logLimiter           logLimiter
 }
@@ -64,12 +65,20 @@
 	return t
 }
 
+// leads reports whether this member holds the leader lease, without which nothing may be sent.
 func (t *term) leads() bool {
 	number, ok := t.options.Replica.Leads()
 	return ok && number == t.number && t.ctx.Err() == nil
 }
 
-// run runs the event loop until another keeper may lead, and then ends the goroutines of the term.
+// lasts reports whether this member is still the leader of the term. If it regains an expired lease in the same term, no other
+// keeper has led in between: a quorum that has joined a later term acknowledges nothing in this one.
+func (t *term) lasts() bool {
+	number, ok := t.options.Replica.LeaderTerm()
+	return ok && number == t.number && t.ctx.Err() == nil
+}
+
+// run runs the event loop until the term ends, and then ends the goroutines of the term.
 func (t *term) run() {
 	t.start()
 	reason := t.loop()
@@ -95,7 +104,7 @@
 	t.goroutines.Wait()
 }
 
-// commitBarrier commits a barrier and reports whether it is applied and the lease still held.
+// commitBarrier commits a barrier and reports whether it is applied and the term still lasts.
 //
 // Earlier sessions of this process may have proposed commands that are not committed yet, and their callbacks are gone. The
 // scheduler is built from one reading of the committed state, so all of these commands must be in it or never be committed:
@@ -113,9 +122,9 @@
 	for {
 		select {
 		case err := <-committed:
-			return err == nil && t.leads()
+			return err == nil && t.lasts()
 		case <-ticker.C:
-			if !t.leads() {
+			if !t.lasts() {
 				return false
 			}
 		}
@@ -157,9 +166,12 @@
 			planTimer = nil
 		case <-ticker.C:
 		}
-		if !t.leads() {
+		if !t.lasts() {
 			return "lease is over"
 		}
+		if t.paused() {
+			continue
+		}
 		t.runScheduler()
 		if t.scheduler.Superseded() {
 			return "superseded by a newer leader: fencing token rejected"
@@ -167,6 +179,23 @@
 	}
 }
 
+// paused reports whether the lease has expired. Until it is regained the scheduler keeps what it knows and decides nothing.
+func (t *term) paused() bool {
+	now := monotonicNow()
+	if !t.leads() {
+		if t.pausedAt == 0 {
+			t.pausedAt = now
+			t.instruments.leaseLapses.Inc(1)
+		}
+		return true
+	}
+	if t.pausedAt > 0 {
+		event.LeadershipResumed.Info(t.options.Logger, zap.Uint64("term", t.number), zap.Duration("paused", now-t.pausedAt))
+		t.pausedAt = 0
+	}
+	return false
+}
+
 // drainInbox runs the functions already posted, up to maxPostsPerBatch.
 func (t *term) drainInbox() {
 	for range maxPostsPerBatch {
