--- a/internal/supervisor/load_test.go
+++ b/internal/supervisor/load_test.go
@@ -70,7 +70,7 @@
 	assert.Assert(t, lines[2].Time.Sub(lines[0].Time) >= 2*loadInterval-50*time.Millisecond)
 }
 
-// expiringReplica is a replica whose leader lease the test lets expire for a moment.
+// expiringReplica is a replica whose leadership the test lets end for a moment.
 type expiringReplica struct {
 	singleReplica
 	lapsed atomic.Bool
@@ -78,6 +78,8 @@
 
 func (r *expiringReplica) Leads() (uint64, bool) { return 7, !r.lapsed.Load() }
 
+func (r *expiringReplica) LeaderTerm() (uint64, bool) { return 7, !r.lapsed.Load() }
+
 func (r *expiringReplica) LeaderLeaseLeft() time.Duration {
 	if r.lapsed.Load() {
 		return -30 * time.Millisecond
