--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -24,10 +25,12 @@
 
 // StatusReport is the response of an instance to a poll.
 type StatusReport struct {
-	Boot    int64
-	Clock   time.Duration
-	Running []ReportedRun
-	Ended   []ReportedEnd
+	Boot  int64
+	Clock time.Duration
+	// ReceivedAt is when the response arrived; zero stands for the time at which the report is processed.
+	ReceivedAt time.Duration
+	Running    []ReportedRun
+	Ended      []ReportedEnd
 }
 
 // ReportedRun is a run in a status report.
@@ -53,7 +56,7 @@
 // instance responds immediately.
 func (s *Scheduler) NextPoll(now time.Duration, id fleet.InstanceID, wait bool) (PollRequest, bool) {
 	s.now = now
-	in := s.instances[id]
+	in := s.instances.byID[id]
 	if in == nil || !in.enrolled {
 		return PollRequest{}, false
 	}
@@ -68,6 +71,46 @@
 	return request, true
 }
 
+// PollNeed is what the next poll of an instance is for.
+type PollNeed uint8
+
+// Needs for a poll, the most urgent first.
+const (
+	// PollToReconcile shows whether runs of unknown status exist; it must not wait.
+	PollToReconcile PollNeed = iota + 1
+	// PollForEnds brings the ends of runs and shows whether tasks advance.
+	PollForEnds
+	// PollAfterCommit acknowledges ends that are being committed; before that, the response lists the same ends without waiting.
+	PollAfterCommit
+	// PollForRenewal extends the leases of service tasks that are at work.
+	PollForRenewal
+	// PollWhenIdle shows that an instance without runs responds.
+	PollWhenIdle
+)
+
+// PollNeed returns what the next poll of an instance is for.
+func (s *Scheduler) PollNeed(id fleet.InstanceID) PollNeed {
+	in := s.instances.byID[id]
+	if in == nil || !in.polled || in.failedPolls > 0 || in.hasOrphans {
+		return PollToReconcile
+	}
+	need := PollWhenIdle
+	for _, r := range in.runs {
+		switch {
+		case r.status == statusUncertain || r.stopping:
+			return PollToReconcile
+		case r.status != statusRunning || r.percent < 100 || !r.job.step(r.task.Position).Service:
+			need = min(need, PollForEnds)
+		default:
+			need = min(need, PollForRenewal)
+		}
+	}
+	if n := len(in.pendingEnds); n > 0 && in.pendingEnds[n-1].batch > s.committedBatch {
+		return PollAfterCommit
+	}
+	return need
+}
+
 // pollWait returns how long the instance may hold its response.
 func (s *Scheduler) pollWait(in *instance) time.Duration {
 	for _, r := range in.runs {
@@ -93,7 +136,7 @@
 // HandleReport processes the response to a poll that was sent at sentAt.
 func (s *Scheduler) HandleReport(now time.Duration, id fleet.InstanceID, sentAt time.Duration, report StatusReport) {
 	s.now = now
-	in := s.instances[id]
+	in := s.instances.byID[id]
 	if in == nil {
 		return
 	}
@@ -101,7 +144,7 @@
 		s.replaceRestarted(in, report.Boot)
 		return
 	}
-	in.clockReadAt = now
+	in.clockReadAt = cmp.Or(report.ReceivedAt, now)
 	in.clock = report.Clock
 	in.failedPolls = 0
 	firstReport := !in.polled
@@ -322,7 +365,7 @@
 // HandlePollFailure records that a poll was not answered with a report.
 func (s *Scheduler) HandlePollFailure(now time.Duration, id fleet.InstanceID, outcome Outcome) {
 	s.now = now
-	in := s.instances[id]
+	in := s.instances.byID[id]
 	if in == nil {
 		return
 	}
--- a/internal/scheduler/waiting.go
+++ b/internal/scheduler/waiting.go
@@ -56,7 +56,7 @@
 }
 
 // Size returns the number of jobs and instances held.
-func (s *Scheduler) Size() (jobs, instances int) { return len(s.jobs), len(s.instances) }
+func (s *Scheduler) Size() (jobs, instances int) { return len(s.jobs), len(s.instances.sorted) }
 
 // waitingJob is a job with tasks that wait, and the one that waits longest.
 type waitingJob struct {
@@ -208,7 +208,7 @@
 func (s *Scheduler) describeUnreconciled(j *job) string {
 	n, first := 0, fleet.InstanceID("")
 	for id := range s.unreconciled {
-		in := s.instances[id]
+		in := s.instances.byID[id]
 		if !slices.Contains(j.pools, in.Pool) || in.cordonIndex > 0 && in.cordonIndex < j.acceptedIndex {
 			continue
 		}
@@ -217,7 +217,7 @@
 			first = id
 		}
 	}
-	in := s.instances[first]
+	in := s.instances.byID[first]
 	return fmt.Sprintf("%d instances may have runs of the job, first %s with %d failed polls, leases expire in %s", n, first, in.failedPolls,
 		rounded(s.leasesExpiredAt(in)-s.now))
 }
@@ -231,9 +231,9 @@
 		switch {
 		case step.RequiredLabel != "" && !slices.Contains(in.Labels, step.RequiredLabel):
 			unlabelled++
-		case !in.admits(c, step) && in.free().Fits(step.Claim()):
+		case !in.admits(c.stage) && in.free().Fits(step.Claim()):
 			atMax++
-		case !in.admits(c, step):
+		case !in.admits(c.stage):
 			full++
 		case needsTicket && c.job.ticketFor(workload.NewPosition(c.occurrence, c.stage.stepIndex, 0), in) == "":
 			noTicket++
@@ -263,7 +263,7 @@
 
 func (s *Scheduler) summarisePool(pool fleet.PoolID) poolSummary {
 	p := poolSummary{others: map[string]int{}}
-	for _, in := range s.instances {
+	for _, in := range s.instances.sorted {
 		if in.Pool != pool {
 			continue
 		}
