Report an order whose instance has no dispatcher as unsent

A start that was dropped there left its run as ordered for good, and its task was never placed again (LOST). TestStartWithoutDispatcherIsRepeated failed before: "assertion failed: 0 (int) != 1 (int)", no second start.

--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -120,6 +120,7 @@
 func (t *term) dispatch(o scheduler.Order) {
 	d := t.dispatchers[o.Instance]
 	if d == nil {
+		t.scheduler.HandleOrderOutcome(monotonicNow(), o, scheduler.Unsent)
 		return
 	}
 	if o.Kind == scheduler.Start {
