--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -73,6 +73,7 @@
 	LeaderLoad         = define(404, "leader load", "term", "session", "over", "processor", "plans", "planning", "plan-max", "plan-gap", "posts", "posted",
 		"post-delay", "inbox", "polls", "polls-in-flight", "reports", "report-age", "report-age-max", "orders-in-flight", "orders-waiting", "commits",
 		"commits-in-flight", "commit", "jobs", "instances", "waiting", "lease-left")
+	LeadershipResumed      = define(405, "leadership resumed", "term", "paused")
 	JobAccepted            = define(410, "job accepted", "job", "queue", "customer", "tasks", "version")
 	JobRefused             = define(411, "job refused", "job", "host", "path", "reason", "version")
 	JobCancelled           = define(412, "job cancelled", "job")
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -24,6 +24,8 @@
 	Leads() (term uint64, ok bool)
 	// LeaderLeaseLeft returns the remaining time of the leader lease; it is negative since the lease expired.
 	LeaderLeaseLeft() time.Duration
+	// LeaderTerm returns the term of which this member is the leader, with or without the lease; ok is false if there is none.
+	LeaderTerm() (term uint64, ok bool)
 	// View calls read with the committed state.
 	View(read func(s *state.State))
 	// CommitAll commits commands in order and returns a reply and an error for each. It returns early once ctx ends; the commands
