--- a/internal/raft/pipeline_test.go
+++ b/internal/raft/pipeline_test.go
@@ -108,3 +108,60 @@
 	assert.Equal(t, leader.Role(), raft.Leader)
 	assert.Assert(t, sent < 20, "%d entries were sent to an unresponsive peer, want fewer than 20", sent)
 }
+
+// TestLearnersAreSentCommitsTogether guards against a leader of many learners that is occupied with messages to them: with 35
+// learners and 100 commits a second they took most of its processor time. Learners must still get every entry and the commit index
+// within two ticks, also when no further commit follows, and a durable one must stay caught up, as it may have to replace a voter.
+func TestLearnersAreSentCommitsTogether(t *testing.T) {
+	leader, follower, now := newLeader(t)
+	learner := raft.New("l", 1, raft.HardState{}, nil, nil)
+	spare := raft.New("s", 1, raft.HardState{}, nil, nil, raft.WithDurable())
+	deliver := func() (toLearner int) {
+		for range 10 {
+			for _, m := range drainReady(leader) {
+				switch m.To {
+				case "b":
+					follower.Step(now, m)
+				case "l":
+					toLearner++
+					learner.Step(now, m)
+				case "s":
+					spare.Step(now, m)
+				}
+			}
+			for _, member := range []*raft.Raft{follower, learner, spare} {
+				for _, m := range drainReady(member) {
+					leader.Step(now, m)
+				}
+			}
+		}
+		return toLearner
+	}
+	leader.Step(now, raft.Message{Kind: raft.Join, From: "l", To: "a"})
+	leader.Step(now, raft.Message{Kind: raft.Join, From: "s", To: "a", Durable: true})
+	deliver()
+	const commits, interval, ticks = 100, 10 * time.Millisecond, 40 * time.Millisecond
+	messages := 0
+	var last uint64
+	for i := range commits {
+		now += interval
+		var err error
+		last, err = leader.Propose(now, []byte("command"))
+		assert.NilError(t, err)
+		messages += deliver()
+		assert.Equal(t, leader.Commit(), last, "commits wait for voters only")
+		assert.Assert(t, leader.CaughtUp("s"), "a durable learner may replace a voter at any time")
+		if time.Duration(i)*interval%ticks == 0 {
+			leader.Tick(now)
+			messages += deliver()
+		}
+		assert.Assert(t, learner.Commit()+12 > last, "the learner has %d of %d", learner.Commit(), last)
+	}
+	assert.Assert(t, messages <= commits, "%d messages for %d commits", messages, commits)
+	for range 2 {
+		now += ticks
+		leader.Tick(now)
+		deliver()
+	}
+	assert.Equal(t, learner.Commit(), last)
+}
