--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -189,6 +189,25 @@
 	}
 }
 
+func (r *Raft) tickLeader() {
+	if r.now-max(r.quorumAckedAt(), r.leaderSince) > r.electionTimeout {
+		r.becomeFollower(r.hardState.Term, "")
+		return
+	}
+	if r.now-r.lastHeartbeat < r.heartbeatInterval {
+		return
+	}
+	r.lastHeartbeat = r.now
+	for id, p := range r.peers {
+		if !r.isVoter(id) && r.now-p.lastContact > learnerExpiry {
+			delete(r.peers, id)
+			continue
+		}
+		r.sendAppend(id, p, true)
+	}
+	r.continueTransfer()
+}
+
 // Step handles one message received at clock reading now.
 func (r *Raft) Step(now time.Duration, m Message) {
 	r.now = now
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -5,10 +5,8 @@
 	"time"
 )
 
-const (
-	never           = time.Duration(-1 << 62) // before every clock reading
-	learnerInterval = 30 * time.Millisecond   // less than the time between ticks, so that a deferred learner is at most one tick behind
-)
+// never is a time before every clock reading.
+const never = time.Duration(-1 << 62)
 
 // peer is the leader's replication state of another member.
 type peer struct {
@@ -18,12 +16,9 @@
 	lastContact     time.Duration
 	clock           time.Duration
 	clockReceivedAt time.Duration
-	// sentAt and sentCommit are the time and the commit index of the last message with entries or a commit index.
-	sentAt       time.Duration
-	sentCommit   uint64
-	leaseGranted time.Duration
-	durable      bool
-	appliedIndex uint64
+	leaseGranted    time.Duration
+	durable         bool
+	appliedIndex    uint64
 	// backtrackedAt is when nextIndex was last moved back; rejections of messages sent before that are outdated.
 	backtrackedAt time.Duration
 	// snapshot is the snapshot being sent, or nil; snapshotOffset is the offset of the next chunk in bytes.
@@ -50,58 +45,15 @@
 	return first, nil
 }
 
-func (r *Raft) tickLeader() {
-	if r.now-max(r.quorumAckedAt(), r.leaderSince) > r.electionTimeout {
-		r.becomeFollower(r.hardState.Term, "")
-		return
-	}
-	if r.now-r.lastHeartbeat < r.heartbeatInterval {
-		r.updateLearners()
-		return
-	}
-	r.lastHeartbeat = r.now
-	for id, p := range r.peers {
-		if !r.isVoter(id) && r.now-p.lastContact > learnerExpiry {
-			delete(r.peers, id)
-			continue
-		}
-		r.sendAppend(id, p, true)
-	}
-	r.continueTransfer()
-}
-
 func (r *Raft) broadcast() {
 	for id, p := range r.peers {
-		if !r.deferred(id, p) {
-			r.sendAppend(id, p, false)
-		}
+		r.sendAppend(id, p, false)
 	}
 	if len(r.voters) == 1 {
 		r.advanceCommit()
 	}
 }
 
-// deferrable reports whether the messages to a peer may wait: those to voters complete commits, and durable learners must be
-// caught up to replace one.
-func (r *Raft) deferrable(id ID, p *peer) bool {
-	return !p.durable && !r.isVoter(id) && p.snapshot == nil
-}
-
-// deferred reports whether the next entries and commit index for a peer wait for updateLearners. A message to each of the many
-// learners for each step of each commit would hold up the messages that renew the leader lease.
-func (r *Raft) deferred(id ID, p *peer) bool {
-	return r.now-p.sentAt < learnerInterval && r.deferrable(id, p)
-}
-
-// updateLearners sends the entries and commit index that were deferred.
-func (r *Raft) updateLearners() {
-	for id, p := range r.peers {
-		if r.deferrable(id, p) && !r.deferred(id, p) {
-			r.sendAppend(id, p, p.sentCommit < r.hardState.Commit)
-		}
-	}
-}
-
 func (r *Raft) sendAppend(id ID, p *peer, heartbeat bool) {
 	if p.snapshot != nil || p.nextIndex <= r.log.compactedIndex {
 		r.sendSnapshotChunk(id, p, heartbeat)
@@ -116,7 +68,6 @@
 		prevIndex := p.nextIndex - 1
 		prevTerm, _ := r.log.term(prevIndex)
 		p.nextIndex += uint64(len(entries))
-		p.sentAt, p.sentCommit = r.now, r.hardState.Commit
 		r.immediate = append(r.immediate, Message{
 			Kind: Append, From: r.id, To: id, Term: r.hardState.Term, Index: prevIndex, LogTerm: prevTerm,
 			Entries: entries, Commit: r.hardState.Commit, SentAt: r.now, EchoedClock: r.grantStateLease(p),
@@ -205,9 +156,7 @@
 		p.nextIndex = max(p.nextIndex, m.Index+1)
 		r.advanceCommit()
 	}
-	if !r.deferred(m.From, p) {
-		r.sendAppend(m.From, p, false)
-	}
+	r.sendAppend(m.From, p, false)
 	r.continueTransfer()
 }
 
@@ -240,11 +189,7 @@
 		r.becomeFollower(r.hardState.Term, "")
 		return
 	}
-	for id, p := range r.peers {
-		if !r.deferred(id, p) {
-			r.sendAppend(id, p, true)
-		}
-	}
+	r.broadcastHeartbeat()
 }
 
 func (r *Raft) broadcastHeartbeat() {
--- a/internal/replicator/commit_bench_test.go
+++ b/internal/replicator/commit_bench_test.go
@@ -184,36 +184,3 @@
 	b.ReportMetric(float64(latencies[len(latencies)/2].Milliseconds()), "p50-ms")
 	b.ReportMetric(float64(latencies[len(latencies)-1].Milliseconds()), "max-ms")
 }
-
-// BenchmarkSteadyCommits measures the processor time of a group of the size of a large deployment, all members together, at a
-// steady rate of commits by different writers.
-func BenchmarkSteadyCommits(b *testing.B) {
-	const perSecond = 100
-	replicators, registry := startGroup(b, 5, 35)
-	leader := waitForLeader(replicators)
-	time.Sleep(2 * time.Second)
-	sentBefore, processorTimeBefore := bytesSent(registry), processorTime()
-	latencies := make([]time.Duration, b.N)
-	b.ResetTimer()
-	ticker := time.NewTicker(time.Second / perSecond)
-	defer ticker.Stop()
-	var writers sync.WaitGroup
-	for i := range b.N {
-		<-ticker.C
-		writers.Go(func() {
-			started := time.Now()
-			_, err := leader.Commit(context.Background(), state.RegisterMember{Member: state.Member{Entry: fleet.EntryID(fmt.Sprint("w", i%64))}})
-			if err != nil {
-				b.Error(err)
-			}
-			latencies[i] = time.Since(started)
-		})
-	}
-	writers.Wait()
-	b.StopTimer()
-	slices.Sort(latencies)
-	b.ReportMetric(float64(latencies[b.N/2].Microseconds()), "p50-µs")
-	b.ReportMetric(float64(latencies[b.N*99/100].Microseconds()), "p99-µs")
-	b.ReportMetric(float64(bytesSent(registry)-sentBefore)/float64(b.N), "bytes/commit")
-	b.ReportMetric(100*(processorTime()-processorTimeBefore).Seconds()/b.Elapsed().Seconds(), "%core")
-}
