Keep the unfinished jobs in placement order

Each planning run looked at all jobs, the finished ones included, sorted the waiting stages, sorted them again if some were late, and compared each inherited job with each unreconciled instance. The jobs are now kept sorted, the stages fall into one list a class, and the instances are summed up once. Equal stages of several occurrences come in their order; before, their order was that of the sort.

--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -45,7 +45,7 @@
 
 // advisedInstances returns the instances on which tasks of the stage may start: all of them, or on a queue with advice
 // those with a valid ticket. If these have too little free capacity, it requests advice for more.
-func (s *Scheduler) advisedInstances(c candidate, instances []*instance) []*instance {
+func (s *Scheduler) advisedInstances(c *candidate, instances []*instance) []*instance {
 	if c.job.adviceConfig == nil {
 		return instances
 	}
@@ -72,7 +72,7 @@
 
 // requestAdvice requests tickets for instances that have free capacity and no known response. The service handles one
 // request at a time.
-func (s *Scheduler) requestAdvice(c candidate, received *advice, instances, withTicket []*instance) {
+func (s *Scheduler) requestAdvice(c *candidate, received *advice, instances, withTicket []*instance) {
 	if s.adviceInFlight || s.now < s.adviceBackoffUntil {
 		return
 	}
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -52,7 +52,7 @@
 		s.demandOf(q.Pool).queueCount++
 	}
 	capacity := s.meanCapacity()
-	for _, j := range s.jobs {
+	for _, j := range s.activeJobs.sorted() {
 		s.addJobDemand(j, capacity)
 	}
 	decay := math.Exp(-float64(elapsed) / float64(peakDecayTime))
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -8,7 +8,7 @@
 )
 
 // placeGang starts all tasks of a stage under one run number, or none of them.
-func (s *Scheduler) placeGang(c candidate, instances []*instance) {
+func (s *Scheduler) placeGang(c *candidate, instances []*instance) {
 	step := &c.job.Steps[c.stage.stepIndex]
 	requested := workload.Resources{}
 	for i := range c.stage.tasks {
@@ -34,7 +34,7 @@
 }
 
 // fitGang returns an instance for each task of the stage, or nil. It prefers a single rack, the data rack first.
-func fitGang(c candidate, step *workload.Step, instances []*instance) []*instance {
+func fitGang(c *candidate, step *workload.Step, instances []*instance) []*instance {
 	racks := map[string][]*instance{}
 	var rackNames []string
 	for _, in := range instances {
@@ -58,7 +58,7 @@
 }
 
 // fitsInOneRack reports whether an otherwise empty rack could hold all tasks of the stage.
-func fitsInOneRack(c candidate, step *workload.Step, racks map[string][]*instance) bool {
+func fitsInOneRack(c *candidate, step *workload.Step, racks map[string][]*instance) bool {
 	for _, list := range racks {
 		n := 0
 		for _, in := range list {
@@ -86,7 +86,7 @@
 }
 
 // assignGang returns an instance for each task of the stage, or nil if the instances have too little free capacity.
-func assignGang(c candidate, step *workload.Step, instances []*instance) []*instance {
+func assignGang(c *candidate, step *workload.Step, instances []*instance) []*instance {
 	var assigned []*instance
 	count := len(c.stage.tasks)
 	for _, in := range instances {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -107,6 +108,8 @@
 	j.started = len(record.Completed) > 0 || len(record.FailedRuns) > 0
 	if !record.Active() {
 		j.finished, j.finishedAt = true, now
+	} else {
+		s.activeJobs.add(j)
 	}
 	s.jobs[j.ID] = j
 }
@@ -161,20 +164,31 @@
 	return longest
 }
 
-// runsReconciled reports whether every run of the job is known. An instance that this leader has not polled yet may run
-// tasks of the job unless it was cordoned before the job was accepted.
-func (s *Scheduler) runsReconciled(j *job) bool {
-	if !j.inherited {
-		return true
-	}
+// lastCordons returns the log index of the last cordon of an unreconciled instance in each pool that has some, and the
+// highest index if one of them was not cordoned.
+func (s *Scheduler) lastCordons() map[fleet.PoolID]uint64 {
+	last := map[fleet.PoolID]uint64{}
 	for id := range s.unreconciled {
 		in := s.instances.byID[id]
-		cordonedBefore := in.cordonIndex > 0 && in.cordonIndex < j.acceptedIndex
-		if slices.Contains(j.pools, in.Pool) && !cordonedBefore {
-			return false
+		index := in.cordonIndex
+		if index == 0 {
+			index = math.MaxUint64
 		}
+		last[in.Pool] = max(last[in.Pool], index)
+	}
+	return last
+}
+
+// runsReconciled reports whether every run of the job is known. An instance that this leader has not polled yet may run
+// tasks of the job unless it was cordoned before the job was accepted.
+func (j *job) runsReconciled(lastCordons map[fleet.PoolID]uint64) bool {
+	if !j.inherited || len(lastCordons) == 0 {
+		return true
 	}
-	return true
+	return !slices.ContainsFunc(j.pools, func(pool fleet.PoolID) bool {
+		index, unreconciled := lastCordons[pool]
+		return unreconciled && index >= j.acceptedIndex
+	})
 }
 
 func (s *Scheduler) markDone(j *job, p workload.Position) {
@@ -230,7 +244,7 @@
 // PendingJobs returns the number of active jobs of a queue of which no task has been started.
 func (s *Scheduler) PendingJobs(queue fleet.QueueID) int {
 	n := 0
-	for _, j := range s.jobs {
+	for _, j := range s.activeJobs.jobs {
 		if j.queue == queue && !j.started && !j.finished {
 			n++
 		}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -9,18 +8,6 @@
 	"github.com/sapphiresail/sapphiresail/internal/workload"
 )
 
-// class is the rank of a kind of work when a pool is full; lower values are placed first.
-type class int
-
-const (
-	classService class = iota
-	classPromoted
-	classOnTime
-	classBestEffort
-	classLate
-	classExpired
-)
-
 // poolCapacity is what the tasks of a pool can be placed on in one planning run.
 type poolCapacity struct {
 	// instances are the schedulable ones without those reserved for service tasks, and total the capacity of all of them.
@@ -44,18 +31,6 @@
 	return !slices.ContainsFunc(p.full, claim.Fits)
 }
 
-// candidate is a stage with tasks that wait for placement.
-type candidate struct {
-	job        *job
-	occurrence int
-	stage      *stage
-	class      class
-	// serviceInstances is the number of schedulable instances that run service tasks, and tasksPerRack the number of tasks
-	// of the stage in each rack. Both are set for service stages only.
-	serviceInstances int
-	tasksPerRack     map[string]int
-}
-
 // Tick makes all decisions that are due at the given time.
 func (s *Scheduler) Tick(now time.Duration, wallMillis int64) {
 	s.now = now
@@ -74,38 +49,44 @@
 // share of the pool go first.
 func (s *Scheduler) placeWaiting() {
 	pools := s.schedulableInstances()
-	list := s.promoteLate(s.candidates(), pools)
-	if len(list) == 0 {
-		return
-	}
-	shares := s.computeShares(list, pools)
-	for len(list) > 0 {
-		n := equalRankPrefix(list)
-		var overShare []candidate
-		for _, c := range list[:n] {
-			if c.class != classService && !shares.belowShare(c.job.pool, c.job.customer) {
-				overShare = append(overShare, c)
-				continue
-			}
-			s.placeStage(c, pools)
+	lists := s.candidates()
+	s.promoteLate(lists, pools)
+	shares := s.computeShares(lists, pools)
+	for _, list := range lists {
+		for len(list) > 0 {
+			n := equalRankPrefix(list)
+			s.placeEqualRank(list[:n], shares, pools)
+			list = list[n:]
 		}
-		for _, c := range overShare {
-			s.placeStage(c, pools)
+	}
+}
+
+// placeEqualRank places the candidates of customers below their fair share before the others.
+func (s *Scheduler) placeEqualRank(list []candidate, shares *fairShares, pools poolCapacities) {
+	var overShare []*candidate
+	for i := range list {
+		c := &list[i]
+		if c.class != classService && !shares.belowShare(c.job.pool, c.job.customer) {
+			overShare = append(overShare, c)
+			continue
 		}
-		list = list[n:]
+		s.placeStage(c, pools)
+	}
+	for _, c := range overShare {
+		s.placeStage(c, pools)
 	}
 }
 
-// equalRankPrefix returns the number of candidates at the head of the list with the same class and priority.
+// equalRankPrefix returns the number of candidates at the head of the list with the same priority.
 func equalRankPrefix(list []candidate) int {
 	n := 1
-	for n < len(list) && list[n].class == list[0].class && list[n].job.priority == list[0].job.priority {
+	for n < len(list) && list[n].job.priority == list[0].job.priority {
 		n++
 	}
 	return n
 }
 
-func (s *Scheduler) placeStage(c candidate, pools poolCapacities) {
+func (s *Scheduler) placeStage(c *candidate, pools poolCapacities) {
 	pool := pools.of(c.job.pool)
 	if c.stage.step.Gang {
 		s.placeGang(c, s.advisedInstances(c, pool.instances))
@@ -117,7 +98,7 @@
 
 // withoutReserved returns the instances without the one that is closest to having capacity for the waiting service task,
 // so that batch work does not fill it again.
-func withoutReserved(c candidate, instances []*instance) []*instance {
+func withoutReserved(c *candidate, instances []*instance) []*instance {
 	step := c.stage.step
 	best, least := -1, 0.0
 	for i, in := range instances {
@@ -154,68 +135,9 @@
 	return pools
 }
 
-// candidates returns the stages with waiting tasks in placement order: by class, priority and due time. Service stages come
-// first, then stages that can still meet their objective, best-effort stages, late stages and expired stages.
-func (s *Scheduler) candidates() []candidate {
-	var list []candidate
-	for _, j := range s.jobs {
-		if j.finished || !s.runsReconciled(j) {
-			continue
-		}
-		for index, o := range j.occurrences {
-			if o.dueMillis > s.wallMillis {
-				continue
-			}
-			for _, st := range o.stages {
-				if st.doneCount < len(st.tasks) && o.ready(j, st.stepIndex) {
-					list = append(list, candidate{job: j, occurrence: index, stage: st, class: s.classOf(j, st)})
-				}
-			}
-		}
-	}
-	slices.SortFunc(list, compareCandidates)
-	return list
-}
-
-func compareCandidates(a, b candidate) int {
-	return cmp.Or(
-		cmp.Compare(a.class, b.class),
-		cmp.Compare(a.job.priority, b.job.priority),
-		cmp.Compare(a.job.dueAt, b.job.dueAt),
-		cmp.Compare(a.job.ID, b.job.ID),
-		cmp.Compare(a.stage.stepIndex, b.stage.stepIndex),
-	)
-}
-
-func (s *Scheduler) classOf(j *job, st *stage) class {
-	step := st.step
-	switch {
-	case step.Service && step.BestEffort:
-		return classBestEffort
-	case step.Service:
-		return classService
-	case s.now < j.dueAt:
-		return classOnTime
-	case s.now < j.dueAt+(lateFactor-1)*j.objective:
-		return classLate
-	default:
-		return classExpired
-	}
-}
-
-// ready reports whether the steps that a step depends on are done.
-func (o *occurrence) ready(j *job, step int) bool {
-	for _, a := range j.Steps[step].After {
-		if o.stages[a].doneCount < len(o.stages[a].tasks) {
-			return false
-		}
-	}
-	return true
-}
-
 // placeTasks starts the waiting tasks of a stage. It returns false if a task finds no instance; a task held back by its
 // customer's limit does not count.
-func (s *Scheduler) placeTasks(c candidate, pool *poolCapacity) bool {
+func (s *Scheduler) placeTasks(c *candidate, pool *poolCapacity) bool {
 	instances := s.advisedInstances(c, pool.instances)
 	for i := range c.stage.tasks {
 		t := &c.stage.tasks[i]
@@ -255,7 +177,7 @@
 
 // chooseInstance returns the instance with the highest score for a task, or nil. hasRoom reports whether the task's claim
 // fits on any of the instances.
-func (s *Scheduler) chooseInstance(c candidate, t *task, instances []*instance) (best *instance, hasRoom bool) {
+func (s *Scheduler) chooseInstance(c *candidate, t *task, instances []*instance) (best *instance, hasRoom bool) {
 	bestScore := 0.0
 	for _, in := range instances {
 		if !in.free().Fits(c.stage.claim) {
@@ -303,7 +225,7 @@
 	weightInstanceSpread  = 0.3   // the loss of an instance should not either; both spread weights are below the cost of another instance
 )
 
-func (in *instance) score(c candidate, t *task) float64 {
+func (in *instance) score(c *candidate, t *task) float64 {
 	step := c.stage.step
 	score := 0.0
 	if step.DataRack != "" && in.Rack == step.DataRack {
--- a/internal/scheduler/promote.go
+++ b/internal/scheduler/promote.go
@@ -1,8 +1,6 @@
 package scheduler
 
 import (
-	"slices"
-
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
 	"github.com/sapphiresail/sapphiresail/internal/workload"
 )
@@ -13,27 +11,24 @@
 
 // promoteLate ranks late stages before on-time ones, by priority and then the oldest due time, while late work takes less
 // than promotionShare of their pool.
-func (s *Scheduler) promoteLate(list []candidate, pools poolCapacities) []candidate {
-	if !slices.ContainsFunc(list, func(c candidate) bool { return c.class == classLate }) {
-		return list
-	}
+func (s *Scheduler) promoteLate(lists *candidateLists, pools poolCapacities) {
 	lateShares := map[fleet.PoolID]float64{}
-	for i := range list {
-		c := &list[i]
-		pool := pools.of(c.job.pool)
-		if c.class != classLate {
-			continue
+	late := lists[classLate][:0]
+	for _, c := range lists[classLate] {
+		id := c.job.pool
+		pool := pools.of(id)
+		if _, known := lateShares[id]; !known {
+			lateShares[id] = s.lateShare(pool)
 		}
-		if _, known := lateShares[c.job.pool]; !known {
-			lateShares[c.job.pool] = s.lateShare(pool)
-		}
-		if lateShares[c.job.pool] < promotionShare {
-			c.class = classPromoted
-			lateShares[c.job.pool] += pool.waitingShare(c)
+		if lateShares[id] >= promotionShare {
+			late = append(late, c)
+			continue
 		}
+		lateShares[id] += pool.waitingShare(&c)
+		c.class = classPromoted
+		lists[classPromoted] = append(lists[classPromoted], c)
 	}
-	slices.SortStableFunc(list, compareCandidates)
-	return list
+	lists[classLate] = late
 }
 
 // lateShare returns the dominant share of late work in the capacity of the pool.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -105,13 +105,16 @@
 
 // Scheduler places the tasks of all jobs. It is not safe for concurrent use.
 type Scheduler struct {
-	options       Options
-	now           time.Duration
-	wallMillis    int64 // Unix time
-	catalogue     *workload.Catalogue
-	instances     instanceTable
-	jobs          map[workload.JobID]*job
-	customerUsage map[fleet.CustomerID]workload.Resources
+	options    Options
+	now        time.Duration
+	wallMillis int64 // Unix time
+	catalogue  *workload.Catalogue
+	instances  instanceTable
+	jobs       map[workload.JobID]*job
+	activeJobs jobQueue
+	// candidateLists is kept to use its memory again.
+	candidateLists candidateLists
+	customerUsage  map[fleet.CustomerID]workload.Resources
 	// poolUsage is what the batch runs of each customer claim in each pool.
 	poolUsage          map[poolCustomer]workload.Resources
 	runCounter         uint64
@@ -200,6 +203,7 @@
 // SetCatalogue replaces the catalogue and applies it to all jobs.
 func (s *Scheduler) SetCatalogue(c *workload.Catalogue) {
 	s.catalogue = c
+	s.activeJobs.unsorted = true
 	for _, j := range s.jobs {
 		s.applyCatalogue(j)
 	}
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -25,7 +25,7 @@
 }
 
 // computeShares returns the fair shares of the customers in the pools.
-func (s *Scheduler) computeShares(list []candidate, pools poolCapacities) *fairShares {
+func (s *Scheduler) computeShares(lists *candidateLists, pools poolCapacities) *fairShares {
 	f := &fairShares{
 		capacity: map[fleet.PoolID]workload.Resources{}, usage: s.poolUsage, weights: map[fleet.CustomerID]float64{},
 		activeWeight: map[fleet.PoolID]float64{}, active: map[poolCustomer]bool{},
@@ -41,9 +41,11 @@
 			f.markActive(k)
 		}
 	}
-	for _, c := range list {
-		if !c.job.Steps[c.stage.stepIndex].Service {
-			f.markActive(poolCustomer{c.job.pool, c.job.customer})
+	for _, list := range lists {
+		for i := range list {
+			if c := &list[i]; !c.stage.step.Service {
+				f.markActive(poolCustomer{c.job.pool, c.job.customer})
+			}
 		}
 	}
 	return f
