Look at a run only when its stop or its progress may need it

Each planning run looked at all runs twice: for stops to repeat and for runs that stand still. The stops not yet accepted are now kept in a list, and the runs of an instance are checked for progress once a reading of its clock.

--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -19,7 +19,9 @@
 	departed bool
 	// clockReadAt is when clock was read from the instance.
 	clockReadAt time.Duration
-	clock       time.Duration
+	// stallsCheckedAt is the value of clockReadAt at the last check for runs that stand still.
+	stallsCheckedAt time.Duration
+	clock           time.Duration
 	// maxDeadlineSent is the latest lease deadline in any order or poll sent to the instance.
 	maxDeadlineSent time.Duration
 	failedPolls     int
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // stopRun orders a run to stop. Its claim is released when its end is reported, or by a poll after the stop was accepted.
 func (s *Scheduler) stopRun(in *instance, r *run, reason string) {
@@ -12,6 +15,9 @@
 }
 
 func (s *Scheduler) sendStop(in *instance, r *run) {
+	if !r.stopping {
+		s.stopping = append(s.stopping, stoppingRun{in, r})
+	}
 	r.stopping = true
 	r.stopSentAt = s.now
 	s.orders = append(s.orders, Order{
@@ -105,16 +111,18 @@
 	s.orders = append(s.orders, Order{Kind: ImmediatePoll, Instance: in.ID, Address: in.Address})
 }
 
+// stoppingRun is a run with a stop that was not accepted yet.
+type stoppingRun struct {
+	instance *instance
+	run      *run
+}
+
 // retryStops repeats stops that were not accepted.
 func (s *Scheduler) retryStops() {
-	for _, in := range s.instances.sorted {
-		if in.failedPolls > 0 {
-			continue
-		}
-		for _, r := range in.runs {
-			if r.stopping && r.stopAckedAt == 0 && s.now-r.stopSentAt > orderRetryInterval*2 {
-				s.sendStop(in, r)
-			}
+	s.stopping = slices.DeleteFunc(s.stopping, func(o stoppingRun) bool { return o.run.stopAckedAt > 0 || o.instance.runs[o.run.task] != o.run })
+	for _, o := range s.stopping {
+		if o.instance.failedPolls == 0 && s.now-o.run.stopSentAt > orderRetryInterval*2 {
+			s.sendStop(o.instance, o.run)
 		}
 	}
 }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -271,12 +271,14 @@
 	}
 }
 
-// stopStalledRuns stops runs that make no progress, so that their tasks run elsewhere.
+// stopStalledRuns stops runs that make no progress, so that their tasks run elsewhere. Only a later reading of the clock of
+// an instance can show that a run stands still.
 func (s *Scheduler) stopStalledRuns() {
 	for _, in := range s.instances.sorted {
-		if in.failedPolls > 0 || !in.polled {
+		if in.failedPolls > 0 || !in.polled || in.stallsCheckedAt == in.clockReadAt {
 			continue
 		}
+		in.stallsCheckedAt = in.clockReadAt
 		for _, r := range in.runs {
 			if r.stalled(in.clockReadAt) {
 				in.recentFailures++
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -125,6 +125,7 @@
 	deregistrations    []fleet.InstanceID
 	enrolments         []workload.Instance
 	cordons            []fleet.InstanceID
+	stopping           []stoppingRun
 	adviceRequests     []AdviceRequest
 	adviceInFlight     bool
 	adviceBackoffUntil time.Duration
