Keep one account a pool and customer for the fair shares

Each planning run built maps of the weights and capacities and looked both names up several times for each waiting stage.

--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -93,8 +93,8 @@
 	throttlePercent int
 	// reported is set once the instance has listed the run.
 	reported bool
-	// chargedTo is the pool and customer whose usage includes the run; it is zero for service tasks.
-	chargedTo poolCustomer
+	// account includes the run's claim; it is nil for service tasks.
+	account *account
 }
 
 func (s *Scheduler) addInstance(announced workload.Instance) *instance {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -17,6 +17,7 @@
 	pool        fleet.PoolID
 	pools       []fleet.PoolID
 	customer    fleet.CustomerID
+	account     *account
 	priority    int
 	maxAttempts int
 	// dueAt is acceptedAt plus the latency objective.
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -13,6 +13,8 @@
 	// instances are the schedulable ones without those reserved for service tasks, and total the capacity of all of them.
 	instances []*instance
 	total     workload.Resources
+	// activeWeight is the sum of the weights of the customers with running or waiting batch tasks in the pool.
+	activeWeight float64
 	// full holds claims that fit on no instance. The free capacity only shrinks while tasks are placed.
 	full []workload.Resources
 }
@@ -51,22 +53,22 @@
 	pools := s.schedulableInstances()
 	lists := s.candidates()
 	s.promoteLate(lists, pools)
-	shares := s.computeShares(lists, pools)
+	s.weighCustomers(lists, pools)
 	for _, list := range lists {
 		for len(list) > 0 {
 			n := equalRankPrefix(list)
-			s.placeEqualRank(list[:n], shares, pools)
+			s.placeEqualRank(list[:n], pools)
 			list = list[n:]
 		}
 	}
 }
 
 // placeEqualRank places the candidates of customers below their fair share before the others.
-func (s *Scheduler) placeEqualRank(list []candidate, shares *fairShares, pools poolCapacities) {
+func (s *Scheduler) placeEqualRank(list []candidate, pools poolCapacities) {
 	var overShare []*candidate
 	for i := range list {
 		c := &list[i]
-		if c.class != classService && !shares.belowShare(c.job.pool, c.job.customer) {
+		if c.class != classService && !s.belowShare(c, pools.of(c.job.pool)) {
 			overShare = append(overShare, c)
 			continue
 		}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -113,10 +113,10 @@
 	jobs       map[workload.JobID]*job
 	activeJobs jobQueue
 	// candidateLists is kept to use its memory again.
-	candidateLists candidateLists
-	customerUsage  map[fleet.CustomerID]workload.Resources
-	// poolUsage is what the batch runs of each customer claim in each pool.
-	poolUsage          map[poolCustomer]workload.Resources
+	candidateLists     candidateLists
+	customerUsage      map[fleet.CustomerID]workload.Resources
+	accounts           map[poolCustomer]*account
+	placementRound     uint64
 	runCounter         uint64
 	orders             []Order
 	ends               []state.RunEnd
@@ -174,7 +174,7 @@
 		instances:        newInstanceTable(),
 		jobs:             map[workload.JobID]*job{},
 		customerUsage:    map[fleet.CustomerID]workload.Resources{},
-		poolUsage:        map[poolCustomer]workload.Resources{},
+		accounts:         map[poolCustomer]*account{},
 		unreconciled:     map[fleet.InstanceID]bool{},
 		waves:            map[uint64]*wave{},
 		machines:         map[string]*machine{},
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -14,80 +14,83 @@
 	customer fleet.CustomerID
 }
 
-// fairShares compares the usage of each customer with its weighted share among the customers active in a pool.
-type fairShares struct {
-	capacity map[fleet.PoolID]workload.Resources
-	usage    map[poolCustomer]workload.Resources
-	weights  map[fleet.CustomerID]float64
-	// activeWeight is the sum of the weights of the customers with running or waiting batch tasks in a pool.
-	activeWeight map[fleet.PoolID]float64
-	active       map[poolCustomer]bool
+// account is what the batch runs of one customer claim in one pool.
+type account struct {
+	poolCustomer
+	used   workload.Resources
+	weight float64
+	// weighedIn is the last placement round in which weight was set, and activeIn the last one in which the customer had
+	// running or waiting batch tasks in the pool.
+	weighedIn, activeIn uint64
 }
 
-// computeShares returns the fair shares of the customers in the pools.
-func (s *Scheduler) computeShares(lists *candidateLists, pools poolCapacities) *fairShares {
-	f := &fairShares{
-		capacity: map[fleet.PoolID]workload.Resources{}, usage: s.poolUsage, weights: map[fleet.CustomerID]float64{},
-		activeWeight: map[fleet.PoolID]float64{}, active: map[poolCustomer]bool{},
+func (s *Scheduler) account(pool fleet.PoolID, customer fleet.CustomerID) *account {
+	k := poolCustomer{pool, customer}
+	a := s.accounts[k]
+	if a == nil {
+		a = &account{poolCustomer: k}
+		s.accounts[k] = a
 	}
+	return a
+}
+
+// accountOf returns the account of a job in the pool of its queue.
+func (s *Scheduler) accountOf(j *job) *account {
+	if j.account == nil || j.account.pool != j.pool {
+		j.account = s.account(j.pool, j.customer)
+	}
+	return j.account
+}
+
+// weighCustomers sums up the weights of the customers that are active in each pool.
+func (s *Scheduler) weighCustomers(lists *candidateLists, pools poolCapacities) {
+	s.placementRound++
+	weights := map[fleet.CustomerID]float64{}
 	for _, customer := range s.catalogue.Customers {
-		f.weights[customer.Name] = customer.Weight
+		weights[customer.Name] = customer.Weight
 	}
-	for pool, capacity := range pools {
-		f.capacity[pool] = capacity.total
+	weigh := func(a *account, active bool) {
+		if a.weighedIn != s.placementRound {
+			a.weighedIn = s.placementRound
+			a.weight = defaultWeight
+			if w := weights[a.customer]; w > 0 {
+				a.weight = w
+			}
+		}
+		if active && a.activeIn != s.placementRound {
+			a.activeIn = s.placementRound
+			pools.of(a.pool).activeWeight += a.weight
+		}
 	}
-	for k, used := range s.poolUsage {
-		if used != (workload.Resources{}) {
-			f.markActive(k)
+	for _, a := range s.accounts {
+		if a.used != (workload.Resources{}) {
+			weigh(a, true)
 		}
 	}
 	for _, list := range lists {
 		for i := range list {
-			if c := &list[i]; !c.stage.step.Service {
-				f.markActive(poolCustomer{c.job.pool, c.job.customer})
-			}
+			weigh(s.accountOf(list[i].job), !list[i].stage.step.Service)
 		}
 	}
-	return f
-}
-
-func (f *fairShares) markActive(k poolCustomer) {
-	if !f.active[k] {
-		f.active[k] = true
-		f.activeWeight[k.pool] += f.weight(k.customer)
-	}
 }
 
-func (f *fairShares) weight(customer fleet.CustomerID) float64 {
-	if w := f.weights[customer]; w > 0 {
-		return w
-	}
-	return defaultWeight
-}
-
-// belowShare reports whether a customer uses less of a pool than its fair share.
-func (f *fairShares) belowShare(pool fleet.PoolID, customer fleet.CustomerID) bool {
-	entitled := f.weight(customer) / max(f.activeWeight[pool], f.weight(customer))
-	return f.capacity[pool].DominantShare(f.usage[poolCustomer{pool, customer}]) < entitled
+// belowShare reports whether the customer of a candidate uses less of the pool than its fair share.
+func (s *Scheduler) belowShare(c *candidate, pool *poolCapacity) bool {
+	a := s.accountOf(c.job)
+	return pool.total.DominantShare(a.used) < a.weight/max(pool.activeWeight, a.weight)
 }
 
 // chargeUsage adds the claim of a batch run to its customer's usage of the pool.
 func (s *Scheduler) chargeUsage(in *instance, r *run) {
 	if !r.job.step(r.task.Position).Service {
-		r.chargedTo = poolCustomer{in.Pool, r.job.customer}
-		s.poolUsage[r.chargedTo] = s.poolUsage[r.chargedTo].Add(r.claim)
+		r.account = s.account(in.Pool, r.job.customer)
+		r.account.used = r.account.used.Add(r.claim)
 	}
 }
 
 // releaseUsage subtracts the claim of a removed run from the usage that chargeUsage added it to.
 func (s *Scheduler) releaseUsage(r *run) {
-	if r.chargedTo == (poolCustomer{}) {
-		return
-	}
-	remaining := s.poolUsage[r.chargedTo].Sub(r.claim)
-	if remaining == (workload.Resources{}) {
-		delete(s.poolUsage, r.chargedTo)
-		return
+	if r.account != nil {
+		r.account.used = r.account.used.Sub(r.claim)
 	}
-	s.poolUsage[r.chargedTo] = remaining
 }
