--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -19,7 +19,9 @@
 	departed bool
 	// clockReadAt is when the response that contained clock arrived.
 	clockReadAt time.Duration
-	clock       time.Duration
+	// stallsCheckedAt is the value of clockReadAt at the last check for runs that stand still.
+	stallsCheckedAt time.Duration
+	clock           time.Duration
 	// maxDeadlineSent is the latest lease deadline in any order or poll sent to the instance.
 	maxDeadlineSent time.Duration
 	failedPolls     int
@@ -91,8 +93,8 @@
 	throttlePercent int
 	// reported is set once the instance has listed the run.
 	reported bool
-	// chargedTo is the pool and customer whose usage includes the run; it is zero for service tasks.
-	chargedTo poolCustomer
+	// account includes the run's claim; it is nil for service tasks.
+	account *account
 }
 
 func (s *Scheduler) addInstance(announced workload.Instance) *instance {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -107,15 +107,18 @@
 
 // Scheduler places the tasks of all jobs. It is not safe for concurrent use.
 type Scheduler struct {
-	options       Options
-	now           time.Duration
-	wallMillis    int64 // Unix time
-	catalogue     *workload.Catalogue
-	instances     instanceTable
-	jobs          map[workload.JobID]*job
-	customerUsage map[fleet.CustomerID]workload.Resources
-	// poolUsage is what the batch runs of each customer claim in each pool.
-	poolUsage          map[poolCustomer]workload.Resources
+	options    Options
+	now        time.Duration
+	wallMillis int64 // Unix time
+	catalogue  *workload.Catalogue
+	instances  instanceTable
+	jobs       map[workload.JobID]*job
+	activeJobs jobQueue
+	// candidateLists is kept to use its memory again.
+	candidateLists     candidateLists
+	customerUsage      map[fleet.CustomerID]workload.Resources
+	accounts           map[poolCustomer]*account
+	placementRound     uint64
 	runCounter         uint64
 	orders             []Order
 	ends               []state.RunEnd
@@ -124,6 +127,7 @@
 	deregistrations    []fleet.InstanceID
 	enrolments         []workload.Instance
 	cordons            []fleet.InstanceID
+	stopping           []stoppingRun
 	adviceRequests     []AdviceRequest
 	adviceInFlight     bool
 	adviceBackoffUntil time.Duration
@@ -172,7 +176,7 @@
 		instances:        newInstanceTable(),
 		jobs:             map[workload.JobID]*job{},
 		customerUsage:    map[fleet.CustomerID]workload.Resources{},
-		poolUsage:        map[poolCustomer]workload.Resources{},
+		accounts:         map[poolCustomer]*account{},
 		unreconciled:     map[fleet.InstanceID]bool{},
 		waves:            map[uint64]*wave{},
 		machines:         map[string]*machine{},
@@ -202,6 +206,7 @@
 // SetCatalogue replaces the catalogue and applies it to all jobs.
 func (s *Scheduler) SetCatalogue(c *workload.Catalogue) {
 	s.catalogue = c
+	s.activeJobs.unsorted = true
 	for _, j := range s.jobs {
 		s.applyCatalogue(j)
 	}
--- a/internal/scheduler/waiting.go
+++ b/internal/scheduler/waiting.go
@@ -166,7 +166,7 @@
 	if t.run != nil {
 		return s.describeRun(t)
 	}
-	if !s.runsReconciled(c.job) {
+	if !c.job.runsReconciled(s.lastCordons()) {
 		return "unreconciled: " + s.describeUnreconciled(c.job)
 	}
 	requested := step.Resources
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -51,7 +51,8 @@
 	lastRelease          time.Duration
 	logLimiter           logLimiter
 	mismatched           map[workload.JobID]mismatch
-	pacer                pollPacer
+	planPacer            planPacer
+	pollPacer            pollPacer
 
 	load load
 }
@@ -65,7 +66,7 @@
 }
 
 func newTerm(ctx context.Context, o *Options, m *instruments, number, session uint64) *term {
-	t := &term{options: o, instruments: m, number: number, session: session, inbox: make(chan func(), inboxCapacity), dispatchers: map[fleet.InstanceID]*dispatcher{}, pacer: pollPacer{limits: defaultPollLimits}}
+	t := &term{options: o, instruments: m, number: number, session: session, inbox: make(chan func(), inboxCapacity), dispatchers: map[fleet.InstanceID]*dispatcher{}, pollPacer: pollPacer{limits: defaultPollLimits}}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	return t
 }
@@ -168,12 +169,16 @@
 		case f := <-t.inbox:
 			t.runBatch(f)
 			if planTimer == nil {
-				planTimer = time.After(planDelay)
+				planTimer = time.After(t.planPacer.delay(monotonicNow(), planDelay))
+			}
+			continue
+		case <-ticker.C:
+			if planTimer == nil {
+				planTimer = time.After(t.planPacer.delay(monotonicNow(), 0))
 			}
 			continue
 		case <-planTimer:
 			planTimer = nil
-		case <-ticker.C:
 		}
 		if !t.lasts() {
 			return "lease is over"
@@ -300,7 +305,7 @@
 			return
 		}
 		t.committingEnds = false
-		t.pacer.commitDelay.observe(monotonicNow(), monotonicNow()-takenAt)
+		t.pollPacer.commitDelay.observe(monotonicNow(), monotonicNow()-takenAt)
 		t.scheduler.ConfirmEnds(batch)
 		for _, c := range completed {
 			event.JobCompleted.Info(t.options.Logger, zap.String("job", string(c.Job)), zap.Duration("took", c.Elapsed))
@@ -308,70 +313,6 @@
 	})
 }
 
-// commitInstanceChanges deregisters instances, enrols those again for which the platform refused planned work, and commits which
-// instances are cordoned because they do not respond and which are uncordoned.
-func (t *term) commitInstanceChanges() {
-	for _, id := range t.scheduler.TakeDeregistrations() {
-		if d := t.dispatchers[id]; d != nil {
-			d.cancel()
-			delete(t.dispatchers, id)
-		}
-		t.enqueueRegistration(state.DeregisterInstances{Instances: []fleet.InstanceID{id}}, func() {})
-	}
-	for _, in := range t.scheduler.TakeEnrolments() {
-		t.enrol(in)
-	}
-	if list := t.scheduler.TakeCordons(); len(list) > 0 {
-		t.enqueueRegistration(state.CordonInstances{Instances: list}, func() {})
-	}
-	if list := t.scheduler.TakeUncordons(); len(list) > 0 {
-		t.enqueueRegistration(state.UncordonInstances{Instances: list}, func() { t.scheduler.ConfirmUncordoned(list) })
-	}
-}
-
-// registration is a pending change to the enrolled instances.
-type registration struct {
-	command  state.Command
-	onCommit func()
-}
-
-// enqueueRegistration queues a change to the enrolled instances. Changes are committed in order, so that the deregistration of
-// an earlier boot cannot take effect after the enrolment of the later one.
-func (t *term) enqueueRegistration(c state.Command, onCommit func()) {
-	t.pendingRegistrations = append(t.pendingRegistrations, registration{c, onCommit})
-	t.commitRegistrations()
-}
-
-// commitRegistrations commits all queued changes as one batch, unless a batch is in flight.
-func (t *term) commitRegistrations() {
-	if t.registrationInFlight || len(t.pendingRegistrations) == 0 {
-		return
-	}
-	t.registrationInFlight = true
-	batch := t.pendingRegistrations
-	t.pendingRegistrations = nil
-	commands := make([]state.Command, len(batch))
-	for i, r := range batch {
-		commands[i] = r.command
-	}
-	t.spawn(func() {
-		_, errs := t.commitAll(commands)
-		t.post(func() { t.handleRegistrationsCommitted(batch, errs) })
-	})
-}
-
-func (t *term) handleRegistrationsCommitted(batch []registration, errs []error) {
-	t.registrationInFlight = false
-	for i, r := range batch {
-		if errs[i] != nil {
-			t.cancel() // which instances are enrolled is unknown now; the next term reads it from the committed state
-			return
-		}
-		r.onCommit()
-	}
-	t.commitRegistrations()
-}
-
 // releaseJobs deletes the records of jobs whose retention is over, and compares the others with the scheduler.
 func (t *term) releaseJobs(now time.Duration) {
 	if now-t.lastRelease < jobReleaseInterval {
