Announce commits with the next entries or heartbeat on a platform

Each commit cost the leader a message to each of its eight peers and their replies, beside the entries themselves: half of all messages of the replication. On a platform only the leader reads the state, so the others may learn of a commit up to a heartbeat interval later; a keeper group of the product's own interface announces commits at once, as before.

The share of each change was not measured apart.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -127,6 +127,7 @@
 	p.replicator, err = replicator.Start(replicator.Options{
 		Entry: p.entryID(), Messenger: p.messenger, Journal: p.journal, Keepers: founders, Peers: p.settings.SeedEntries(),
 		Logger: p.logger, DesiredVoters: p.settings.Voters, ElectionTimeout: electionTimeout,
+		LazyCommits: true, // only the leader reads the state
 	})
 	if err != nil {
 		return err
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -60,32 +60,11 @@
 	learnerExpiry            = 30 * time.Second
 )
 
-// Option configures a new member.
-type Option func(*Raft)
-
-// WithTimeouts sets the minimum election timeout and the heartbeat interval.
-func WithTimeouts(electionTimeout, heartbeatInterval time.Duration) Option {
-	return func(r *Raft) {
-		r.electionTimeout = electionTimeout
-		r.heartbeatInterval = heartbeatInterval
-	}
-}
-
-// WithClockDrift sets the upper bound on the relative difference between the clock rates of two members.
-func WithClockDrift(drift float64) Option { return func(r *Raft) { r.clockDrift = drift } }
-
-// WithSeed seeds the random part of the election timeout.
-func WithSeed(seed uint64) Option {
-	return func(r *Raft) { r.rng = rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)) }
-}
-
-// WithDurable marks a member that syncs its records to disk and may therefore become a voter.
-func WithDurable() Option { return func(r *Raft) { r.durable = true } }
-
 // Raft is one member of the Raft group. All times are readings of this member's clock.
 type Raft struct {
 	id                ID
 	durable           bool
+	lazyCommits       bool
 	electionTimeout   time.Duration
 	heartbeatInterval time.Duration
 	clockDrift        float64
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -189,7 +189,9 @@
 		r.becomeFollower(r.hardState.Term, "")
 		return
 	}
-	r.broadcastHeartbeat()
+	if !r.lazyCommits {
+		r.broadcastHeartbeat()
+	}
 }
 
 func (r *Raft) broadcastHeartbeat() {
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -77,6 +77,8 @@
 	DesiredVoters int
 	// ElectionTimeout is the minimum election timeout; zero selects the default.
 	ElectionTimeout time.Duration
+	// LazyCommits delays the notification of the other members about commits by up to a heartbeat interval.
+	LazyCommits bool
 }
 
 // Replicator is a running member of the Raft group.
@@ -164,6 +166,9 @@
 	if r.options.ElectionTimeout > 0 {
 		options = append(options, raft.WithTimeouts(r.options.ElectionTimeout, raft.DefaultHeartbeatInterval))
 	}
+	if r.options.LazyCommits {
+		options = append(options, raft.WithLazyCommits())
+	}
 	if j := r.options.Journal; j != nil {
 		loaded = j.Loaded()
 		options = append(options, raft.WithDurable())
