Test that a session knows the deregistrations of the one before

The barrier of a session prevents it; without it the test fails:

resumption_test.go:192: assertion failed: enrolled is false: started on an instance that is not enrolled

--- a/internal/supervisor/resumption_test.go
+++ b/internal/supervisor/resumption_test.go
@@ -174,6 +174,25 @@
 	}
 }
 
+// TestDeregistrationCommittedAfterSessionIsKnownToNext guards against a session that starts a task on an instance which the
+// committed state has lost to a deregistration by the session before. The next leader would not poll the instance, and would start
+// the task a second time.
+func TestDeregistrationCommittedAfterSessionIsKnownToNext(t *testing.T) {
+	s := startResumption(t)
+	in := s.instance
+	depart := forwarder.Request{Operation: forwarder.Depart, Instance: &in}
+	s.commitAcrossResumption(depart, func(s *resumption) {
+		s.term.Load().cancel() // as a failed commit does
+		s.waitFor("the end of the session", func() bool { _, abandoned := s.replica.counts(); return abandoned > 0 })
+	})
+	s.submit(submission(jobID, "/q/"))
+	s.waitFor("the start of the job", func() bool { s.announce(); return s.fleet.runs(jobID) })
+	s.replica.View(func(committed *state.State) {
+		_, enrolled := committed.Workload.Enrolled["i"]
+		assert.Assert(t, enrolled, "started on an instance that is not enrolled")
+	})
+}
+
 // TestSessionBeginsWithCommittedBarrier guards against a session that handles requests before it knows the commands of earlier
 // sessions, or that uses up one of the 1000 blocks of run numbers of its term without having started a run.
 func TestSessionBeginsWithCommittedBarrier(t *testing.T) {
