--- a/internal/supervisor/load.go
+++ b/internal/supervisor/load.go
@@ -87,7 +87,9 @@
 	if !t.load.planEndedAt.IsZero() {
 		t.load.planGap = max(t.load.planGap, start.Sub(t.load.planEndedAt))
 	}
+	startedAt := monotonicNow()
 	t.runScheduler()
+	t.planPacer.record(startedAt, monotonicNow())
 	end := time.Now()
 	took := end.Sub(start)
 	t.load.plans++
--- /dev/null
+++ b/internal/supervisor/registration.go
@@ -0,0 +1,70 @@
+package supervisor
+
+import (
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/state"
+)
+
+// commitInstanceChanges deregisters instances, enrols those again for which the platform refused planned work, and commits which
+// instances are cordoned because they do not respond and which are uncordoned.
+func (t *term) commitInstanceChanges() {
+	for _, id := range t.scheduler.TakeDeregistrations() {
+		if d := t.dispatchers[id]; d != nil {
+			d.cancel()
+			delete(t.dispatchers, id)
+		}
+		t.enqueueRegistration(state.DeregisterInstances{Instances: []fleet.InstanceID{id}}, func() {})
+	}
+	for _, in := range t.scheduler.TakeEnrolments() {
+		t.enrol(in)
+	}
+	if list := t.scheduler.TakeCordons(); len(list) > 0 {
+		t.enqueueRegistration(state.CordonInstances{Instances: list}, func() {})
+	}
+	if list := t.scheduler.TakeUncordons(); len(list) > 0 {
+		t.enqueueRegistration(state.UncordonInstances{Instances: list}, func() { t.scheduler.ConfirmUncordoned(list) })
+	}
+}
+
+// registration is a pending change to the enrolled instances.
+type registration struct {
+	command  state.Command
+	onCommit func()
+}
+
+// enqueueRegistration queues a change to the enrolled instances. Changes are committed in order, so that the deregistration of
+// an earlier boot cannot take effect after the enrolment of the later one.
+func (t *term) enqueueRegistration(c state.Command, onCommit func()) {
+	t.pendingRegistrations = append(t.pendingRegistrations, registration{c, onCommit})
+	t.commitRegistrations()
+}
+
+// commitRegistrations commits all queued changes as one batch, unless a batch is in flight.
+func (t *term) commitRegistrations() {
+	if t.registrationInFlight || len(t.pendingRegistrations) == 0 {
+		return
+	}
+	t.registrationInFlight = true
+	batch := t.pendingRegistrations
+	t.pendingRegistrations = nil
+	commands := make([]state.Command, len(batch))
+	for i, r := range batch {
+		commands[i] = r.command
+	}
+	t.spawn(func() {
+		_, errs := t.commitAll(commands)
+		t.post(func() { t.handleRegistrationsCommitted(batch, errs) })
+	})
+}
+
+func (t *term) handleRegistrationsCommitted(batch []registration, errs []error) {
+	t.registrationInFlight = false
+	for i, r := range batch {
+		if errs[i] != nil {
+			t.cancel() // which instances are enrolled is unknown now; the next term reads it from the committed state
+			return
+		}
+		r.onCommit()
+	}
+	t.commitRegistrations()
+}
