--- a/internal/scheduler/large_fleet_test.go
+++ b/internal/scheduler/large_fleet_test.go
@@ -30,6 +30,9 @@
 	instances []*simulatedInstance
 	byID      map[fleet.InstanceID]*simulatedInstance
 	arrivals  []arrival
+	// varied adds the kinds of work that the site lacks: see vary.
+	varied bool
+	jobs   []workload.JobID
 	// digest, if set, takes the orders in an order that does not depend on that of maps.
 	digest hash.Hash
 	// tick, report and add are the time spent in Tick, in NextPoll and HandleReport, and in AddJob.
@@ -70,7 +73,7 @@
 		for i := range p.size {
 			f.addInstance(workload.Instance{
 				ID: fleet.InstanceID(fmt.Sprintf("i-%04d", number)), Boot: 1, Pool: p.name, Address: fmt.Sprint("a-", number), Machine: fmt.Sprintf("m-%04d", number),
-				Sequence: 1, Capacity: workload.Resources{Processors: 32000, Memory: 65536}, Clock: time.Minute, Rack: fmt.Sprint(p.name, "-", i/12),
+				Sequence: 1, Capacity: workload.Resources{Processors: 32000, Memory: 65536}, Clock: time.Minute, Rack: fmt.Sprint(p.name, "-", i/12), Labels: []string{fmt.Sprint("n", number), "label"}[:1+number%2],
 			})
 			number++
 		}
@@ -114,6 +117,9 @@
 	f.now += largeFleetStep
 	elapsed := f.now - f.start
 	f.submitDue(elapsed)
+	if f.varied {
+		f.vary(elapsed)
+	}
 	switch elapsed {
 	case 3500 * time.Millisecond:
 		f.addWave()
@@ -181,6 +187,7 @@
 func (f *largeFleet) submit(queue fleet.QueueID, customer fleet.CustomerID, steps ...workload.Step) {
 	id := workload.JobID(fmt.Sprintf("%016x", f.index))
 	f.commit(state.SubmitJob{Job: workload.Job{ID: id, Steps: steps}, Queue: queue, Customer: customer, At: state.Timestamp(f.now.Milliseconds())})
+	f.jobs = append(f.jobs, id)
 	start := time.Now()
 	f.scheduler.AddJob(f.now, f.now.Milliseconds(), f.state.Workload.Jobs[id], false)
 	f.add += time.Since(start)
@@ -250,7 +257,7 @@
 		if !r.service {
 			percent = int(100 * (f.now - r.start) / r.length)
 		}
-		report.Running = append(report.Running, scheduler.ReportedRun{Task: task, Run: r.number, Percent: percent})
+		report.Running = append(report.Running, scheduler.ReportedRun{Task: task, Run: r.number, Percent: percent, TailMillis: f.tailMillis()})
 	}
 	start = time.Now()
 	f.scheduler.HandleReport(f.now, in.ID, f.now, report)
