Count waiting tasks, and find late runs by job

Each planning run scanned the tasks of stages of which none waits, the runs of all instances of a pool for the share of late work, and all jobs for finished ones to forget.

--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -76,7 +76,7 @@
 	if s.adviceInFlight || s.now < s.adviceBackoffUntil {
 		return
 	}
-	missing := c.waitingTasks() - placeableTasks(c.stage, withTicket)
+	missing := c.stage.waiting - placeableTasks(c.stage, withTicket)
 	if missing <= 0 {
 		return
 	}
@@ -95,17 +95,6 @@
 	}
 }
 
-// waitingTasks returns the number of tasks of the stage that wait for placement.
-func (c *candidate) waitingTasks() int {
-	n := 0
-	for i := range c.stage.tasks {
-		if t := &c.stage.tasks[i]; !t.done && t.run == nil {
-			n++
-		}
-	}
-	return n
-}
-
 // placeableTasks returns how many tasks of the stage fit into the free capacity of the instances.
 func placeableTasks(st *stage, instances []*instance) int {
 	n := 0
--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -66,6 +66,14 @@
 		return classBestEffort
 	case step.Service:
 		return classService
+	default:
+		return s.batchClassOf(j)
+	}
+}
+
+// batchClassOf returns the class of the batch stages of a job.
+func (s *Scheduler) batchClassOf(j *job) class {
+	switch {
 	case s.now < j.dueAt:
 		return classOnTime
 	case s.now < j.dueAt+(lateFactor-1)*j.objective:
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -275,6 +275,9 @@
 	if t := r.job.task(r.task.Position); t.run == nil {
 		t.run = r
 		t.instance = in
+		if !t.done {
+			r.job.stage(r.task.Position).waiting--
+		}
 	}
 }
 
@@ -293,6 +296,9 @@
 		t.run = nil
 		t.instance = nil
 		t.lastInstance = in.ID
+		if !t.done {
+			r.job.stage(r.task.Position).waiting++
+		}
 	}
 	r.job.runCount--
 	if r.checkpoint != "" {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -54,6 +54,8 @@
 	claim     workload.Resources
 	tasks     []task
 	doneCount int
+	// waiting is the number of tasks that are not done and have no run.
+	waiting int
 	// runCounts is the number of runs on each instance that has some.
 	runCounts map[*instance]int
 }
@@ -108,7 +110,7 @@
 	}
 	j.started = len(record.Completed) > 0 || len(record.FailedRuns) > 0
 	if !record.Active() {
-		j.finished, j.finishedAt = true, now
+		s.markFinished(j)
 	} else {
 		s.activeJobs.add(j)
 	}
@@ -122,7 +124,7 @@
 	}
 	for i := range j.Steps {
 		step := &j.Steps[i]
-		o.stages = append(o.stages, &stage{stepIndex: i, step: step, claim: step.Claim(), tasks: make([]task, step.Count), runCounts: map[*instance]int{}})
+		o.stages = append(o.stages, &stage{stepIndex: i, step: step, claim: step.Claim(), tasks: make([]task, step.Count), waiting: step.Count, runCounts: map[*instance]int{}})
 	}
 	return o
 }
@@ -198,7 +200,11 @@
 		return
 	}
 	t.done = true
-	j.stage(p).doneCount++
+	st := j.stage(p)
+	st.doneCount++
+	if t.run == nil {
+		st.waiting--
+	}
 	j.tasksLeft--
 }
 
@@ -212,7 +218,7 @@
 
 // finishJob marks a job as finished and stops its runs.
 func (s *Scheduler) finishJob(j *job, reason string) {
-	j.finished, j.finishedAt = true, s.now
+	s.markFinished(j)
 	for _, o := range j.occurrences {
 		for _, st := range o.stages {
 			for i := range st.tasks {
@@ -224,13 +230,29 @@
 	}
 }
 
+func (s *Scheduler) markFinished(j *job) {
+	j.finished, j.finishedAt = true, s.now
+	s.finishedJobs = append(s.finishedJobs, j)
+}
+
 // forgetFinishedJobs removes finished jobs once no run can exist any more, not even from an order that is executed late.
 func (s *Scheduler) forgetFinishedJobs() {
-	for id, j := range s.jobs {
-		if j.finished && j.runCount == 0 && s.now-j.finishedAt > finishedJobRetention && s.Reconciled() {
-			delete(s.jobs, id)
+	if !s.Reconciled() {
+		return
+	}
+	n := slices.IndexFunc(s.finishedJobs, func(j *job) bool { return s.now-j.finishedAt <= finishedJobRetention })
+	if n < 0 {
+		n = len(s.finishedJobs)
+	}
+	var withRuns []*job
+	for _, j := range s.finishedJobs[:n] {
+		if j.runCount > 0 {
+			withRuns = append(withRuns, j)
+			continue
 		}
+		delete(s.jobs, j.ID)
 	}
+	s.finishedJobs = slices.Replace(s.finishedJobs, 0, n, withRuns...)
 }
 
 // JobStarted reports whether a task of the job has been started. ok is false if the job is not active.
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -89,6 +89,9 @@
 }
 
 func (s *Scheduler) placeStage(c *candidate, pools poolCapacities) {
+	if c.stage.waiting == 0 {
+		return
+	}
 	pool := pools.of(c.job.pool)
 	if c.stage.step.Gang {
 		s.placeGang(c, s.advisedInstances(c, pool.instances))
--- a/internal/scheduler/promote.go
+++ b/internal/scheduler/promote.go
@@ -12,39 +12,58 @@
 // promoteLate ranks late stages before on-time ones, by priority and then the oldest due time, while late work takes less
 // than promotionShare of their pool.
 func (s *Scheduler) promoteLate(lists *candidateLists, pools poolCapacities) {
-	lateShares := map[fleet.PoolID]float64{}
+	if len(lists[classLate]) == 0 {
+		return
+	}
+	lateShares := s.lateShares(pools)
 	late := lists[classLate][:0]
 	for _, c := range lists[classLate] {
 		id := c.job.pool
-		pool := pools.of(id)
-		if _, known := lateShares[id]; !known {
-			lateShares[id] = s.lateShare(pool)
-		}
 		if lateShares[id] >= promotionShare {
 			late = append(late, c)
 			continue
 		}
-		lateShares[id] += pool.waitingShare(&c)
+		lateShares[id] += pools.of(id).waitingShare(&c)
 		c.class = classPromoted
 		lists[classPromoted] = append(lists[classPromoted], c)
 	}
 	lists[classLate] = late
 }
 
-// lateShare returns the dominant share of late work in the capacity of the pool.
-func (s *Scheduler) lateShare(pool *poolCapacity) float64 {
-	late := workload.Resources{}
-	for _, in := range pool.instances {
-		for _, r := range in.runs {
-			if s.classOf(r.job, r.job.stage(r.task.Position)) == classLate {
-				late = late.Add(r.claim)
+// lateShares returns the dominant share of late work in the schedulable capacity of each pool.
+func (s *Scheduler) lateShares(pools poolCapacities) map[fleet.PoolID]float64 {
+	late := map[fleet.PoolID]workload.Resources{}
+	for _, jobs := range [][]*job{s.activeJobs.jobs, s.finishedJobs} {
+		for _, j := range jobs {
+			if j.runCount > 0 && s.batchClassOf(j) == classLate {
+				s.addBatchClaims(j, late)
+			}
+		}
+	}
+	shares := map[fleet.PoolID]float64{}
+	for id, claims := range late {
+		shares[id] = pools.of(id).total.DominantShare(claims)
+	}
+	return shares
+}
+
+// addBatchClaims adds the claims of a job's batch runs on schedulable instances to those of their pools.
+func (s *Scheduler) addBatchClaims(j *job, claims map[fleet.PoolID]workload.Resources) {
+	for _, o := range j.occurrences {
+		for _, st := range o.stages {
+			if st.step.Service {
+				continue
+			}
+			for in, n := range st.runCounts {
+				for ; n > 0 && s.schedulable(in); n-- {
+					claims[in.Pool] = claims[in.Pool].Add(st.claim)
+				}
 			}
 		}
 	}
-	return pool.total.DominantShare(late)
 }
 
 // waitingShare returns the dominant share of a stage's waiting tasks in the capacity of the pool.
 func (p *poolCapacity) waitingShare(c *candidate) float64 {
-	return float64(c.waitingTasks()) * p.total.DominantShare(c.stage.claim)
+	return float64(c.stage.waiting) * p.total.DominantShare(c.stage.claim)
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -112,6 +112,8 @@
 	instances  instanceTable
 	jobs       map[workload.JobID]*job
 	activeJobs jobQueue
+	// finishedJobs are the finished jobs that are still known, the first finished first.
+	finishedJobs []*job
 	// candidateLists is kept to use its memory again.
 	candidateLists     candidateLists
 	customerUsage      map[fleet.CustomerID]workload.Resources
