Look up pools, customers and unreconciled instances once a planning run

For each waiting stage a planning run looked up its pool and customer by name several times, and for each waiting task it summed up the capacity of all unreconciled instances, 349 of them after a change of leader. Benchmark of 349 instances, 3 times: 0.19 to 0.23 ms a planning run before, 0.15 to 0.20 ms after. The time after a change of leader was not measured.

--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -28,6 +28,8 @@
 	runs            map[workload.TaskID]*run
 	serviceRuns     int
 	claimed         workload.Resources
+	// capacity is that of the pool if the instance is schedulable in the current planning run, else nil.
+	capacity *poolCapacity
 	// lastEndNumber is the highest end number that was processed, ackedEnd the highest that is acknowledged.
 	lastEndNumber uint64
 	pendingEnds   []pendingEnd
@@ -268,7 +270,7 @@
 	}
 	in.runs[r.task] = r
 	in.claimed = in.claimed.Add(r.claim)
-	s.customerUsage[r.job.customer] = s.customerUsage[r.job.customer].Add(r.job.step(r.task.Position).Resources)
+	*r.job.customerUsage = r.job.customerUsage.Add(r.job.step(r.task.Position).Resources)
 	s.chargeUsage(in, r)
 	r.job.started = true
 	r.job.runCount++
@@ -289,7 +291,7 @@
 	delete(in.runs, r.task)
 	in.count(r, -1)
 	in.claimed = in.claimed.Sub(r.claim)
-	s.customerUsage[r.job.customer] = s.customerUsage[r.job.customer].Sub(r.job.step(r.task.Position).Resources)
+	*r.job.customerUsage = r.job.customerUsage.Sub(r.job.step(r.task.Position).Resources)
 	s.releaseUsage(r)
 	t := r.job.task(r.task.Position)
 	if t.run == r {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -13,13 +13,15 @@
 // job is the scheduling state of one job.
 type job struct {
 	workload.Job
-	queue       fleet.QueueID
-	pool        fleet.PoolID
-	pools       []fleet.PoolID
-	customer    fleet.CustomerID
-	account     *account
-	priority    int
-	maxAttempts int
+	queue    fleet.QueueID
+	pool     fleet.PoolID
+	pools    []fleet.PoolID
+	customer fleet.CustomerID
+	account  *account
+	// customerUsage is what all runs of the customer use.
+	customerUsage *workload.Resources
+	priority      int
+	maxAttempts   int
 	// dueAt is acceptedAt plus the latency objective.
 	acceptedAt time.Duration
 	dueAt      time.Duration
@@ -95,6 +97,10 @@
 	for index := range record.Job.OccurrenceCount() {
 		j.occurrences = append(j.occurrences, newOccurrence(&j.Job, index))
 	}
+	if s.customerUsage[j.customer] == nil {
+		s.customerUsage[j.customer] = &workload.Resources{}
+	}
+	j.customerUsage = s.customerUsage[j.customer]
 	s.applyCatalogue(j)
 	j.acceptedAt = now - time.Duration(wallMillis-int64(record.AcceptedAt))*time.Millisecond
 	j.dueAt = j.acceptedAt + j.objective
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -15,6 +15,8 @@
 	total     workload.Resources
 	// activeWeight is the sum of the weights of the customers with running or waiting batch tasks in the pool.
 	activeWeight float64
+	// lateClaims is what late batch runs claim on the schedulable instances.
+	lateClaims workload.Resources
 	// full holds claims that fit on no instance. The free capacity only shrinks while tasks are placed.
 	full []workload.Resources
 }
@@ -52,30 +54,34 @@
 func (s *Scheduler) placeWaiting() {
 	pools := s.schedulableInstances()
 	lists := s.candidates()
-	s.promoteLate(lists, pools)
 	s.weighCustomers(lists, pools)
+	s.promoteLate(lists)
+	s.unreconciledCapacity = workload.Resources{}
+	for id := range s.unreconciled {
+		s.unreconciledCapacity = s.unreconciledCapacity.Add(s.instances.byID[id].Capacity)
+	}
 	for _, list := range lists {
 		for len(list) > 0 {
 			n := equalRankPrefix(list)
-			s.placeEqualRank(list[:n], pools)
+			s.placeEqualRank(list[:n])
 			list = list[n:]
 		}
 	}
 }
 
 // placeEqualRank places the candidates of customers below their fair share before the others.
-func (s *Scheduler) placeEqualRank(list []candidate, pools poolCapacities) {
+func (s *Scheduler) placeEqualRank(list []candidate) {
 	var overShare []*candidate
 	for i := range list {
 		c := &list[i]
-		if c.class != classService && !s.belowShare(c, pools.of(c.job.pool)) {
+		if c.class != classService && !c.belowShare() {
 			overShare = append(overShare, c)
 			continue
 		}
-		s.placeStage(c, pools)
+		s.placeStage(c)
 	}
 	for _, c := range overShare {
-		s.placeStage(c, pools)
+		s.placeStage(c)
 	}
 }
 
@@ -88,11 +94,11 @@
 	return n
 }
 
-func (s *Scheduler) placeStage(c *candidate, pools poolCapacities) {
+func (s *Scheduler) placeStage(c *candidate) {
 	if c.stage.waiting == 0 {
 		return
 	}
-	pool := pools.of(c.job.pool)
+	pool := c.job.account.capacity
 	if c.stage.step.Gang {
 		s.placeGang(c, s.advisedInstances(c, pool.instances))
 	} else if !s.placeTasks(c, pool) && c.class == classService {
@@ -130,10 +136,12 @@
 func (s *Scheduler) schedulableInstances() poolCapacities {
 	pools := poolCapacities{}
 	for _, in := range s.instances.sorted {
+		in.capacity = nil
 		if !s.schedulable(in) {
 			continue
 		}
 		pool := pools.of(in.Pool)
+		in.capacity = pool
 		pool.instances = append(pool.instances, in)
 		pool.total = pool.total.Add(in.Capacity)
 	}
@@ -173,11 +181,7 @@
 // withinLimit reports whether the job's customer stays within its limit with the requested resources. Each unreconciled
 // instance counts as fully used by the customer.
 func (s *Scheduler) withinLimit(j *job, requested workload.Resources) bool {
-	total := s.customerUsage[j.customer].Add(requested)
-	for id := range s.unreconciled {
-		total = total.Add(s.instances.byID[id].Capacity)
-	}
-	return total.WithinLimit(j.limit)
+	return j.customerUsage.Add(requested).Add(s.unreconciledCapacity).WithinLimit(j.limit)
 }
 
 // chooseInstance returns the instance with the highest score for a task, or nil. hasRoom reports whether the task's claim
--- a/internal/scheduler/promote.go
+++ b/internal/scheduler/promote.go
@@ -1,62 +1,57 @@
 package scheduler
 
-import (
-	"github.com/sapphiresail/sapphiresail/internal/fleet"
-	"github.com/sapphiresail/sapphiresail/internal/workload"
-)
-
 // promotionShare is the part of a pool that late work may take ahead of on-time work. After a backlog of several seconds it
 // is enough to run all late work before it expires, and it bounds the loss of on-time work in a lasting overload.
 const promotionShare = 0.2
 
 // promoteLate ranks late stages before on-time ones, by priority and then the oldest due time, while late work takes less
 // than promotionShare of their pool.
-func (s *Scheduler) promoteLate(lists *candidateLists, pools poolCapacities) {
+func (s *Scheduler) promoteLate(lists *candidateLists) {
 	if len(lists[classLate]) == 0 {
 		return
 	}
-	lateShares := s.lateShares(pools)
+	s.sumLateClaims()
+	shares := map[*poolCapacity]float64{}
 	late := lists[classLate][:0]
 	for _, c := range lists[classLate] {
-		id := c.job.pool
-		if lateShares[id] >= promotionShare {
+		pool := c.job.account.capacity
+		share, known := shares[pool]
+		if !known {
+			share = pool.total.DominantShare(pool.lateClaims)
+		}
+		if share < promotionShare {
+			share += pool.waitingShare(&c)
+			c.class = classPromoted
+			lists[classPromoted] = append(lists[classPromoted], c)
+		} else {
 			late = append(late, c)
-			continue
 		}
-		lateShares[id] += pools.of(id).waitingShare(&c)
-		c.class = classPromoted
-		lists[classPromoted] = append(lists[classPromoted], c)
+		shares[pool] = share
 	}
 	lists[classLate] = late
 }
 
-// lateShares returns the dominant share of late work in the schedulable capacity of each pool.
-func (s *Scheduler) lateShares(pools poolCapacities) map[fleet.PoolID]float64 {
-	late := map[fleet.PoolID]workload.Resources{}
+// sumLateClaims sums up the claims of the runs of late batch stages in each pool.
+func (s *Scheduler) sumLateClaims() {
 	for _, jobs := range [][]*job{s.activeJobs.jobs, s.finishedJobs} {
 		for _, j := range jobs {
 			if j.runCount > 0 && s.batchClassOf(j) == classLate {
-				s.addBatchClaims(j, late)
+				j.addBatchClaims()
 			}
 		}
 	}
-	shares := map[fleet.PoolID]float64{}
-	for id, claims := range late {
-		shares[id] = pools.of(id).total.DominantShare(claims)
-	}
-	return shares
 }
 
-// addBatchClaims adds the claims of a job's batch runs on schedulable instances to those of their pools.
-func (s *Scheduler) addBatchClaims(j *job, claims map[fleet.PoolID]workload.Resources) {
+// addBatchClaims adds the claims of the job's batch runs on schedulable instances to the late claims of their pools.
+func (j *job) addBatchClaims() {
 	for _, o := range j.occurrences {
 		for _, st := range o.stages {
 			if st.step.Service {
 				continue
 			}
 			for in, n := range st.runCounts {
-				for ; n > 0 && s.schedulable(in); n-- {
-					claims[in.Pool] = claims[in.Pool].Add(st.claim)
+				for ; n > 0 && in.capacity != nil; n-- {
+					in.capacity.lateClaims = in.capacity.lateClaims.Add(st.claim)
 				}
 			}
 		}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -116,7 +116,7 @@
 	finishedJobs []*job
 	// candidateLists is kept to use its memory again.
 	candidateLists     candidateLists
-	customerUsage      map[fleet.CustomerID]workload.Resources
+	customerUsage      map[fleet.CustomerID]*workload.Resources
 	accounts           map[poolCustomer]*account
 	placementRound     uint64
 	runCounter         uint64
@@ -136,13 +136,15 @@
 	committedBatch     uint64
 	superseded         bool
 	unreconciled       map[fleet.InstanceID]bool
-	decisions          []Decision
-	waves              map[uint64]*wave
-	machines           map[string]*machine
-	machineOrders      []MachineOrder
-	moves              map[string]*move
-	demands            map[fleet.PoolID]*demand
-	refusedMoves       map[refusedMove]bool
+	// unreconciledCapacity is the sum over the unreconciled instances in the current planning run.
+	unreconciledCapacity workload.Resources
+	decisions            []Decision
+	waves                map[uint64]*wave
+	machines             map[string]*machine
+	machineOrders        []MachineOrder
+	moves                map[string]*move
+	demands              map[fleet.PoolID]*demand
+	refusedMoves         map[refusedMove]bool
 	// batchWorkSeen is set by the first job with a batch step; until then the demand is unknown.
 	batchWorkSeen    bool
 	movesPlannedAt   time.Duration
@@ -175,7 +177,7 @@
 		catalogue:        &catalogue,
 		instances:        newInstanceTable(),
 		jobs:             map[workload.JobID]*job{},
-		customerUsage:    map[fleet.CustomerID]workload.Resources{},
+		customerUsage:    map[fleet.CustomerID]*workload.Resources{},
 		accounts:         map[poolCustomer]*account{},
 		unreconciled:     map[fleet.InstanceID]bool{},
 		waves:            map[uint64]*wave{},
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -17,11 +17,12 @@
 // account is what the batch runs of one customer claim in one pool.
 type account struct {
 	poolCustomer
-	used   workload.Resources
-	weight float64
-	// weighedIn is the last placement round in which weight was set, and activeIn the last one in which the customer had
+	used workload.Resources
+	// weighedIn is the last placement round in which weight and capacity were set, and activeIn the last one in which the customer had
 	// running or waiting batch tasks in the pool.
 	weighedIn, activeIn uint64
+	weight              float64
+	capacity            *poolCapacity
 }
 
 func (s *Scheduler) account(pool fleet.PoolID, customer fleet.CustomerID) *account {
@@ -42,7 +43,7 @@
 	return j.account
 }
 
-// weighCustomers sums up the weights of the customers that are active in each pool.
+// weighCustomers sums up the weights of the customers that are active in each pool, and sets the accounts of the candidates.
 func (s *Scheduler) weighCustomers(lists *candidateLists, pools poolCapacities) {
 	s.placementRound++
 	weights := map[fleet.CustomerID]float64{}
@@ -52,6 +53,7 @@
 	weigh := func(a *account, active bool) {
 		if a.weighedIn != s.placementRound {
 			a.weighedIn = s.placementRound
+			a.capacity = pools.of(a.pool)
 			a.weight = defaultWeight
 			if w := weights[a.customer]; w > 0 {
 				a.weight = w
@@ -59,7 +61,7 @@
 		}
 		if active && a.activeIn != s.placementRound {
 			a.activeIn = s.placementRound
-			pools.of(a.pool).activeWeight += a.weight
+			a.capacity.activeWeight += a.weight
 		}
 	}
 	for _, a := range s.accounts {
@@ -75,9 +77,9 @@
 }
 
 // belowShare reports whether the customer of a candidate uses less of the pool than its fair share.
-func (s *Scheduler) belowShare(c *candidate, pool *poolCapacity) bool {
-	a := s.accountOf(c.job)
-	return pool.total.DominantShare(a.used) < a.weight/max(pool.activeWeight, a.weight)
+func (c *candidate) belowShare() bool {
+	a := c.job.account
+	return a.capacity.total.DominantShare(a.used) < a.weight/max(a.capacity.activeWeight, a.weight)
 }
 
 // chargeUsage adds the claim of a batch run to its customer's usage of the pool.
