--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -13,13 +13,15 @@
 // job is the scheduling state of one job.
 type job struct {
 	workload.Job
-	queue       fleet.QueueID
-	pool        fleet.PoolID
-	pools       []fleet.PoolID
-	customer    fleet.CustomerID
-	account     *account
-	priority    int
-	maxAttempts int
+	queue    fleet.QueueID
+	pool     fleet.PoolID
+	pools    []fleet.PoolID
+	customer fleet.CustomerID
+	account  *account
+	// customerUsage is what all runs of the customer use.
+	customerUsage *workload.Resources
+	priority      int
+	maxAttempts   int
 	// dueAt is acceptedAt plus the latency objective.
 	acceptedAt time.Duration
 	dueAt      time.Duration
@@ -56,6 +58,8 @@
 	claim     workload.Resources
 	tasks     []task
 	doneCount int
+	// waiting is the number of tasks that are not done and have no run.
+	waiting int
 	// runCounts is the number of runs on each instance that has some.
 	runCounts map[*instance]int
 }
@@ -97,6 +101,10 @@
 	for index := range record.Job.OccurrenceCount() {
 		j.occurrences = append(j.occurrences, newOccurrence(&j.Job, index))
 	}
+	if s.customerUsage[j.customer] == nil {
+		s.customerUsage[j.customer] = &workload.Resources{}
+	}
+	j.customerUsage = s.customerUsage[j.customer]
 	s.applyCatalogue(j)
 	j.acceptedAt = now - time.Duration(wallMillis-int64(record.AcceptedAt))*time.Millisecond
 	j.dueAt = j.acceptedAt + j.objective
@@ -112,7 +120,7 @@
 	}
 	j.started = len(record.Completed) > 0 || len(record.FailedRuns) > 0
 	if !record.Active() {
-		j.finished, j.finishedAt = true, now
+		s.markFinished(j)
 	} else {
 		s.activeJobs.add(j)
 	}
@@ -126,7 +134,7 @@
 	}
 	for i := range j.Steps {
 		step := &j.Steps[i]
-		o.stages = append(o.stages, &stage{stepIndex: i, step: step, claim: step.Claim(), tasks: make([]task, step.Count), runCounts: map[*instance]int{}})
+		o.stages = append(o.stages, &stage{stepIndex: i, step: step, claim: step.Claim(), tasks: make([]task, step.Count), waiting: step.Count, runCounts: map[*instance]int{}})
 	}
 	return o
 }
@@ -202,7 +210,11 @@
 		return
 	}
 	t.done = true
-	j.stage(p).doneCount++
+	st := j.stage(p)
+	st.doneCount++
+	if t.run == nil {
+		st.waiting--
+	}
 	j.tasksLeft--
 }
 
@@ -216,7 +228,7 @@
 
 // finishJob marks a job as finished and stops its runs.
 func (s *Scheduler) finishJob(j *job, reason string) {
-	j.finished, j.finishedAt = true, s.now
+	s.markFinished(j)
 	for _, o := range j.occurrences {
 		for _, st := range o.stages {
 			for i := range st.tasks {
@@ -228,13 +240,29 @@
 	}
 }
 
+func (s *Scheduler) markFinished(j *job) {
+	j.finished, j.finishedAt = true, s.now
+	s.finishedJobs = append(s.finishedJobs, j)
+}
+
 // forgetFinishedJobs removes finished jobs once no run can exist any more, not even from an order that is executed late.
 func (s *Scheduler) forgetFinishedJobs() {
-	for id, j := range s.jobs {
-		if j.finished && j.runCount == 0 && s.now-j.finishedAt > finishedJobRetention && s.Reconciled() {
-			delete(s.jobs, id)
+	if !s.Reconciled() {
+		return
+	}
+	n := slices.IndexFunc(s.finishedJobs, func(j *job) bool { return s.now-j.finishedAt <= finishedJobRetention })
+	if n < 0 {
+		n = len(s.finishedJobs)
+	}
+	var withRuns []*job
+	for _, j := range s.finishedJobs[:n] {
+		if j.runCount > 0 {
+			withRuns = append(withRuns, j)
+			continue
 		}
+		delete(s.jobs, j.ID)
 	}
+	s.finishedJobs = slices.Replace(s.finishedJobs, 0, n, withRuns...)
 }
 
 // JobStarted reports whether a task of the job has been started. ok is false if the job is not active.
--- a/internal/scheduler/promote.go
+++ b/internal/scheduler/promote.go
@@ -1,50 +1,64 @@
 package scheduler
 
-import (
-	"github.com/sapphiresail/sapphiresail/internal/fleet"
-	"github.com/sapphiresail/sapphiresail/internal/workload"
-)
-
 // promotionShare is the part of a pool that late work may take ahead of on-time work. After a backlog of several seconds it
 // is enough to run all late work before it expires, and it bounds the loss of on-time work in a lasting overload.
 const promotionShare = 0.2
 
 // promoteLate ranks late stages before on-time ones, by priority and then the oldest due time, while late work takes less
 // than promotionShare of their pool.
-func (s *Scheduler) promoteLate(lists *candidateLists, pools poolCapacities) {
-	lateShares := map[fleet.PoolID]float64{}
+func (s *Scheduler) promoteLate(lists *candidateLists) {
+	if len(lists[classLate]) == 0 {
+		return
+	}
+	s.sumLateClaims()
+	shares := map[*poolCapacity]float64{}
 	late := lists[classLate][:0]
 	for _, c := range lists[classLate] {
-		id := c.job.pool
-		pool := pools.of(id)
-		if _, known := lateShares[id]; !known {
-			lateShares[id] = s.lateShare(pool)
+		pool := c.job.account.capacity
+		share, known := shares[pool]
+		if !known {
+			share = pool.total.DominantShare(pool.lateClaims)
 		}
-		if lateShares[id] >= promotionShare {
+		if share < promotionShare {
+			share += pool.waitingShare(&c)
+			c.class = classPromoted
+			lists[classPromoted] = append(lists[classPromoted], c)
+		} else {
 			late = append(late, c)
-			continue
 		}
-		lateShares[id] += pool.waitingShare(&c)
-		c.class = classPromoted
-		lists[classPromoted] = append(lists[classPromoted], c)
+		shares[pool] = share
 	}
 	lists[classLate] = late
 }
 
-// lateShare returns the dominant share of late work in the capacity of the pool.
-func (s *Scheduler) lateShare(pool *poolCapacity) float64 {
-	late := workload.Resources{}
-	for _, in := range pool.instances {
-		for _, r := range in.runs {
-			if s.classOf(r.job, r.job.stage(r.task.Position)) == classLate {
-				late = late.Add(r.claim)
+// sumLateClaims sums up the claims of the runs of late batch stages in each pool.
+func (s *Scheduler) sumLateClaims() {
+	for _, jobs := range [][]*job{s.activeJobs.jobs, s.finishedJobs} {
+		for _, j := range jobs {
+			if j.runCount > 0 && s.batchClassOf(j) == classLate {
+				j.addBatchClaims()
+			}
+		}
+	}
+}
+
+// addBatchClaims adds the claims of the job's batch runs on schedulable instances to the late claims of their pools.
+func (j *job) addBatchClaims() {
+	for _, o := range j.occurrences {
+		for _, st := range o.stages {
+			if st.step.Service {
+				continue
+			}
+			for in, n := range st.runCounts {
+				for ; n > 0 && in.capacity != nil; n-- {
+					in.capacity.lateClaims = in.capacity.lateClaims.Add(st.claim)
+				}
 			}
 		}
 	}
-	return pool.total.DominantShare(late)
 }
 
 // waitingShare returns the dominant share of a stage's waiting tasks in the capacity of the pool.
 func (p *poolCapacity) waitingShare(c *candidate) float64 {
-	return float64(c.waitingTasks()) * p.total.DominantShare(c.stage.claim)
+	return float64(c.stage.waiting) * p.total.DominantShare(c.stage.claim)
 }
