Keep runs that a crossed poll does not list

A run that a report lists before its start is answered got the smaller of the time of its outcome, which was still zero, and the time at which the poll was sent. So a poll that was sent before the start was executed, and whose response was processed after the report that lists the run, counted as later than the outcome: the run was taken for lost, its room was given away and its task was started again.

A report proves something about a run only if its poll was sent after the run was known to have started. The first report that lists the run shows this when it is processed, so that is the time of the outcome now.

TestCrossedPollsKeepRun failed before: accepted_after_both_reports: the run is taken for lost: not listed; the task is started again as run unanswered_between_the_reports, unanswered_after_both_reports: the same

--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -80,7 +80,7 @@
 	claim  workload.Resources
 	// orderedAt is when the start was ordered or the run adopted.
 	orderedAt time.Duration
-	// startOutcomeAt is when the outcome of the start became known.
+	// startOutcomeAt is when the outcome of the start became known, by its response or by the first report that lists the run.
 	startOutcomeAt time.Duration
 	// stopping is set once a stop was sent; stopSentAt and stopAckedAt are when the last one was sent and accepted.
 	stopping        bool
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -150,7 +150,7 @@
 	firstReport := !in.polled
 	in.polled = true
 	s.handleEnds(in, report.Ended)
-	s.handleRuns(in, report.Running, sentAt)
+	s.handleRuns(in, report.Running)
 	s.dropUnlistedRuns(in, report, sentAt)
 	if firstReport {
 		in.inherited = false
@@ -279,7 +279,7 @@
 	return len(runs)
 }
 
-func (s *Scheduler) handleRuns(in *instance, runs []ReportedRun, sentAt time.Duration) {
+func (s *Scheduler) handleRuns(in *instance, runs []ReportedRun) {
 	in.hasOrphans = false
 	for _, reported := range runs {
 		r := in.runs[reported.Task]
@@ -290,7 +290,7 @@
 		}
 		if r.status != statusRunning {
 			r.status = statusRunning
-			r.startOutcomeAt = min(r.startOutcomeAt, sentAt)
+			r.startOutcomeAt = s.now
 		}
 		s.updateRun(in, r, reported)
 	}
@@ -339,8 +339,8 @@
 	return nil
 }
 
-// dropUnlistedRuns removes runs that the instance no longer lists. Reports of polls that were sent before the start or stop
-// was answered say nothing about a run.
+// dropUnlistedRuns removes runs that the instance no longer lists. Only reports of polls that were sent after the outcome of
+// the start or stop was known, or after the run was first listed, show that a run is gone.
 func (s *Scheduler) dropUnlistedRuns(in *instance, report StatusReport, sentAt time.Duration) {
 	listed := make(map[runKey]bool, len(report.Running))
 	for _, reported := range report.Running {
