Keep a machine until the ends that its instance reported are committed

Callers saw a task started again after it was done (TWICE).

A move or maintenance was ordered as soon as the instance ran nothing, also while ends that it had reported were still being committed. If the session ended then, nobody knew the ends any more: the boot that would have listed them again was gone, and the next session started the tasks anew.

An instance keeps listing an end until it is acknowledged, so it must stay until all ends that it has reported are committed. A machine is moved or maintained only after that.

TestMachineKeptUntilEndsAreCommitted failed before: maintenance: machine m-a is ordered before the end of its run is committed move: the same

--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
@@ -320,6 +321,12 @@
 	return in.enrolled && in.polled && !in.Draining && !in.departed && !in.evacuating && !in.consolidating && !in.cordoned && !in.hasOrphans && in.failedPolls < unschedulableFailedPolls && s.now >= in.backoffUntil
 }
 
+// endsCommitted reports whether all ends that the instance has reported are committed. Until then the instance holds the only
+// record of them that a later leader can read.
+func (s *Scheduler) endsCommitted(in *instance) bool {
+	return !slices.ContainsFunc(in.pendingEnds, func(e pendingEnd) bool { return e.batch > s.committedBatch })
+}
+
 // expireInstances drops the runs of unreachable instances whose leases have expired, and removes instances that are gone.
 //
 // Empty instances that are draining or have departed are deregistered, so that a later leader does not wait for them.
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -105,11 +105,11 @@
 	return true
 }
 
-// idleInstance returns an eligible instance without runs from the pool with the largest surplus, or nil.
+// idleInstance returns an eligible instance without runs and uncommitted ends from the pool with the largest surplus, or nil.
 func (s *Scheduler) idleInstance(eligible func(in *instance) bool) *instance {
 	var best *instance
 	for _, in := range s.instances.sorted {
-		if len(in.runs) > 0 || in.Machine == "" || !s.schedulable(in) && !in.consolidating || s.moves[in.Machine] != nil || s.now < s.machineOf(in.Machine).backoffUntil || !eligible(in) {
+		if len(in.runs) > 0 || in.Machine == "" || !s.schedulable(in) && !in.consolidating || s.moves[in.Machine] != nil || s.now < s.machineOf(in.Machine).backoffUntil || !eligible(in) || !s.endsCommitted(in) {
 			continue
 		}
 		if best == nil || cmp.Or(cmp.Compare(s.demands[in.Pool].deficit(), s.demands[best.Pool].deficit()), cmp.Compare(in.ID, best.ID)) < 0 {
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -136,7 +136,7 @@
 	}
 	if in := m.instance; in != nil && s.instances.byID[in.ID] == in {
 		s.evacuate(w, in)
-		if len(in.runs) > 0 || in.failedPolls > 0 {
+		if len(in.runs) > 0 || in.failedPolls > 0 || !s.endsCommitted(in) {
 			return
 		}
 	}
