Keep an instance enrolled until the ends that it reported are committed

The deregistration of an empty instance that drains, has departed or is unreachable could be committed before the ends that it had reported. If the session ended in between, the next leader didn't poll the instance and started finished tasks again. This is the same cause as in moves and maintenance; it was found in the code, no traced case shows it.

The instance is deregistered once all its reported ends are committed.

TestInstanceStaysEnrolledUntilEndsAreCommitted failed before: draining, departed, unreachable: 1 (int) != 0 (int): deregistered before the end is committed

--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -332,7 +332,7 @@
 // Empty instances that are draining or have departed are deregistered, so that a later leader does not wait for them.
 func (s *Scheduler) expireInstances() {
 	for _, in := range s.instances.sorted {
-		if (in.Draining || in.departed) && in.polled && len(in.runs) == 0 && !in.hasOrphans {
+		if (in.Draining || in.departed) && in.polled && len(in.runs) == 0 && !in.hasOrphans && s.endsCommitted(in) {
 			s.deregister(in)
 		}
 		if in.failedPolls == 0 && in.polled || s.now < s.leasesExpiredAt(in) {
@@ -340,7 +340,7 @@
 		}
 		s.dropRuns(in, "lease outlived")
 		delete(s.unreconciled, in.ID)
-		if in.failedPolls > 0 {
+		if in.failedPolls > 0 && s.endsCommitted(in) {
 			s.deregister(in)
 		}
 		in.polled = false
--- a/internal/scheduler/uncommitted_ends_test.go
+++ b/internal/scheduler/uncommitted_ends_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sapphiresail/sapphiresail/internal/scheduler"
 	"github.com/sapphiresail/sapphiresail/internal/state"
 	"github.com/sapphiresail/sapphiresail/internal/workload"
 )
@@ -33,6 +34,39 @@
 	})
 }
 
+// TestInstanceStaysEnrolledUntilEndsAreCommitted guards against a task that is started again after it was done: the instance
+// that lists the end is deregistered, and the session ends before the end is committed, so that the next leader does not
+// poll the instance.
+func TestInstanceStaysEnrolledUntilEndsAreCommitted(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		leave func(f *testFleet)
+	}{
+		{"draining", func(f *testFleet) { f.announceDraining("a", "p", time.Minute) }},
+		{"departed", func(f *testFleet) { f.scheduler.HandleDeparture(f.now, "i-a", f.bootMillis["i-a"]) }},
+		{"unreachable", func(f *testFleet) { f.scheduler.HandlePollFailure(f.now, "i-a", scheduler.Uncertain) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newTestFleet(t)
+			f.runOnEach("a")
+			f.endRun("i-a", f.startOrders[0].Task, workload.EndedDone)
+			f.now += 100 * time.Millisecond
+			f.pollAll()
+			tc.leave(f)
+			for range 100 {
+				f.now += 100 * time.Millisecond
+				f.scheduler.Tick(f.now, f.now.Milliseconds())
+				assert.Equal(t, len(f.scheduler.TakeDeregistrations()), 0, "deregistered before the end is committed")
+			}
+			_, _, batch := f.scheduler.TakeEnds()
+			f.scheduler.ConfirmEnds(batch)
+			f.now += 100 * time.Millisecond
+			f.scheduler.Tick(f.now, f.now.Milliseconds())
+			assert.Equal(t, len(f.scheduler.TakeDeregistrations()), 1, "not deregistered after the commit")
+		})
+	}
+}
+
 // runOnEach adds instances to pool "p" and starts a task that fills an instance on each of them.
 func (f *testFleet) runOnEach(names ...string) {
 	for _, name := range names {
