--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
@@ -82,7 +83,7 @@
 	claim  workload.Resources
 	// orderedAt is when the start was ordered or the run adopted.
 	orderedAt time.Duration
-	// startOutcomeAt is when the outcome of the start became known.
+	// startOutcomeAt is when the outcome of the start became known, by its response or by the first report that lists the run.
 	startOutcomeAt time.Duration
 	// stopping is set once a stop was sent; stopSentAt and stopAckedAt are when the last one was sent and accepted.
 	stopping        bool
@@ -328,12 +329,18 @@
 	return in.enrolled && in.polled && !in.Draining && !in.departed && !in.evacuating && !in.consolidating && !in.cordoned && !in.hasOrphans && in.failedPolls < unschedulableFailedPolls && s.now >= in.backoffUntil
 }
 
+// endsCommitted reports whether all ends that the instance has reported are committed. Until then the instance holds the only
+// record of them that a later leader can read.
+func (s *Scheduler) endsCommitted(in *instance) bool {
+	return !slices.ContainsFunc(in.pendingEnds, func(e pendingEnd) bool { return e.batch > s.committedBatch })
+}
+
 // expireInstances drops the runs of unreachable instances whose leases have expired, and removes instances that are gone.
 //
 // Empty instances that are draining or have departed are deregistered, so that a later leader does not wait for them.
 func (s *Scheduler) expireInstances() {
 	for _, in := range s.instances.sorted {
-		if (in.Draining || in.departed) && in.polled && len(in.runs) == 0 && !in.hasOrphans {
+		if (in.Draining || in.departed) && in.polled && len(in.runs) == 0 && !in.hasOrphans && s.endsCommitted(in) {
 			s.deregister(in)
 		}
 		if in.failedPolls == 0 && in.polled || s.now < s.leasesExpiredAt(in) {
@@ -341,7 +348,7 @@
 		}
 		s.dropRuns(in, "lease outlived")
 		delete(s.unreconciled, in.ID)
-		if in.failedPolls > 0 {
+		if in.failedPolls > 0 && s.endsCommitted(in) {
 			s.deregister(in)
 		}
 		in.polled = false
