--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -21,9 +21,10 @@
 	appliedIndex    uint64
 	// backtrackedAt is when nextIndex was last moved back; rejections of messages sent before that are outdated.
 	backtrackedAt time.Duration
-	// snapshot is the snapshot being sent, or nil; snapshotOffset is the offset of the next chunk in bytes.
+	// snapshot is the snapshot being sent, or nil; snapshotOffset is the offset of the chunk under way in bytes, sent at chunkSentAt.
 	snapshot       *Snapshot
 	snapshotOffset uint64
+	chunkSentAt    time.Duration
 }
 
 // Propose appends commands to the log of the leader and returns the index of the first one.
@@ -56,7 +57,7 @@
 
 func (r *Raft) sendAppend(id ID, p *peer, heartbeat bool) {
 	if p.snapshot != nil || p.nextIndex <= r.log.compactedIndex {
-		r.sendSnapshotChunk(id, p, heartbeat)
+		r.sendSnapshotChunk(id, p)
 		return
 	}
 	for {
--- a/internal/raft/snapshot.go
+++ b/internal/raft/snapshot.go
@@ -1,19 +1,28 @@
 package raft
 
-func (r *Raft) sendSnapshotChunk(id ID, p *peer, retry bool) {
-	s := r.log.snapshot
-	if s == nil {
+// chunkRetryInterval is how long a snapshot chunk may be without a reply before it is sent again. It is less than an election
+// timeout, as chunks stand in for heartbeats.
+const chunkRetryInterval = 2 * DefaultHeartbeatInterval
+
+// sendSnapshotChunk begins a snapshot, or repeats the chunk under way if its reply is overdue. One chunk is under way at a time.
+func (r *Raft) sendSnapshotChunk(id ID, p *peer) {
+	if r.log.snapshot == nil {
 		return
 	}
-	if p.snapshot == nil || p.snapshot.Index < r.log.compactedIndex {
-		p.snapshot = s
+	switch {
+	case p.snapshot == nil || p.snapshot.Index < r.log.compactedIndex:
+		p.snapshot = r.log.snapshot
 		p.snapshotOffset = 0
-		retry = true
-	}
-	if !retry {
+	case r.now-p.chunkSentAt < chunkRetryInterval:
 		return
 	}
-	s = p.snapshot
+	r.sendChunk(id, p)
+}
+
+// sendChunk sends the chunk at the peer's offset.
+func (r *Raft) sendChunk(id ID, p *peer) {
+	s := p.snapshot
+	p.chunkSentAt = r.now
 	end := min(p.snapshotOffset+snapshotChunkBytes, uint64(len(s.Data)))
 	chunk := &Snapshot{Index: s.Index, Term: s.Term, Voters: s.Voters, Data: s.Data[p.snapshotOffset:end]}
 	r.immediate = append(r.immediate, Message{
@@ -70,6 +79,10 @@
 	if p.snapshot == nil || p.snapshot.Index != m.Index {
 		return
 	}
-	p.snapshotOffset = min(m.Offset, uint64(len(p.snapshot.Data)))
-	r.sendSnapshotChunk(m.From, p, true)
+	offset := min(m.Offset, uint64(len(p.snapshot.Data)))
+	if offset == p.snapshotOffset {
+		return // the reply to a chunk that was sent twice
+	}
+	p.snapshotOffset = offset
+	r.sendChunk(m.From, p)
 }
