--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
@@ -19,13 +20,17 @@
 	departed bool
 	// clockReadAt is when the response that contained clock arrived.
 	clockReadAt time.Duration
-	clock       time.Duration
+	// stallsCheckedAt is the value of clockReadAt at the last check for runs that stand still.
+	stallsCheckedAt time.Duration
+	clock           time.Duration
 	// maxDeadlineSent is the latest lease deadline in any order or poll sent to the instance.
 	maxDeadlineSent time.Duration
 	failedPolls     int
 	runs            map[workload.TaskID]*run
 	serviceRuns     int
 	claimed         workload.Resources
+	// capacity is that of the pool if the instance is schedulable in the current planning run, else nil.
+	capacity *poolCapacity
 	// lastEndNumber is the highest end number that was processed, ackedEnd the highest that is acknowledged.
 	lastEndNumber uint64
 	pendingEnds   []pendingEnd
@@ -78,7 +83,7 @@
 	claim  workload.Resources
 	// orderedAt is when the start was ordered or the run adopted.
 	orderedAt time.Duration
-	// startOutcomeAt is when the outcome of the start became known.
+	// startOutcomeAt is when the outcome of the start became known, by its response or by the first report that lists the run.
 	startOutcomeAt time.Duration
 	// stopping is set once a stop was sent; stopSentAt and stopAckedAt are when the last one was sent and accepted.
 	stopping        bool
@@ -91,8 +96,8 @@
 	throttlePercent int
 	// reported is set once the instance has listed the run.
 	reported bool
-	// chargedTo is the pool and customer whose usage includes the run; it is zero for service tasks.
-	chargedTo poolCustomer
+	// account includes the run's claim; it is nil for service tasks.
+	account *account
 }
 
 func (s *Scheduler) addInstance(announced workload.Instance) *instance {
@@ -266,13 +271,16 @@
 	}
 	in.runs[r.task] = r
 	in.claimed = in.claimed.Add(r.claim)
-	s.customerUsage[r.job.customer] = s.customerUsage[r.job.customer].Add(r.job.step(r.task.Position).Resources)
+	*r.job.customerUsage = r.job.customerUsage.Add(r.job.step(r.task.Position).Resources)
 	s.chargeUsage(in, r)
 	r.job.started = true
 	r.job.runCount++
 	if t := r.job.task(r.task.Position); t.run == nil {
 		t.run = r
 		t.instance = in
+		if !t.done {
+			r.job.stage(r.task.Position).waiting--
+		}
 	}
 }
 
@@ -284,13 +292,16 @@
 	delete(in.runs, r.task)
 	in.count(r, -1)
 	in.claimed = in.claimed.Sub(r.claim)
-	s.customerUsage[r.job.customer] = s.customerUsage[r.job.customer].Sub(r.job.step(r.task.Position).Resources)
+	*r.job.customerUsage = r.job.customerUsage.Sub(r.job.step(r.task.Position).Resources)
 	s.releaseUsage(r)
 	t := r.job.task(r.task.Position)
 	if t.run == r {
 		t.run = nil
 		t.instance = nil
 		t.lastInstance = in.ID
+		if !t.done {
+			r.job.stage(r.task.Position).waiting++
+		}
 	}
 	r.job.runCount--
 	if r.checkpoint != "" {
@@ -318,12 +329,18 @@
 	return in.enrolled && in.polled && !in.Draining && !in.departed && !in.evacuating && !in.consolidating && !in.cordoned && !in.hasOrphans && in.failedPolls < unschedulableFailedPolls && s.now >= in.backoffUntil
 }
 
+// endsCommitted reports whether all ends that the instance has reported are committed. Until then the instance holds the only
+// record of them that a later leader can read.
+func (s *Scheduler) endsCommitted(in *instance) bool {
+	return !slices.ContainsFunc(in.pendingEnds, func(e pendingEnd) bool { return e.batch > s.committedBatch })
+}
+
 // expireInstances drops the runs of unreachable instances whose leases have expired, and removes instances that are gone.
 //
 // Empty instances that are draining or have departed are deregistered, so that a later leader does not wait for them.
 func (s *Scheduler) expireInstances() {
 	for _, in := range s.instances.sorted {
-		if (in.Draining || in.departed) && in.polled && len(in.runs) == 0 && !in.hasOrphans {
+		if (in.Draining || in.departed) && in.polled && len(in.runs) == 0 && !in.hasOrphans && s.endsCommitted(in) {
 			s.deregister(in)
 		}
 		if in.failedPolls == 0 && in.polled || s.now < s.leasesExpiredAt(in) {
@@ -331,7 +348,7 @@
 		}
 		s.dropRuns(in, "lease outlived")
 		delete(s.unreconciled, in.ID)
-		if in.failedPolls > 0 {
+		if in.failedPolls > 0 && s.endsCommitted(in) {
 			s.deregister(in)
 		}
 		in.polled = false
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -107,15 +107,20 @@
 
 // Scheduler places the tasks of all jobs. It is not safe for concurrent use.
 type Scheduler struct {
-	options       Options
-	now           time.Duration
-	wallMillis    int64 // Unix time
-	catalogue     *workload.Catalogue
-	instances     instanceTable
-	jobs          map[workload.JobID]*job
-	customerUsage map[fleet.CustomerID]workload.Resources
-	// poolUsage is what the batch runs of each customer claim in each pool.
-	poolUsage          map[poolCustomer]workload.Resources
+	options    Options
+	now        time.Duration
+	wallMillis int64 // Unix time
+	catalogue  *workload.Catalogue
+	instances  instanceTable
+	jobs       map[workload.JobID]*job
+	activeJobs jobQueue
+	// finishedJobs are the finished jobs that are still known, the first finished first.
+	finishedJobs []*job
+	// candidateLists is kept to use its memory again.
+	candidateLists     candidateLists
+	customerUsage      map[fleet.CustomerID]*workload.Resources
+	accounts           map[poolCustomer]*account
+	placementRound     uint64
 	runCounter         uint64
 	orders             []Order
 	ends               []state.RunEnd
@@ -124,6 +129,7 @@
 	deregistrations    []fleet.InstanceID
 	enrolments         []workload.Instance
 	cordons            []fleet.InstanceID
+	stopping           []stoppingRun
 	adviceRequests     []AdviceRequest
 	adviceInFlight     bool
 	adviceBackoffUntil time.Duration
@@ -132,13 +138,15 @@
 	committedBatch     uint64
 	superseded         bool
 	unreconciled       map[fleet.InstanceID]bool
-	decisions          []Decision
-	waves              map[uint64]*wave
-	machines           map[string]*machine
-	machineOrders      []MachineOrder
-	moves              map[string]*move
-	demands            map[fleet.PoolID]*demand
-	refusedMoves       map[refusedMove]bool
+	// unreconciledCapacity is the sum over the unreconciled instances in the current planning run.
+	unreconciledCapacity workload.Resources
+	decisions            []Decision
+	waves                map[uint64]*wave
+	machines             map[string]*machine
+	machineOrders        []MachineOrder
+	moves                map[string]*move
+	demands              map[fleet.PoolID]*demand
+	refusedMoves         map[refusedMove]bool
 	// batchWorkSeen is set by the first job with a batch step; until then the demand is unknown.
 	batchWorkSeen    bool
 	movesPlannedAt   time.Duration
@@ -171,8 +179,8 @@
 		catalogue:        &catalogue,
 		instances:        newInstanceTable(),
 		jobs:             map[workload.JobID]*job{},
-		customerUsage:    map[fleet.CustomerID]workload.Resources{},
-		poolUsage:        map[poolCustomer]workload.Resources{},
+		customerUsage:    map[fleet.CustomerID]*workload.Resources{},
+		accounts:         map[poolCustomer]*account{},
 		unreconciled:     map[fleet.InstanceID]bool{},
 		waves:            map[uint64]*wave{},
 		machines:         map[string]*machine{},
@@ -202,6 +210,7 @@
 // SetCatalogue replaces the catalogue and applies it to all jobs.
 func (s *Scheduler) SetCatalogue(c *workload.Catalogue) {
 	s.catalogue = c
+	s.activeJobs.unsorted = true
 	for _, j := range s.jobs {
 		s.applyCatalogue(j)
 	}
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -65,7 +65,7 @@
 	dueAt := monotonicNow()
 	ask := func() {
 		now := monotonicNow()
-		t.pacer.loopDelay.observe(now, now-dueAt)
+		t.pollPacer.loopDelay.observe(now, now-dueAt)
 		request, enrolled = t.scheduler.NextPoll(now, id, wait)
 	}
 	if !t.postAndWait(ctx, ask) || !enrolled || !t.leads() {
@@ -91,7 +91,7 @@
 			t.countReport(now - report.ReceivedAt)
 			t.scheduler.HandleReport(now, id, sentAt, report)
 			following.need = t.scheduler.PollNeed(id)
-			following.pause = t.pacer.pause(following.need, now-dueAt)
+			following.pause = t.pollPacer.pause(following.need, now-dueAt)
 		}
 		if !t.postAndWait(ctx, handle) {
 			return nextPoll{}, false
