Renew leases as often under load as before

Polls that only renew the leases of service tasks paused for up to 250 ms on a loaded leader, after a long poll of 2 s. That left less of a lease for an instance that is cut off, and saved at most one of nine such polls. They follow the interval of polls for ends now, which a long poll always exceeds, so a need of their own is not wanted.

The tests of the pace hold renewals to no pause instead of 250 ms, and ask for half a second of every lease to be left after two lost polls.

--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -78,12 +78,10 @@
 const (
 	// PollToReconcile shows whether runs of unknown status exist; it must not wait.
 	PollToReconcile PollNeed = iota + 1
-	// PollForEnds brings the ends of runs and shows whether tasks advance.
+	// PollForEnds brings the ends of runs, shows whether tasks advance and extends their leases.
 	PollForEnds
 	// PollAfterCommit acknowledges ends that are being committed; before that, the response lists the same ends without waiting.
 	PollAfterCommit
-	// PollForRenewal extends the leases of service tasks that are at work.
-	PollForRenewal
 	// PollWhenIdle shows that an instance without runs responds.
 	PollWhenIdle
 )
@@ -96,14 +94,10 @@
 	}
 	need := PollWhenIdle
 	for _, r := range in.runs {
-		switch {
-		case r.status == statusUncertain || r.stopping:
+		if r.status == statusUncertain || r.stopping {
 			return PollToReconcile
-		case r.status != statusRunning || r.percent < 100 || !r.job.step(r.task.Position).Service:
-			need = min(need, PollForEnds)
-		default:
-			need = min(need, PollForRenewal)
 		}
+		need = PollForEnds
 	}
 	if n := len(in.pendingEnds); n > 0 && in.pendingEnds[n-1].batch > s.committedBatch {
 		return PollAfterCommit
--- a/internal/scheduler/rules_test.go
+++ b/internal/scheduler/rules_test.go
@@ -223,8 +223,8 @@
 	}
 }
 
-// TestPollNeedFollowsTheRuns guards against a poll that settles what an instance runs, or that brings the end of a run, being delayed
-// like one that only renews leases.
+// TestPollNeedFollowsTheRuns guards against a poll that settles what an instance runs, brings the end of a run or renews a lease being
+// delayed like one of an empty instance.
 func TestPollNeedFollowsTheRuns(t *testing.T) {
 	f := newTestFleet(t)
 	id := f.addInstance("a", "p")
@@ -233,7 +233,7 @@
 	assert.Equal(t, f.scheduler.PollNeed(id), scheduler.PollWhenIdle)
 	f.submitJob(workload.Step{Count: 1, Resources: workload.Resources{Processors: 1000}, Service: true})
 	f.advance(300 * time.Millisecond)
-	assert.Equal(t, f.scheduler.PollNeed(id), scheduler.PollForRenewal)
+	assert.Equal(t, f.scheduler.PollNeed(id), scheduler.PollForEnds)
 	job := f.submitJob(workload.Step{Count: 1, Resources: workload.Resources{Processors: 1000}})
 	f.scheduler.Tick(f.now, f.now.Milliseconds())
 	assert.Equal(t, f.scheduler.PollNeed(id), scheduler.PollForEnds, "a start is in flight")
@@ -250,7 +250,7 @@
 	f.pollAll()
 	assert.Equal(t, f.scheduler.PollNeed(id), scheduler.PollAfterCommit)
 	f.advance(300 * time.Millisecond)
-	assert.Equal(t, f.scheduler.PollNeed(id), scheduler.PollForRenewal)
+	assert.Equal(t, f.scheduler.PollNeed(id), scheduler.PollForEnds)
 	f.scheduler.HandlePollFailure(f.now, id, scheduler.Uncertain)
 	assert.Equal(t, f.scheduler.PollNeed(id), scheduler.PollToReconcile, "a poll failed")
 }
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -32,7 +32,7 @@
 }
 
 // pollLoop polls an instance until ctx ends: at the pace of pollPacer, and after missedPollBackoff once two polls in a row have
-// failed. A start that is sent ends the pause of an instance on which nothing was about to end.
+// failed. A start that is sent ends the pause of an instance that was empty.
 func (t *term) pollLoop(ctx context.Context, id fleet.InstanceID, started <-chan struct{}) {
 	previousMissed := false
 	for ctx.Err() == nil {
@@ -40,7 +40,7 @@
 		switch {
 		case !answered && previousMissed:
 			sleep(ctx, missedPollBackoff, nil)
-		case answered && next.need >= scheduler.PollForRenewal:
+		case answered && next.need == scheduler.PollWhenIdle:
 			sleep(ctx, next.pause, started)
 		case answered:
 			sleep(ctx, next.pause, nil)
--- a/internal/supervisor/poll_pacer.go
+++ b/internal/supervisor/poll_pacer.go
@@ -12,17 +12,15 @@
 	// minInterval and maxInterval bound the time between the starts of two polls.
 	minInterval time.Duration
 	maxInterval time.Duration
-	// maxRenewalPause and maxIdlePause bound the pause after a long poll of an instance on which nothing is about to end.
-	maxRenewalPause time.Duration
-	maxIdlePause    time.Duration
+	// maxIdlePause bounds the pause after a long poll of an instance without runs.
+	maxIdlePause time.Duration
 }
 
-// defaultPollLimits leave time for two failed polls of an instance with service tasks within a lease.
+// defaultPollLimits never delay the poll after a long one of an instance with runs, so that two polls may fail within a lease.
 var defaultPollLimits = pollLimits{
-	minInterval:     80 * time.Millisecond, // run ends close in time are fetched with one poll
-	maxInterval:     400 * time.Millisecond,
-	maxRenewalPause: 250 * time.Millisecond,
-	maxIdlePause:    time.Second, // a start ends the pause
+	minInterval:  80 * time.Millisecond, // run ends close in time are fetched with one poll
+	maxInterval:  400 * time.Millisecond,
+	maxIdlePause: time.Second, // a start ends the pause
 }
 
 const (
@@ -60,8 +58,6 @@
 	case scheduler.PollForEnds:
 	case scheduler.PollAfterCommit:
 		interval = min(max(p.commitDelay.value, interval), p.limits.maxInterval)
-	case scheduler.PollForRenewal:
-		return max(p.limits.minInterval-elapsed, min(p.loopDelay.value*pausePerDelay, p.limits.maxRenewalPause))
 	case scheduler.PollWhenIdle:
 		return max(p.limits.minInterval-elapsed, min(p.loopDelay.value*pausePerDelay, p.limits.maxIdlePause))
 	default:
--- a/internal/supervisor/poll_pacer_test.go
+++ b/internal/supervisor/poll_pacer_test.go
@@ -22,7 +22,7 @@
 		{"idle leader, short tasks", 200 * time.Microsecond, 15 * ms, scheduler.PollForEnds, 5 * ms, 75 * ms},
 		{"idle leader, long poll without an end", 200 * time.Microsecond, 15 * ms, scheduler.PollForEnds, 700 * ms, 0},
 		{"idle leader, ends being committed", 200 * time.Microsecond, 15 * ms, scheduler.PollAfterCommit, 5 * ms, 75 * ms},
-		{"idle leader, service tasks at work", 0, 15 * ms, scheduler.PollForRenewal, 2 * time.Second, 0},
+		{"idle leader, service tasks at work", 0, 15 * ms, scheduler.PollForEnds, 2 * time.Second, 0},
 		{"idle leader, empty instance", 0, 15 * ms, scheduler.PollWhenIdle, 2 * time.Second, 0},
 		{"beginning turn, empty instances give way first", ms, 20 * ms, scheduler.PollWhenIdle, 2 * time.Second, 200 * ms},
 		{"beginning turn, ends as before", ms, 20 * ms, scheduler.PollForEnds, 5 * ms, 75 * ms},
@@ -31,7 +31,7 @@
 		{"overloaded leader, short tasks", 30 * ms, 400 * ms, scheduler.PollForEnds, 5 * ms, 395 * ms},
 		{"slow commits on a leader that is not loaded", 0, 250 * ms, scheduler.PollAfterCommit, 5 * ms, 245 * ms},
 		{"no majority", 0, time.Minute, scheduler.PollAfterCommit, 5 * ms, 395 * ms},
-		{"overloaded leader, service tasks at work", time.Second, time.Second, scheduler.PollForRenewal, 2 * time.Second, 250 * ms},
+		{"overloaded leader, service tasks at work", time.Second, time.Second, scheduler.PollForEnds, 2 * time.Second, 0},
 		{"overloaded leader, empty instance", time.Second, time.Second, scheduler.PollWhenIdle, 2 * time.Second, time.Second},
 		{"overloaded leader, uncertain start", time.Second, time.Second, scheduler.PollToReconcile, 5 * ms, 75 * ms},
 		{"overloaded leader after a change of leader", time.Second, time.Second, scheduler.PollToReconcile, 700 * ms, 0},
@@ -45,15 +45,13 @@
 func TestRenewalsFitIntoTheLease(t *testing.T) {
 	const lease, longPoll = 5400 * time.Millisecond, 2 * time.Second
 	p := pollPacer{limits: defaultPollLimits, loopDelay: average{value: time.Minute}, commitDelay: average{value: time.Minute}}
-	for need := scheduler.PollToReconcile; need <= scheduler.PollForRenewal; need++ {
-		wait := 700 * time.Millisecond
-		if need == scheduler.PollForRenewal {
-			wait = longPoll
+	for need := scheduler.PollToReconcile; need <= scheduler.PollAfterCommit; need++ {
+		for _, wait := range []time.Duration{0, 700 * time.Millisecond, longPoll} {
+			// A deadline is renewed when a poll is sent. The next one is sent after the response and the pause; its loss is noticed
+			// after its wait, and the one after it is sent at once, without a wait.
+			gap := wait + p.pause(need, wait) + longPoll + 2*pollTimeoutMargin
+			assert.Assert(t, gap < lease-500*time.Millisecond, "need %d: %v", need, gap)
 		}
-		// A deadline is renewed when a poll is sent. The next one is sent after the response and the pause; its loss is noticed
-		// after its wait, and the one after it is sent at once, without a wait.
-		gap := wait + p.pause(need, wait) + wait + 2*pollTimeoutMargin
-		assert.Assert(t, gap < lease, "need %d: %v", need, gap)
 	}
 }
 
