Commit that an instance is draining before that is acknowledged

Callers saw tasks started on an instance that had said that it drains and had been acknowledged (DRAIN).

Draining was kept in the memory of one session.

The leader now commits the announced record of an enrolled instance again once it says that it drains, in the order of the other registrations, and acknowledges the announcement after that. The committed sequence number also lets the next leader ignore an earlier announcement that arrives late.

The tests of the supervisor failed before: TestAcknowledgedDrainingIsCommitted: announcement 2: not committed TestDrainingIsNotAcknowledgedBeforeItIsCommitted: 1 (Done) != 2 (NotLeading) TestNewLeaderStartsNothingOnDrainingInstance uses the new record and so has no run before.

--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -1,6 +1,11 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/workload"
+)
 
 // Thresholds of the time left on a draining instance.
 const (
@@ -8,6 +13,23 @@
 	drainCheckpointWindow = time.Second     // a stop, the poll after it and a commit take a fraction of this
 )
 
+// UncommittedDraining returns the record to commit for an enrolled instance that is draining, or false if the committed state
+// has it already. Without it a later leader would start tasks there until the next announcement.
+func (s *Scheduler) UncommittedDraining(id fleet.InstanceID) (workload.Instance, bool) {
+	in := s.instances.byID[id]
+	if in == nil || !in.Draining || in.drainCommitted || !in.enrolled && !in.enrolling {
+		return workload.Instance{}, false
+	}
+	return in.Instance, true
+}
+
+// ConfirmDraining records that the draining of a boot is committed.
+func (s *Scheduler) ConfirmDraining(record workload.Instance) {
+	if in := s.instances.byID[record.ID]; in != nil && in.Boot == record.Boot {
+		in.drainCommitted = true
+	}
+}
+
 // evacuateDraining stops runs on draining instances: service tasks within the availability budgets of their steps while
 // time is left, and checkpointing tasks shortly before the shutdown if they would not be done by then.
 func (s *Scheduler) evacuateDraining() {
--- a/internal/scheduler/drain_test.go
+++ b/internal/scheduler/drain_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sapphiresail/sapphiresail/internal/state"
 	"github.com/sapphiresail/sapphiresail/internal/workload"
 )
 
@@ -53,3 +54,25 @@
 	assert.Equal(t, string(f.placements(checkpointing)[workload.TaskID{Job: checkpointing}]), "i-b")
 	assert.Equal(t, string(f.placements(plain)[workload.TaskID{Job: plain}]), "i-a")
 }
+
+// TestNewLeaderStartsNothingOnDrainingInstance guards against a start on an instance whose draining an earlier leader
+// acknowledged: the next leader polls it before its next announcement.
+func TestNewLeaderStartsNothingOnDrainingInstance(t *testing.T) {
+	f := newTestFleet(t)
+	f.addInstance("a", "p")
+	f.advance(time.Second)
+	f.submitJob(workload.Step{Count: 1, Resources: workload.Resources{Processors: 5000}})
+	f.advance(time.Second)
+	assert.Equal(t, len(f.startOrders), 1, "the instance stays enrolled because it runs a task")
+	f.announceDraining("a", "p", 10*time.Second)
+	record, uncommitted := f.scheduler.UncommittedDraining("i-a")
+	assert.Assert(t, uncommitted)
+	f.commit(state.EnrolInstance{Instance: record})
+	f.scheduler.ConfirmDraining(record)
+	_, uncommitted = f.scheduler.UncommittedDraining("i-a")
+	assert.Assert(t, !uncommitted, "the draining is committed")
+	f.startLeader()
+	f.submitJob(workload.Step{Count: 1, Resources: workload.Resources{Processors: 5000}})
+	f.advance(2 * time.Second)
+	assert.Equal(t, len(f.startOrders), 1, "started on a draining instance")
+}
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -12,6 +12,10 @@
 type instance struct {
 	workload.Instance
 	enrolled bool
+	// enrolling is set while the enrolment is being committed.
+	enrolling bool
+	// drainCommitted is set once the committed state records that the enrolled instance is draining.
+	drainCommitted bool
 	// inherited is set for instances that an earlier leader enrolled, until the first report or lease expiry.
 	inherited bool
 	// polled is set while this leader knows what runs there.
@@ -116,16 +120,20 @@
 		in = nil
 	}
 	if in == nil {
-		s.addInstance(announced).observeClock(now, announced.Clock)
+		in = s.addInstance(announced)
+		in.observeClock(now, announced.Clock)
+		in.enrolling = true
 		return true
 	}
-	if announced.Sequence <= in.Sequence && in.Sequence > 0 {
-		return in.needsEnrolment()
+	if announced.Sequence > in.Sequence || in.Sequence == 0 {
+		in.observeClock(now, announced.Clock)
+		s.instances.update(in, announced)
+		in.announcedAt = now
+		in.drainCommitted = in.drainCommitted && in.Draining
 	}
-	in.observeClock(now, announced.Clock)
-	s.instances.update(in, announced)
-	in.announcedAt = now
-	return in.needsEnrolment()
+	enrol = in.needsEnrolment()
+	in.enrolling = in.enrolling || enrol
+	return enrol
 }
 
 // supersedeBoots removes the other instances with an earlier boot at the same address or machine. It reports whether the
@@ -168,6 +176,7 @@
 func (s *Scheduler) ConfirmEnrolled(id fleet.InstanceID) {
 	if in := s.instances.byID[id]; in != nil {
 		in.enrolled = true
+		in.enrolling = false
 	}
 }
 
@@ -245,6 +254,7 @@
 	}
 	in.evacuating = false
 	if !in.enrolled {
+		in.enrolling = true
 		s.enrolments = append(s.enrolments, in.Instance)
 	}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -188,6 +188,7 @@
 	for id, e := range committed.Enrolled {
 		in := s.addInstance(e)
 		in.enrolled = true
+		in.drainCommitted = e.Draining
 		in.clockReadAt = options.LeadingSince
 		in.inherited = true
 		in.cordonIndex = committed.Cordoned[id]
--- /dev/null
+++ b/internal/supervisor/draining_test.go
@@ -0,0 +1,69 @@
+package supervisor
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/sapphiresail/sapphiresail/internal/forwarder"
+	"github.com/sapphiresail/sapphiresail/internal/state"
+	"github.com/sapphiresail/sapphiresail/internal/workload"
+)
+
+// drainingInstance is an instance that repeats its announcements.
+func drainingInstance(sequence uint64) *workload.Instance {
+	return &workload.Instance{
+		ID: "i", Boot: 1, Pool: "p", Address: "a", Sequence: sequence, Clock: time.Second, Capacity: workload.Resources{Processors: 4000, Memory: 4000},
+		Draining: sequence > 1, TimeLeft: 4 * time.Second,
+	}
+}
+
+// TestAcknowledgedDrainingIsCommitted guards against a start on an instance whose draining an earlier leader acknowledged: the
+// next leader knows only what is committed until the instance announces itself again.
+func TestAcknowledgedDrainingIsCommitted(t *testing.T) {
+	r := &singleReplica{state: state.New()}
+	s := Start(Options{
+		Entry: "k", Replica: r, Instances: unresponsiveFleet{}, Machines: unresponsiveFleet{}, Lease: 5 * time.Second, JobRetention: time.Minute,
+		Logger: zap.NewNop(), Metrics: metrics.NewRegistry(),
+	})
+	t.Cleanup(func() { assert.NilError(t, s.Close()) })
+	announceInstance(t, s, drainingInstance(1))
+	for sequence := uint64(2); sequence < 5; sequence++ {
+		announceInstance(t, s, drainingInstance(sequence))
+		r.View(func(s *state.State) { assert.Assert(t, s.Workload.Enrolled["i"].Draining, "announcement %d", sequence) })
+	}
+}
+
+// TestDrainingIsNotAcknowledgedBeforeItIsCommitted guards against the acknowledgement of a draining that the next leader does
+// not know, because the commit fails or takes long.
+func TestDrainingIsNotAcknowledgedBeforeItIsCommitted(t *testing.T) {
+	s := startLapsedSession(t)
+	announce := func(sequence uint64) forwarder.Response {
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		done := make(chan forwarder.Response, 1)
+		go func() {
+			done <- s.announce(ctx, forwarder.Request{Operation: forwarder.Announce, Instance: drainingInstance(sequence)})
+		}()
+		for {
+			select {
+			case response := <-done:
+				return response
+			case f := <-s.inbox:
+				f()
+			}
+		}
+	}
+	s.step()
+	assert.Equal(t, announce(1).Outcome, forwarder.Done)
+	s.registrationInFlight = true // a batch that is not committed yet
+	assert.Equal(t, announce(2).Outcome, forwarder.NotLeading)
+	assert.Equal(t, announce(3).Outcome, forwarder.NotLeading, "repeated")
+	s.registrationInFlight = false
+	assert.Equal(t, announce(4).Outcome, forwarder.Done)
+	assert.Assert(t, s.replica.state.Workload.Enrolled["i"].Draining)
+}
--- a/internal/supervisor/requests.go
+++ b/internal/supervisor/requests.go
@@ -212,15 +212,24 @@
 // announce handles the heartbeat of an instance and names this leader for the next ones.
 func (t *term) announce(ctx context.Context, request forwarder.Request) forwarder.Response {
 	in := *request.Instance
+	drainCommitted := make(chan struct{})
 	if !t.postAndWait(ctx, func() {
 		enrol := t.scheduler.HandleAnnouncement(monotonicNow(), in)
 		t.commitInstanceChanges() // an earlier boot under the same id must be deregistered before this one is enrolled
 		if enrol {
 			t.enrol(in)
 		}
+		t.commitDraining(in, func() { close(drainCommitted) })
 	}) {
 		return forwarder.Response{Outcome: forwarder.NotLeading}
 	}
+	select {
+	case <-drainCommitted:
+	case <-ctx.Done():
+		return forwarder.Response{Outcome: forwarder.NotLeading}
+	case <-t.ctx.Done():
+		return forwarder.Response{Outcome: forwarder.NotLeading}
+	}
 	if in.Draining {
 		event.InstanceDraining.Info(t.options.Logger, zap.String("instance", string(in.ID)), zap.Duration("left", in.TimeLeft))
 	}
@@ -236,6 +245,20 @@
 	})
 }
 
+// commitDraining commits that an enrolled instance is draining, unless it is committed already or not announced. It calls
+// onCommit once the next leader knows all that the announcement says.
+func (t *term) commitDraining(announced workload.Instance, onCommit func()) {
+	record, uncommitted := t.scheduler.UncommittedDraining(announced.ID)
+	if !announced.Draining || !uncommitted {
+		onCommit()
+		return
+	}
+	t.enqueueRegistration(state.EnrolInstance{Instance: record}, func() {
+		t.scheduler.ConfirmDraining(record)
+		onCommit()
+	})
+}
+
 // depart handles the deregistration that an instance sends when it shuts down.
 func (t *term) depart(ctx context.Context, request forwarder.Request) forwarder.Response {
 	in := *request.Instance
