Ignore the reports that a later one has overtaken

Callers could see a task wait for a run that was gone, and work repeated from an earlier checkpoint.

Polls of an instance overlap, and responses on different connections overtake each other. A report from before the latest one was processed like a new one: a run whose end the later one had brought was adopted again, until the next poll found it missing, and the progress and the checkpoint of a run went back.

Each report has the clock of the instance, which orders the reports of a boot. One with an earlier clock than the latest is ignored: its ends are in the later one, and its runs and its clock are out of date. Two reports of one millisecond stay unordered. The rule for all messages is in docs/design/platform.md.

The tests failed before: TestOvertakenReportListsNoRun done, failed, stopped: a run that has ended is adopted TestOvertakenReportKeepsProgress: earlier != later

--- /dev/null
+++ b/internal/scheduler/crossed_test.go
@@ -0,0 +1,69 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sapphiresail/sapphiresail/internal/scheduler"
+	"github.com/sapphiresail/sapphiresail/internal/workload"
+)
+
+// TestOvertakenReportListsNoRun guards against a run that is adopted after its end: the report of an earlier moment arrives
+// after the one with the end, and the instance counts as occupied by a run that is gone.
+func TestOvertakenReportListsNoRun(t *testing.T) {
+	for _, ending := range []workload.Ending{workload.EndedDone, workload.EndedFailed, workload.EndedStopped} {
+		t.Run(string(ending), func(t *testing.T) {
+			f := newTestFleet(t)
+			id := f.addInstance("a", "p")
+			f.advance(time.Second)
+			start := submitAndTakeStart(f)
+			f.now += 10 * time.Millisecond
+			f.scheduler.HandleOrderOutcome(f.now, start, scheduler.Accepted)
+			clock := time.Minute + f.now
+			earlier := scheduler.StatusReport{Clock: clock, Running: []scheduler.ReportedRun{{Task: start.Task, Run: start.Run, Percent: 1}}}
+			later := scheduler.StatusReport{Clock: clock + time.Millisecond, Ended: []scheduler.ReportedEnd{{Number: 1, Task: start.Task, Run: start.Run, Ending: ending}}}
+			sentAt := f.now
+			f.now += 10 * time.Millisecond
+			f.scheduler.HandleReport(f.now, id, sentAt, later)
+			f.scheduler.TakeDecisions()
+			f.now += 10 * time.Millisecond
+			f.scheduler.HandleReport(f.now, id, sentAt, earlier)
+			for _, d := range f.scheduler.TakeDecisions() {
+				assert.Check(t, d.What != "run adopted", "a run that has ended is adopted")
+			}
+		})
+	}
+}
+
+// TestOvertakenReportKeepsProgress guards against work that is repeated: the report of an earlier moment arrives after a later
+// one, and the run continues elsewhere from the earlier checkpoint.
+func TestOvertakenReportKeepsProgress(t *testing.T) {
+	f := newTestFleet(t)
+	id := f.addInstance("a", "p")
+	f.advance(time.Second)
+	job := f.submitJob(workload.Step{Count: 1, Resources: workload.Resources{Processors: 1000}, Checkpointing: true})
+	f.advance(200 * time.Millisecond)
+	assert.Equal(t, len(f.startOrders), 1)
+	run := f.startOrders[0].Run
+	task := workload.TaskID{Job: job}
+	report := func(clock time.Duration, percent int, checkpoint string) {
+		f.scheduler.HandleReport(f.now, id, f.now-20*time.Millisecond, scheduler.StatusReport{
+			Clock: clock, Running: []scheduler.ReportedRun{{Task: task, Run: run, Percent: percent, Checkpoint: checkpoint}},
+		})
+	}
+	clock := time.Minute + f.now + 10*time.Millisecond
+	f.now += 20 * time.Millisecond
+	report(clock, 60, "later")
+	f.now += 10 * time.Millisecond
+	report(clock-5*time.Millisecond, 40, "earlier")
+
+	f.runs[id] = nil
+	delete(f.runs, id)
+	f.addInstance("b", "p")
+	f.scheduler.HandlePollFailure(f.now, id, scheduler.Mismatched)
+	f.advance(time.Second)
+	assert.Equal(t, len(f.startOrders), 2)
+	assert.Equal(t, f.startOrders[1].Checkpoint, "later")
+}
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -27,6 +27,8 @@
 	// stallsCheckedAt is the value of clockReadAt at the last check for runs that stand still.
 	stallsCheckedAt time.Duration
 	clock           time.Duration
+	// reportedAt is the clock of the instance in the latest report.
+	reportedAt time.Duration
 	// maxDeadlineSent is the latest lease deadline in any order or poll sent to the instance.
 	maxDeadlineSent time.Duration
 	failedPolls     int
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -133,7 +133,8 @@
 	}
 }
 
-// HandleReport processes the response to a poll that was sent at sentAt.
+// HandleReport processes the response to a poll that was sent at sentAt. Responses may overtake each other: one from before
+// the latest report shows nothing that is still valid.
 func (s *Scheduler) HandleReport(now time.Duration, id fleet.InstanceID, sentAt time.Duration, report StatusReport) {
 	s.now = now
 	in := s.instances.byID[id]
@@ -144,6 +145,10 @@
 		s.replaceRestarted(in, report.Boot)
 		return
 	}
+	if report.Clock < in.reportedAt {
+		return
+	}
+	in.reportedAt = report.Clock
 	in.clockReadAt = cmp.Or(report.ReceivedAt, now)
 	in.clock = report.Clock
 	in.failedPolls = 0
