--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -24,10 +25,12 @@
 
 // StatusReport is the response of an instance to a poll.
 type StatusReport struct {
-	Boot    int64
-	Clock   time.Duration
-	Running []ReportedRun
-	Ended   []ReportedEnd
+	Boot  int64
+	Clock time.Duration
+	// ReceivedAt is when the response arrived; zero stands for the time at which the report is processed.
+	ReceivedAt time.Duration
+	Running    []ReportedRun
+	Ended      []ReportedEnd
 }
 
 // ReportedRun is a run in a status report.
@@ -68,6 +71,46 @@
 	return request, true
 }
 
+// PollNeed is what the next poll of an instance is for.
+type PollNeed uint8
+
+// Needs for a poll, the most urgent first.
+const (
+	// PollToReconcile shows whether runs of unknown status exist; it must not wait.
+	PollToReconcile PollNeed = iota + 1
+	// PollForEnds brings the ends of runs and shows whether tasks advance.
+	PollForEnds
+	// PollAfterCommit acknowledges ends that are being committed; before that, the response lists the same ends without waiting.
+	PollAfterCommit
+	// PollForRenewal extends the leases of service tasks that are at work.
+	PollForRenewal
+	// PollWhenIdle shows that an instance without runs responds.
+	PollWhenIdle
+)
+
+// PollNeed returns what the next poll of an instance is for.
+func (s *Scheduler) PollNeed(id fleet.InstanceID) PollNeed {
+	in := s.instances.byID[id]
+	if in == nil || !in.polled || in.failedPolls > 0 || in.hasOrphans {
+		return PollToReconcile
+	}
+	need := PollWhenIdle
+	for _, r := range in.runs {
+		switch {
+		case r.status == statusUncertain || r.stopping:
+			return PollToReconcile
+		case r.status != statusRunning || r.percent < 100 || !r.job.step(r.task.Position).Service:
+			need = min(need, PollForEnds)
+		default:
+			need = min(need, PollForRenewal)
+		}
+	}
+	if n := len(in.pendingEnds); n > 0 && in.pendingEnds[n-1].batch > s.committedBatch {
+		return PollAfterCommit
+	}
+	return need
+}
+
 // pollWait returns how long the instance may hold its response.
 func (s *Scheduler) pollWait(in *instance) time.Duration {
 	for _, r := range in.runs {
@@ -101,13 +144,13 @@
 		s.replaceRestarted(in, report.Boot)
 		return
 	}
-	in.clockReadAt = now
+	in.clockReadAt = cmp.Or(report.ReceivedAt, now)
 	in.clock = report.Clock
 	in.failedPolls = 0
 	firstReport := !in.polled
 	in.polled = true
 	s.handleEnds(in, report.Ended)
-	s.handleRuns(in, report.Running, sentAt)
+	s.handleRuns(in, report.Running)
 	s.dropUnlistedRuns(in, report, sentAt)
 	if firstReport {
 		in.inherited = false
@@ -236,7 +279,7 @@
 	return len(runs)
 }
 
-func (s *Scheduler) handleRuns(in *instance, runs []ReportedRun, sentAt time.Duration) {
+func (s *Scheduler) handleRuns(in *instance, runs []ReportedRun) {
 	in.hasOrphans = false
 	for _, reported := range runs {
 		r := in.runs[reported.Task]
@@ -247,7 +290,7 @@
 		}
 		if r.status != statusRunning {
 			r.status = statusRunning
-			r.startOutcomeAt = min(r.startOutcomeAt, sentAt)
+			r.startOutcomeAt = s.now
 		}
 		s.updateRun(in, r, reported)
 	}
@@ -296,8 +339,8 @@
 	return nil
 }
 
-// dropUnlistedRuns removes runs that the instance no longer lists. Reports of polls that were sent before the start or stop
-// was answered say nothing about a run.
+// dropUnlistedRuns removes runs that the instance no longer lists. Only reports of polls that were sent after the outcome of
+// the start or stop was known, or after the run was first listed, show that a run is gone.
 func (s *Scheduler) dropUnlistedRuns(in *instance, report StatusReport, sentAt time.Duration) {
 	listed := make(map[runKey]bool, len(report.Running))
 	for _, reported := range report.Running {
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -26,55 +26,92 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(t.ctx)
-	t.dispatchers[id] = &dispatcher{slots: make(chan struct{}, maxOrdersInFlight), cancel: cancel}
-	t.spawn(func() { t.pollLoop(ctx, id) })
+	d := &dispatcher{slots: make(chan struct{}, maxOrdersInFlight), started: make(chan struct{}, 1), cancel: cancel}
+	t.dispatchers[id] = d
+	t.spawn(func() { t.pollLoop(ctx, id, d.started) })
 }
 
-// pollLoop polls an instance until ctx ends: at most every minPollInterval, and after missedPollBackoff once two polls in a
-// row have failed.
-func (t *term) pollLoop(ctx context.Context, id fleet.InstanceID) {
+// pollLoop polls an instance until ctx ends: at the pace of pollPacer, and after missedPollBackoff once two polls in a row have
+// failed. A start that is sent ends the pause of an instance on which nothing was about to end.
+func (t *term) pollLoop(ctx context.Context, id fleet.InstanceID, started <-chan struct{}) {
 	previousMissed := false
 	for ctx.Err() == nil {
-		start := time.Now()
-		answered := t.poll(ctx, id, true)
-		switch remaining := minPollInterval - time.Since(start); {
+		next, answered := t.poll(ctx, id, true)
+		switch {
 		case !answered && previousMissed:
-			sleep(ctx, missedPollBackoff)
-		case answered && remaining > 0:
-			sleep(ctx, remaining)
+			sleep(ctx, missedPollBackoff, nil)
+		case answered && next.need >= scheduler.PollForRenewal:
+			sleep(ctx, next.pause, started)
+		case answered:
+			sleep(ctx, next.pause, nil)
 		}
 		previousMissed = !answered // a single lost response is requested again at once
 	}
 }
 
-// poll requests the status report of an instance and reports whether it was received; wait makes it a long poll.
-func (t *term) poll(ctx context.Context, id fleet.InstanceID, wait bool) bool {
+// nextPoll says when and for what to poll an instance again.
+type nextPoll struct {
+	need  scheduler.PollNeed
+	pause time.Duration
+}
+
+// poll requests the status report of an instance, has it processed, and reports whether it was received; wait makes it a long poll.
+func (t *term) poll(ctx context.Context, id fleet.InstanceID, wait bool) (next nextPoll, answered bool) {
+	if !t.leads() {
+		return nextPoll{}, false
+	}
 	var request scheduler.PollRequest
 	enrolled := false
-	if !t.postAndWait(ctx, func() { request, enrolled = t.scheduler.NextPoll(monotonicNow(), id, wait) }) || !enrolled || !t.leads() {
-		return false
+	dueAt := monotonicNow()
+	ask := func() {
+		now := monotonicNow()
+		t.pollPacer.loopDelay.observe(now, now-dueAt)
+		request, enrolled = t.scheduler.NextPoll(now, id, wait)
+	}
+	if !t.postAndWait(ctx, ask) || !enrolled || !t.leads() {
+		return nextPoll{}, false
 	}
 	sentAt := monotonicNow()
 	requestCtx, cancel := context.WithTimeout(ctx, request.Wait+pollTimeoutMargin)
 	defer cancel()
+	t.load.polls.Add(1)
+	t.load.pollsInFlight.Add(1)
 	report, outcome, err := t.options.Instances.Poll(requestCtx, request)
+	t.load.pollsInFlight.Add(-1)
 	if ctx.Err() != nil {
-		return false
+		return nextPoll{}, false
 	}
 	t.instruments.polls.Inc(1)
+	report.ReceivedAt = monotonicNow()
 	if outcome == scheduler.Accepted {
-		t.post(func() { t.scheduler.HandleReport(monotonicNow(), id, sentAt, report) })
-		return true
+		t.instruments.pollDuration.Update(report.ReceivedAt - sentAt)
+		var following nextPoll
+		handle := func() {
+			now := monotonicNow()
+			t.countReport(now - report.ReceivedAt)
+			t.scheduler.HandleReport(now, id, sentAt, report)
+			following.need = t.scheduler.PollNeed(id)
+			following.pause = t.pollPacer.pause(following.need, now-dueAt)
+		}
+		if !t.postAndWait(ctx, handle) {
+			return nextPoll{}, false
+		}
+		return following, true
 	}
 	t.instruments.pollsMissed.Inc(1)
 	event.PollFailed.Info(t.options.Logger, zap.String("instance", string(id)), zap.Stringer("outcome", outcome), zap.NamedError("error", err))
 	t.post(func() { t.scheduler.HandlePollFailure(monotonicNow(), id, outcome) })
-	return false
+	return nextPoll{}, false
 }
 
-func sleep(ctx context.Context, d time.Duration) {
+// sleep waits for d, or until ctx ends or interrupt receives.
+func sleep(ctx context.Context, d time.Duration, interrupt <-chan struct{}) {
+	if d <= 0 {
+		return
+	}
 	select {
 	case <-ctx.Done():
+	case <-interrupt:
 	case <-time.After(d):
 	}
 }
@@ -83,14 +120,23 @@
 func (t *term) dispatch(o scheduler.Order) {
 	d := t.dispatchers[o.Instance]
 	if d == nil {
+		t.scheduler.HandleOrderOutcome(monotonicNow(), o, scheduler.Unsent)
 		return
 	}
+	if o.Kind == scheduler.Start {
+		select {
+		case d.started <- struct{}{}:
+		default:
+		}
+	}
 	t.spawn(func() {
+		t.load.ordersWaiting.Add(1)
 		select {
 		case d.slots <- struct{}{}:
 		case <-t.ctx.Done():
 			return
 		}
+		t.load.ordersWaiting.Add(-1)
 		defer func() { <-d.slots }()
 		if o.Kind == scheduler.ImmediatePoll {
 			t.poll(t.ctx, o.Instance, false)
@@ -103,8 +149,11 @@
 // sendOrder sends an order and passes its outcome to the scheduler.
 func (t *term) sendOrder(o scheduler.Order) {
 	if !t.leads() {
+		t.post(func() { t.scheduler.HandleOrderOutcome(monotonicNow(), o, scheduler.Unsent) })
 		return
 	}
+	t.load.ordersInFlight.Add(1)
+	defer t.load.ordersInFlight.Add(-1)
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
 	defer cancel()
@@ -121,6 +170,7 @@
 // sendMachineOrder requests the move or the maintenance of a machine from the platform.
 func (t *term) sendMachineOrder(o scheduler.MachineOrder) {
 	if !t.leads() {
+		t.post(func() { t.scheduler.HandleMachineOutcome(monotonicNow(), o, scheduler.MachineUnsent) })
 		return
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, platformTimeout)
@@ -130,7 +180,11 @@
 		zap.String("pool", string(o.Pool)), zap.Stringer("outcome", outcome), zap.NamedError("error", err))
 	t.post(func() {
 		if t.scheduler.HandleMachineOutcome(monotonicNow(), o, outcome) {
-			t.commitAsync(state.RecordMaintenanceStart{Wave: o.Wave, Machine: o.Machine}, func(state.Reply, error) {})
+			t.commitAsync(state.RecordMaintenanceStart{Wave: o.Wave, Machine: o.Machine}, func(_ state.Reply, err error) {
+				if err != nil {
+					t.cancel() // the next session orders the maintenance again
+				}
+			})
 		}
 	})
 }
@@ -150,6 +204,7 @@
 // requestAdvice requests from the policy service which instances may run a step.
 func (t *term) requestAdvice(o scheduler.AdviceRequest) {
 	if !t.leads() {
+		t.post(func() { t.scheduler.HandleAdvice(monotonicNow(), o, nil, false) })
 		return
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, adviceTimeout)
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -23,7 +23,6 @@
 	idlePlanInterval   = 50 * time.Millisecond  // due times, leases and retries are checked at this interval
 	jobReleaseInterval = 2 * time.Second        // a job past its retention only costs memory
 	maxOrdersInFlight  = 3                      // concurrent orders to one instance, to limit the connections opened
-	minPollInterval    = 80 * time.Millisecond  // run ends close in time are fetched with one poll
 	missedPollBackoff  = 200 * time.Millisecond // an unresponsive instance is polled five times a second
 )
 
@@ -32,7 +31,7 @@
 	options     *Options
 	instruments *instruments
 	number      uint64
-	resumptions uint64
+	session     uint64
 	ctx         context.Context
 	cancel      context.CancelFunc
 	inbox       chan func()
@@ -48,35 +47,53 @@
 	pendingRegistrations []registration
 	registrationInFlight bool
 	settledLogged        bool
+	pausedAt             time.Duration // zero while the lease is held
 	lastRelease          time.Duration
-	pacer                planPacer
 	logLimiter           logLimiter
+	mismatched           map[workload.JobID]mismatch
+	planPacer            planPacer
+	pollPacer            pollPacer
+
+	load load
 }
 
 // dispatcher limits the orders in flight to one boot of an instance and cancels its polling.
 type dispatcher struct {
-	slots  chan struct{}
-	cancel context.CancelFunc
+	slots chan struct{}
+	// started receives when a start is sent.
+	started chan struct{}
+	cancel  context.CancelFunc
 }
 
-func newTerm(ctx context.Context, o *Options, m *instruments, number, resumptions uint64) *term {
-	t := &term{options: o, instruments: m, number: number, resumptions: resumptions, inbox: make(chan func(), inboxCapacity), dispatchers: map[fleet.InstanceID]*dispatcher{}}
+func newTerm(ctx context.Context, o *Options, m *instruments, number, session uint64) *term {
+	t := &term{options: o, instruments: m, number: number, session: session, inbox: make(chan func(), inboxCapacity), dispatchers: map[fleet.InstanceID]*dispatcher{}, pollPacer: pollPacer{limits: defaultPollLimits}}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	return t
 }
 
+// leads reports whether this member holds the leader lease, without which nothing may be sent.
 func (t *term) leads() bool {
 	number, ok := t.options.Replica.Leads()
 	return ok && number == t.number && t.ctx.Err() == nil
 }
 
-// run runs the event loop until another keeper may lead, and then ends the goroutines of the term.
+// lasts reports whether this member is still the leader of the term. If it regains an expired lease in the same term, no other
+// keeper has led in between: a quorum that has joined a later term acknowledges nothing in this one.
+func (t *term) lasts() bool {
+	number, ok := t.options.Replica.LeaderTerm()
+	return ok && number == t.number && t.ctx.Err() == nil
+}
+
+// run runs the event loop until the term ends, and then ends the goroutines of the term.
 func (t *term) run() {
 	t.start()
 	reason := t.loop()
+	lapsed := -t.options.Replica.LeaderLeaseLeft()
 	t.cancel()
+	t.logLoad(time.Now())
 	t.close()
-	event.LeadershipEnded.Info(t.options.Logger, zap.Uint64("term", t.number), zap.String("reason", reason))
+	t.instruments.resetGauges()
+	event.LeadershipEnded.Info(t.options.Logger, zap.Uint64("term", t.number), zap.Uint64("session", t.session), zap.String("reason", reason), zap.Duration("lapsed", lapsed))
 }
 
 // spawn starts a goroutine that close waits for; after close it starts none.
@@ -88,26 +105,56 @@
 	}
 }
 
+// close ends the goroutines of the term. No command of the term is proposed after that.
 func (t *term) close() {
+	t.cancel()
 	t.mutex.Lock()
 	t.closed = true
 	t.mutex.Unlock()
 	t.goroutines.Wait()
 }
 
+// commitBarrier commits a barrier and reports whether it is applied and the term still lasts.
+//
+// Earlier sessions of this process may have proposed commands that are not committed yet, and their callbacks are gone. The
+// scheduler is built from one reading of the committed state, so all of these commands must be in it or never be committed:
+// close has waited for the goroutines that propose them, the replicator keeps proposals in order from its inbox to the log,
+// and entries are applied in the order of the log. A proposal that Raft has refused or that a later term has overwritten is
+// never committed.
+func (t *term) commitBarrier() bool {
+	committed := make(chan error, 1)
+	t.spawn(func() {
+		_, errs := t.commitAll([]state.Command{state.Barrier{}})
+		committed <- errs[0]
+	})
+	ticker := time.NewTicker(leadershipCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case err := <-committed:
+			return err == nil && t.lasts()
+		case <-ticker.C:
+			if !t.lasts() {
+				return false
+			}
+		}
+	}
+}
+
 // start builds the scheduler from the committed state and runs it once.
 func (t *term) start() {
 	now := monotonicNow()
 	jobs, instances := 0, 0
 	t.options.Replica.View(func(s *state.State) {
 		t.scheduler = scheduler.New(now, wallMillis(), scheduler.Options{
-			Fence: t.number, Session: t.resumptions, LeaseDuration: t.options.Lease, LeadingSince: now,
+			Fence: t.number, Session: t.session, LeaseDuration: t.options.Lease, LeadingSince: now,
 		}, &s.Workload)
 		t.ready.Store(s.Workload.Catalogue.Version > 0)
 		jobs, instances = len(s.Workload.Jobs), len(s.Workload.Enrolled)
 	})
-	event.LeadershipAcquired.Info(t.options.Logger, zap.Uint64("term", t.number), zap.Int("jobs", jobs), zap.Int("instances", instances))
-	t.runScheduler()
+	event.LeadershipAcquired.Info(t.options.Logger, zap.Uint64("term", t.number), zap.Uint64("session", t.session), zap.Int("jobs", jobs), zap.Int("instances", instances))
+	t.load.reset(time.Now())
+	t.plan()
 }
 
 // loop runs posted functions and the scheduler, and returns the reason why the leadership ended.
@@ -120,32 +167,49 @@
 		case <-t.ctx.Done():
 			return "stopped"
 		case f := <-t.inbox:
-			f()
-			t.drainInbox()
+			t.runBatch(f)
 			if planTimer == nil {
-				planTimer = time.After(t.pacer.delay(monotonicNow(), planDelay))
+				planTimer = time.After(t.planPacer.delay(monotonicNow(), planDelay))
 			}
 			continue
 		case <-ticker.C:
 			if planTimer == nil {
-				planTimer = time.After(t.pacer.delay(monotonicNow(), 0))
+				planTimer = time.After(t.planPacer.delay(monotonicNow(), 0))
 			}
 			continue
 		case <-planTimer:
 			planTimer = nil
 		}
-		if !t.leads() {
+		if !t.lasts() {
 			return "lease is over"
 		}
-		start := monotonicNow()
-		t.runScheduler()
-		t.pacer.record(start, monotonicNow())
+		if t.paused() {
+			continue
+		}
+		t.plan()
 		if t.scheduler.Superseded() {
 			return "superseded by a newer leader: fencing token rejected"
 		}
 	}
 }
 
+// paused reports whether the lease has expired. Until it is regained the scheduler keeps what it knows and decides nothing.
+func (t *term) paused() bool {
+	now := monotonicNow()
+	if !t.leads() {
+		if t.pausedAt == 0 {
+			t.pausedAt = now
+			t.instruments.leaseLapses.Inc(1)
+		}
+		return true
+	}
+	if t.pausedAt > 0 {
+		event.LeadershipResumed.Info(t.options.Logger, zap.Uint64("term", t.number), zap.Duration("paused", now-t.pausedAt))
+		t.pausedAt = 0
+	}
+	return false
+}
+
 // drainInbox runs the functions already posted, up to maxPostsPerBatch.
 func (t *term) drainInbox() {
 	for range maxPostsPerBatch {
@@ -161,7 +225,7 @@
 // post queues f for the loop; it returns false if the term ended first.
 func (t *term) post(f func()) bool {
 	select {
-	case t.inbox <- f:
+	case t.inbox <- t.sampled(f):
 		return true
 	case <-t.ctx.Done():
 		return false
@@ -215,9 +279,7 @@
 // commitAsync commits a command and calls callback in the loop with the outcome, without a timeout.
 func (t *term) commitAsync(c state.Command, callback func(reply state.Reply, err error)) {
 	t.spawn(func() {
-		start := time.Now()
-		replies, errs := t.options.Replica.CommitAll(t.ctx, []state.Command{c})
-		t.instruments.commitDuration.UpdateSince(start)
+		replies, errs := t.commitAll([]state.Command{c})
 		t.post(func() { callback(replies[0], errs[0]) })
 	})
 }
@@ -232,6 +294,7 @@
 		return
 	}
 	t.committingEnds = true
+	takenAt := monotonicNow()
 	completed := t.scheduler.TakeCompleted()
 	for _, id := range failed {
 		event.JobFailed.Info(t.options.Logger, zap.String("job", string(id)))
@@ -242,6 +305,7 @@
 			return
 		}
 		t.committingEnds = false
+		t.pollPacer.commitDelay.observe(monotonicNow(), monotonicNow()-takenAt)
 		t.scheduler.ConfirmEnds(batch)
 		for _, c := range completed {
 			event.JobCompleted.Info(t.options.Logger, zap.String("job", string(c.Job)), zap.Duration("took", c.Elapsed))
@@ -249,85 +313,26 @@
 	})
 }
 
-// commitInstanceChanges deregisters instances, enrols those again for which the platform refused planned work, and commits which
-// instances are cordoned because they do not respond and which are uncordoned.
-func (t *term) commitInstanceChanges() {
-	for _, id := range t.scheduler.TakeDeregistrations() {
-		if d := t.dispatchers[id]; d != nil {
-			d.cancel()
-			delete(t.dispatchers, id)
-		}
-		t.enqueueRegistration(state.DeregisterInstances{Instances: []fleet.InstanceID{id}}, func() {})
-	}
-	for _, in := range t.scheduler.TakeEnrolments() {
-		t.enrol(in)
-	}
-	if list := t.scheduler.TakeCordons(); len(list) > 0 {
-		t.enqueueRegistration(state.CordonInstances{Instances: list}, func() {})
-	}
-	if list := t.scheduler.TakeUncordons(); len(list) > 0 {
-		t.enqueueRegistration(state.UncordonInstances{Instances: list}, func() { t.scheduler.ConfirmUncordoned(list) })
-	}
-}
-
-// registration is a pending change to the enrolled instances.
-type registration struct {
-	command  state.Command
-	onCommit func()
-}
-
-// enqueueRegistration queues a change to the enrolled instances. Changes are committed in order, so that the deregistration of
-// an earlier boot cannot take effect after the enrolment of the later one.
-func (t *term) enqueueRegistration(c state.Command, onCommit func()) {
-	t.pendingRegistrations = append(t.pendingRegistrations, registration{c, onCommit})
-	t.commitRegistrations()
-}
-
-// commitRegistrations commits all queued changes as one batch, unless a batch is in flight.
-func (t *term) commitRegistrations() {
-	if t.registrationInFlight || len(t.pendingRegistrations) == 0 {
-		return
-	}
-	t.registrationInFlight = true
-	batch := t.pendingRegistrations
-	t.pendingRegistrations = nil
-	commands := make([]state.Command, len(batch))
-	for i, r := range batch {
-		commands[i] = r.command
-	}
-	t.spawn(func() {
-		_, errs := t.options.Replica.CommitAll(t.ctx, commands)
-		t.post(func() { t.handleRegistrationsCommitted(batch, errs) })
-	})
-}
-
-func (t *term) handleRegistrationsCommitted(batch []registration, errs []error) {
-	t.registrationInFlight = false
-	for i, r := range batch {
-		if errs[i] != nil {
-			t.cancel() // which instances are enrolled is unknown now; the next term reads it from the committed state
-			return
-		}
-		r.onCommit()
-	}
-	t.commitRegistrations()
-}
-
-// releaseJobs deletes the records of jobs whose retention is over.
+// releaseJobs deletes the records of jobs whose retention is over, and compares the others with the scheduler.
 func (t *term) releaseJobs(now time.Duration) {
 	if now-t.lastRelease < jobReleaseInterval {
 		return
 	}
 	t.lastRelease = now
-	var jobs []workload.JobID
+	var jobs, active []workload.JobID
+	var over map[workload.JobID]bool
 	cutoff := state.Timestamp(wallMillis() - t.options.JobRetention.Milliseconds())
 	t.options.Replica.View(func(s *state.State) {
 		for id, r := range s.Workload.Jobs {
-			if !r.Active() && r.FinishedAt < cutoff {
+			if r.Active() {
+				active = append(active, id)
+			} else if r.FinishedAt < cutoff {
 				jobs = append(jobs, id)
 			}
 		}
+		over = t.unfinishedButOver(s)
 	})
+	t.reportMismatches(t.findMismatches(active, over))
 	if len(jobs) > 0 {
 		t.commitAsync(state.DeleteJobs{Jobs: jobs}, func(state.Reply, error) {})
 	}
