Keep the names of machines sorted

Growing a pool sorted the names of all machines, for each machine moved and for each pool without a machine to spare, every 50 ms.

--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
@@ -93,6 +94,8 @@
 	if m == nil {
 		m = &machine{Machine: Machine{Name: name}}
 		s.machines[name] = m
+		i, _ := slices.BinarySearch(s.machineNames, name)
+		s.machineNames = slices.Insert(s.machineNames, i, name)
 	}
 	return m
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -143,10 +143,12 @@
 	decisions            []Decision
 	waves                map[uint64]*wave
 	machines             map[string]*machine
-	machineOrders        []MachineOrder
-	moves                map[string]*move
-	demands              map[fleet.PoolID]*demand
-	refusedMoves         map[refusedMove]bool
+	// machineNames are the keys of machines in order.
+	machineNames  []string
+	machineOrders []MachineOrder
+	moves         map[string]*move
+	demands       map[fleet.PoolID]*demand
+	refusedMoves  map[refusedMove]bool
 	// batchWorkSeen is set by the first job with a batch step; until then the demand is unknown.
 	batchWorkSeen    bool
 	movesPlannedAt   time.Duration
