Enrol a restarted instance before tasks are started on it

What callers saw: an instance that restarts under its ID, and whose restart a poll shows before its announcement does, is never enrolled again. The committed state keeps the earlier boot, and the next leader starts tasks a second time that run on the instance.

Cause: replaceRestarted marked the later boot as enrolled in memory only, so that its announcement requested no enrolment. A leader that learned of a later boot also took the instance for reconciled, although it had not seen its runs; orders name no boot, so the later one may have executed those of an earlier leader.

Fix: the later boot stays polled, because the committed state has its ID, but gets no starts until its next announcement has enrolled it. It stays unreconciled until it has reported its runs or the leases of the earlier leader have expired, whether a poll or an announcement shows the restart.

--- a/internal/scheduler/enrolment_test.go
+++ b/internal/scheduler/enrolment_test.go
@@ -143,3 +143,44 @@
 	tick()
 	assert.Equal(t, len(f.startOrders), starts, "started again while it runs")
 }
+
+// TestLaterBootIsReconciledBeforeStarts guards against a running task that a new leader starts again. An instance restarts under its
+// ID and executes the order that the earlier leader sent to the earlier boot; the new leader learns of the restart first.
+func TestLaterBootIsReconciledBeforeStarts(t *testing.T) {
+	for name, learn := range map[string]func(f *testFleet, in workload.Instance){
+		"by a poll": func(f *testFleet, in workload.Instance) {
+			f.scheduler.HandleReport(f.now, in.ID, f.now-time.Millisecond, scheduler.StatusReport{Boot: in.Boot, Clock: in.Clock})
+		},
+		"by an announcement": func(*testFleet, workload.Instance) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(t)
+			in := workload.Instance{
+				ID: f.addInstance("a", "p"), Boot: f.now.Milliseconds() + 500, Pool: "p", Address: "a", Machine: "m-a", Sequence: 1,
+				Capacity: workload.Resources{Processors: 64000, Memory: 131072}, Clock: time.Minute + f.now, Rack: "r1-1",
+			}
+			f.advance(time.Second)
+			f.submitJob(workload.Step{Count: 1, Resources: workload.Resources{Processors: 60000}})
+			f.advance(300 * time.Millisecond)
+			assert.Equal(t, len(f.startOrders), 1)
+			f.addInstance("b", "p")
+			f.startLeader()
+			runs := f.runs[in.ID]
+			delete(f.runs, in.ID) // is not polled
+			f.now += 10 * time.Millisecond
+			learn(f, in)
+			f.advance(200 * time.Millisecond)
+			assert.Equal(t, len(f.startOrders), 1, "before the boot is announced")
+			assert.Assert(t, f.scheduler.HandleAnnouncement(f.now, in))
+			f.advance(200 * time.Millisecond)
+			assert.Equal(t, len(f.startOrders), 1, "before the boot is enrolled")
+			f.commit(state.EnrolInstance{Instance: in})
+			f.scheduler.ConfirmEnrolled(in.ID)
+			f.advance(200 * time.Millisecond)
+			assert.Equal(t, len(f.startOrders), 1, "before the boot has reported its runs")
+			f.runs[in.ID] = runs
+			f.advance(300 * time.Millisecond)
+			assert.Equal(t, len(f.startOrders), 1, "started again while it runs")
+		})
+	}
+}
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -14,6 +14,9 @@
 	enrolled bool
 	// enrolling is set while the enrolment is being committed.
 	enrolling bool
+	// bootUncommitted is set while the committed state has an earlier boot of the enrolled instance. The instance is polled but
+	// gets no starts.
+	bootUncommitted bool
 	// drainCommitted is set once the committed state records that the enrolled instance is draining.
 	drainCommitted bool
 	// inherited is set for instances that an earlier leader enrolled, until the first report or lease expiry.
@@ -119,12 +122,13 @@
 		return false
 	}
 	in := s.instances.byID[announced.ID]
-	if in != nil && announced.Boot > in.Boot {
-		s.removeInstance(in, "instance restarted")
-		in = nil
-	}
-	if in == nil {
-		in = s.addInstance(announced)
+	if in == nil || announced.Boot > in.Boot {
+		if in == nil {
+			in = s.addInstance(announced)
+		} else {
+			in = s.replaceBoot(in, announced)
+			s.deregistrations = append(s.deregistrations, in.ID)
+		}
 		in.observeClock(now, announced.Clock)
 		in.enrolling = true
 		return true
@@ -140,6 +144,15 @@
 	return enrol
 }
 
+// replaceBoot replaces an instance by a later boot under the same ID. While it is unknown what earlier leaders started on the
+// instance, the later boot may have executed their orders, which name no boot.
+func (s *Scheduler) replaceBoot(in *instance, later workload.Instance) *instance {
+	s.dropRuns(in, "instance restarted")
+	replacement := s.addInstance(later)
+	replacement.inherited, replacement.cordonIndex = in.inherited, in.cordonIndex
+	return replacement
+}
+
 // supersedeBoots removes the other instances with an earlier boot at the same address or machine. It reports whether the
 // announced boot itself is older than a known one and must be ignored.
 func (s *Scheduler) supersedeBoots(announced workload.Instance) bool {
@@ -160,7 +173,7 @@
 
 // needsEnrolment reports whether the instance must be enrolled before tasks are started on it.
 func (in *instance) needsEnrolment() bool {
-	return !in.enrolled && !in.evacuating && !in.Draining && !in.departed
+	return (!in.enrolled || in.bootUncommitted) && !in.evacuating && !in.Draining && !in.departed
 }
 
 // observeClock raises the lower bound of the instance's clock.
@@ -181,6 +194,7 @@
 	if in := s.instances.byID[id]; in != nil {
 		in.enrolled = true
 		in.enrolling = false
+		in.bootUncommitted = false
 	}
 }
 
@@ -338,7 +352,7 @@
 
 // schedulable reports whether tasks may be started on the instance.
 func (s *Scheduler) schedulable(in *instance) bool {
-	return in.enrolled && in.polled && !in.Draining && !in.departed && !in.evacuating && !in.consolidating && !in.cordoned && !in.hasOrphans && in.failedPolls < unschedulableFailedPolls && s.now >= in.backoffUntil
+	return in.enrolled && !in.bootUncommitted && in.polled && !in.Draining && !in.departed && !in.evacuating && !in.consolidating && !in.cordoned && !in.hasOrphans && in.failedPolls < unschedulableFailedPolls && s.now >= in.backoffUntil
 }
 
 // endsCommitted reports whether all ends that the instance has reported are committed. Until then the instance holds the only
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -159,18 +159,19 @@
 	s.updateThrottle(in)
 }
 
-// replaceRestarted replaces the state of an instance that restarted under the same ID.
+// replaceRestarted replaces the state of an instance that restarted under the same ID. Its next announcement enrols the boot;
+// until then the committed state has the earlier one, so that a later leader polls the instance too.
 func (s *Scheduler) replaceRestarted(in *instance, boot int64) {
 	if boot < in.Boot {
 		return
 	}
-	s.dropRuns(in, "instance restarted")
-	delete(s.unreconciled, in.ID)
 	restarted := in.Instance
 	restarted.Boot = boot
 	restarted.Sequence = 0
 	restarted.Clock = 0
-	s.addInstance(restarted).enrolled = true
+	replacement := s.replaceBoot(in, restarted)
+	replacement.enrolled = in.enrolled
+	replacement.bootUncommitted = in.enrolled
 }
 
 func (s *Scheduler) handleEnds(in *instance, ends []ReportedEnd) {
--- a/internal/scheduler/waiting.go
+++ b/internal/scheduler/waiting.go
@@ -296,7 +296,7 @@
 		return "draining"
 	case in.evacuating:
 		return "evacuating"
-	case !in.enrolled:
+	case !in.enrolled, in.bootUncommitted:
 		return "not enrolled"
 	case in.consolidating:
 		return "consolidating"
