Cancel an enrolment that a deregistration or restart supersedes

What callers saw: a leader starts tasks on an instance that is deregistered in the committed state. The next leader knows nothing of these runs and starts their tasks again.

Cause: ConfirmEnrolled made an instance schedulable whatever was decided since the enrolment was requested, and every announcement before the commit requested another one.

Fix: an enrolment that is under way is not requested again. The enrolments of an ID are kept in the order in which the caller commits them; a deregistration or a later boot cancels them, and the confirmation of a cancelled one changes nothing. An enrolment that was not taken yet is not committed any more, and an instance that is still being enrolled can be deregistered.

--- a/internal/scheduler/enrolment_test.go
+++ b/internal/scheduler/enrolment_test.go
@@ -184,3 +184,43 @@
 		})
 	}
 }
+
+// TestSupersededEnrolmentAllowsNoStarts guards against a run on an instance that the committed state does not have. An enrolment is
+// committed after the decision to deregister the instance, or after the instance restarted.
+func TestSupersededEnrolmentAllowsNoStarts(t *testing.T) {
+	for name, supersede := range map[string]func(f *testFleet, in workload.Instance){
+		"deregistered": func(f *testFleet, in workload.Instance) {
+			for range 2 {
+				f.scheduler.HandlePollFailure(f.now, in.ID, scheduler.Uncertain)
+			}
+			f.advance(10 * time.Second) // the leases expire
+			_, enrolled := f.state.Workload.Enrolled[in.ID]
+			assert.Assert(t, !enrolled)
+		},
+		"restarted": func(f *testFleet, in workload.Instance) {
+			in.Boot++
+			assert.Assert(t, f.scheduler.HandleAnnouncement(f.now, in))
+			f.advance(100 * time.Millisecond)
+			_, enrolled := f.state.Workload.Enrolled[in.ID]
+			assert.Assert(t, !enrolled)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(t)
+			in := workload.Instance{
+				ID: f.addInstance("a", "p"), Boot: f.now.Milliseconds() + 500, Pool: "p", Address: "a", Machine: "m-a", Sequence: 1,
+				Capacity: workload.Resources{Processors: 64000, Memory: 131072}, Clock: time.Minute + f.now, Rack: "r1-1",
+			}
+			f.advance(time.Second)
+			f.scheduler.HandleReport(f.now, in.ID, f.now-time.Millisecond, scheduler.StatusReport{Boot: in.Boot, Clock: in.Clock})
+			assert.Assert(t, f.scheduler.HandleAnnouncement(f.now, in))
+			delete(f.runs, in.ID) // is not polled
+			supersede(f, in)
+			f.scheduler.ConfirmEnrolled(in.ID) // of the first announcement
+			f.runs[in.ID] = map[workload.TaskID]workload.Run{}
+			job := f.submitJob(workload.Step{Count: 1, Resources: workload.Resources{Processors: 1000}})
+			f.advance(300 * time.Millisecond)
+			assert.Equal(t, len(f.placements(job)), 0)
+		})
+	}
+}
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -12,7 +12,7 @@
 type instance struct {
 	workload.Instance
 	enrolled bool
-	// enrolling is set while the enrolment is being committed.
+	// enrolling is set from the request of an enrolment until it is committed or cancelled.
 	enrolling bool
 	// bootUncommitted is set while the committed state has an earlier boot of the enrolled instance. The instance is polled but
 	// gets no starts.
@@ -130,7 +130,7 @@
 			s.deregistrations = append(s.deregistrations, in.ID)
 		}
 		in.observeClock(now, announced.Clock)
-		in.enrolling = true
+		s.beginEnrolment(in)
 		return true
 	}
 	if announced.Sequence > in.Sequence || in.Sequence == 0 {
@@ -139,15 +139,18 @@
 		in.announcedAt = now
 		in.drainCommitted = in.drainCommitted && in.Draining
 	}
-	enrol = in.needsEnrolment()
-	in.enrolling = in.enrolling || enrol
-	return enrol
+	if !in.needsEnrolment() {
+		return false
+	}
+	s.beginEnrolment(in)
+	return true
 }
 
 // replaceBoot replaces an instance by a later boot under the same ID. While it is unknown what earlier leaders started on the
 // instance, the later boot may have executed their orders, which name no boot.
 func (s *Scheduler) replaceBoot(in *instance, later workload.Instance) *instance {
 	s.dropRuns(in, "instance restarted")
+	s.cancelEnrolment(in)
 	replacement := s.addInstance(later)
 	replacement.inherited, replacement.cordonIndex = in.inherited, in.cordonIndex
 	return replacement
@@ -171,11 +174,6 @@
 	return false
 }
 
-// needsEnrolment reports whether the instance must be enrolled before tasks are started on it.
-func (in *instance) needsEnrolment() bool {
-	return (!in.enrolled || in.bootUncommitted) && !in.evacuating && !in.Draining && !in.departed
-}
-
 // observeClock raises the lower bound of the instance's clock.
 func (in *instance) observeClock(now, clock time.Duration) {
 	if clock > in.minClockAt(now) || in.clock == 0 {
@@ -189,15 +187,6 @@
 	return in.clock + time.Duration(float64(now-in.clockReadAt)*(1-clockDrift))
 }
 
-// ConfirmEnrolled records that the enrolment is committed, which allows starts on the instance.
-func (s *Scheduler) ConfirmEnrolled(id fleet.InstanceID) {
-	if in := s.instances.byID[id]; in != nil {
-		in.enrolled = true
-		in.enrolling = false
-		in.bootUncommitted = false
-	}
-}
-
 // HandleDeparture records that an instance is shutting down. A departure of a boot earlier than the known one is ignored;
 // a zero boot matches any boot.
 func (s *Scheduler) HandleDeparture(now time.Duration, id fleet.InstanceID, boot int64) {
@@ -244,46 +233,12 @@
 // removeInstance deletes an instance that certainly runs nothing any more, and reports its remaining runs as lost.
 func (s *Scheduler) removeInstance(in *instance, reason string) {
 	s.dropRuns(in, reason)
+	s.cancelEnrolment(in)
 	s.instances.remove(in.ID)
 	delete(s.unreconciled, in.ID)
 	s.deregistrations = append(s.deregistrations, in.ID)
 }
 
-// deregisterEvacuated deregisters an empty instance before a move or maintenance shuts it down, so that a later leader
-// does not wait for it.
-func (s *Scheduler) deregisterEvacuated(in *instance) {
-	in.evacuating = true
-	s.deregister(in)
-}
-
-// deregister removes an instance that certainly runs nothing from the committed state. Its next announcement enrols it
-// again.
-func (s *Scheduler) deregister(in *instance) {
-	if in.enrolled {
-		in.enrolled = false
-		s.deregistrations = append(s.deregistrations, in.ID)
-	}
-}
-
-// cancelEvacuation makes an instance schedulable again after its move was refused.
-func (s *Scheduler) cancelEvacuation(in *instance) {
-	if in == nil || s.instances.byID[in.ID] != in {
-		return
-	}
-	in.evacuating = false
-	if !in.enrolled {
-		in.enrolling = true
-		s.enrolments = append(s.enrolments, in.Instance)
-	}
-}
-
-// TakeEnrolments returns the instances that must be enrolled again before tasks are started on them.
-func (s *Scheduler) TakeEnrolments() []workload.Instance {
-	list := s.enrolments
-	s.enrolments = nil
-	return list
-}
-
 func (s *Scheduler) dropRuns(in *instance, reason string) {
 	for _, r := range in.runs {
 		s.logRunDecision("run lost", r, in, reason)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -117,17 +117,20 @@
 	// finishedJobs are the finished jobs that are still known, the first finished first.
 	finishedJobs []*job
 	// candidateLists is kept to use its memory again.
-	candidateLists     candidateLists
-	customerUsage      map[fleet.CustomerID]*workload.Resources
-	accounts           map[poolCustomer]*account
-	placementRound     uint64
-	runCounter         uint64
-	orders             []Order
-	ends               []state.RunEnd
-	failedJobs         []workload.JobID
-	completedJobs      []CompletedJob
-	deregistrations    []fleet.InstanceID
-	enrolments         []workload.Instance
+	candidateLists  candidateLists
+	customerUsage   map[fleet.CustomerID]*workload.Resources
+	accounts        map[poolCustomer]*account
+	placementRound  uint64
+	runCounter      uint64
+	orders          []Order
+	ends            []state.RunEnd
+	failedJobs      []workload.JobID
+	completedJobs   []CompletedJob
+	deregistrations []fleet.InstanceID
+	// enrolments are the instances to enrol that were not taken yet.
+	enrolments []*instance
+	// enrolling holds the enrolments of each ID that the caller has to commit, in order; cancelled ones are nil.
+	enrolling          map[fleet.InstanceID][]*instance
 	cordons            []fleet.InstanceID
 	stopping           []stoppingRun
 	adviceRequests     []AdviceRequest
@@ -183,6 +186,7 @@
 		jobs:             map[workload.JobID]*job{},
 		customerUsage:    map[fleet.CustomerID]*workload.Resources{},
 		accounts:         map[poolCustomer]*account{},
+		enrolling:        map[fleet.InstanceID][]*instance{},
 		unreconciled:     map[fleet.InstanceID]bool{},
 		waves:            map[uint64]*wave{},
 		machines:         map[string]*machine{},
