Send a throttle again unless it was accepted

What callers saw: a throttle that is lost on its way is never sent again, so that a best-effort run slows a service task down for good.

Cause: HandleOrderOutcome had a throttle sent again only if it was never sent.

Fix: any outcome but an acceptance has the next report of the instance send the current throttle again. A throttle is a state, so repeating it does no harm.

--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -64,7 +64,7 @@
 	case Stop:
 		s.handleStopOutcome(in, r, outcome)
 	case Throttle:
-		if outcome == Unsent {
+		if outcome != Accepted {
 			r.throttlePercent = throttleUnset
 		}
 	}
