Send the throttle of adopted runs after a change of leader

What callers saw: a best-effort run that an earlier leader has paused stays paused under all later ones.

Cause: adoptRun took an adopted run for unthrottled, so that a throttle of 100 % was never sent to it. Reports do not say how a run is throttled.

Fix: the throttle of an adopted run is unset, so that the first decision for its instance sends it: once for each best-effort run, never for service tasks of other kinds (sendThrottle skips them).

--- a/internal/scheduler/pace_test.go
+++ b/internal/scheduler/pace_test.go
@@ -62,3 +62,24 @@
 	assert.Assert(t, len(f.throttleOrders) > paused, "no order")
 	assert.Equal(t, f.throttleOrders[len(f.throttleOrders)-1].ThrottlePercent, 100)
 }
+
+// TestAdoptedRunsGetOneThrottle guards against a stream of throttles after a new leader has adopted the runs: only best-effort runs
+// get one, and one each.
+func TestAdoptedRunsGetOneThrottle(t *testing.T) {
+	f, _ := pacedFleet(t)
+	bestEffort := workload.Step{Count: 2, Resources: workload.Resources{Processors: 1000}, Service: true, BestEffort: true}
+	f.submitJob(bestEffort)
+	f.advance(300 * time.Millisecond)
+	assert.Equal(t, len(f.throttleOrders), 0)
+	f.startLeader()
+	f.advance(5 * time.Second)
+	assert.Equal(t, len(f.throttleOrders), 3, "one for each best-effort run")
+	throttled := map[workload.TaskID]bool{}
+	for _, o := range f.throttleOrders {
+		step := f.state.Workload.Jobs[o.Task.Job].Job.Steps[0]
+		assert.Check(t, step.BestEffort, "%s", o.Task)
+		assert.Check(t, o.ThrottlePercent == 100, "%s", o.Task)
+		throttled[o.Task] = true
+	}
+	assert.Equal(t, len(throttled), 3)
+}
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -320,7 +320,7 @@
 		needed := !j.finished && !t.done && t.run == nil
 		r := &run{
 			task: reported.Task, number: reported.Run, job: j, status: statusRunning, claim: j.step(reported.Task.Position).Claim(),
-			orderedAt: s.now, startOutcomeAt: s.now, progressedAt: s.now, throttlePercent: 100,
+			orderedAt: s.now, startOutcomeAt: s.now, progressedAt: s.now, throttlePercent: throttleUnset,
 		}
 		s.attachRun(in, r)
 		s.logRunDecision("run adopted", r, in, "listed by the instance")
