Keep the boot that is back before the outcome of its machine's order

An order to the platform whose answer is lost is repeated; if it was carried out, the platform answers 200 to the repetition, seconds later, when the next boot has announced itself and runs tasks. The outcome marked all instances of the machine as departed, the next boot too: it got no more starts, was deregistered once empty, and its announcements didn't enrol it again.

An order ends the boots that were known when it was first sent, so only these are marked now. For a machine on standby there may be none.

--- a/internal/scheduler/crossed_test.go
+++ b/internal/scheduler/crossed_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphiresail/sapphiresail/internal/scheduler"
+	"github.com/sapphiresail/sapphiresail/internal/state"
 	"github.com/sapphiresail/sapphiresail/internal/workload"
 )
 
@@ -67,3 +68,37 @@
 	assert.Equal(t, len(f.startOrders), 2)
 	assert.Equal(t, f.startOrders[1].Checkpoint, "later")
 }
+
+// TestReturnedBootIsUsedAfterLateOutcome guards against a machine that gets no work until the next leader: its next boot
+// announces itself before the outcome of the move or maintenance arrives, as after an order that is answered only when repeated.
+func TestReturnedBootIsUsedAfterLateOutcome(t *testing.T) {
+	returnBoot := func(f *testFleet) {
+		order := f.machineOrders[0]
+		f.now += 2 * time.Second
+		f.addInstanceOnMachine("returned", "p", order.Machine)
+		f.scheduler.HandleMachineOutcome(f.now, order, scheduler.MachineDone)
+		f.advance(time.Second)
+		f.submitJob(workload.Step{Count: 1, Resources: workload.Resources{Processors: 1000}})
+		f.advance(time.Second)
+		assert.Assert(f.t, len(f.startOrders) > 0, "the returned boot gets no work")
+	}
+	t.Run("maintenance", func(t *testing.T) {
+		f := newTestFleet(t)
+		f.addInstance("a", "p")
+		wave := workload.Wave{Number: 7, Machines: []string{"m-a"}, TimeLimit: time.Minute, MaxConcurrent: 1}
+		f.commit(state.AddWave{Wave: wave, At: state.Timestamp(f.now.Milliseconds())})
+		f.scheduler.AddWave(f.now, f.now.Milliseconds(), f.state.Workload.Waves[7])
+		f.advance(5 * time.Second)
+		assert.Equal(t, len(f.machineOrders), 1)
+		delete(f.runs, "i-a")
+		returnBoot(f)
+	})
+	t.Run("move", func(t *testing.T) {
+		f := newTestFleet(t)
+		listStandbyMachines(f, 1)
+		f.submitJob(workload.Step{Count: 1, Resources: workload.Resources{Processors: 1000}})
+		f.advance(2 * time.Second)
+		assert.Equal(t, len(f.machineOrders), 1)
+		returnBoot(f)
+	})
+}
--- a/internal/scheduler/fleet_test.go
+++ b/internal/scheduler/fleet_test.go
@@ -74,8 +74,16 @@
 }
 
 func (f *testFleet) addInstanceInRack(name string, pool fleet.PoolID, rack string) fleet.InstanceID {
+	return f.enrolInstance(name, pool, "m-"+name, rack)
+}
+
+func (f *testFleet) addInstanceOnMachine(name string, pool fleet.PoolID, machine string) fleet.InstanceID {
+	return f.enrolInstance(name, pool, machine, "r1-1")
+}
+
+func (f *testFleet) enrolInstance(name string, pool fleet.PoolID, machine, rack string) fleet.InstanceID {
 	in := workload.Instance{
-		ID: fleet.InstanceID("i-" + name), Boot: f.now.Milliseconds(), Pool: pool, Address: name, Machine: "m-" + name, Sequence: 1,
+		ID: fleet.InstanceID("i-" + name), Boot: f.now.Milliseconds(), Pool: pool, Address: name, Machine: machine, Sequence: 1,
 		Capacity: workload.Resources{Processors: 64000, Memory: 131072}, Clock: time.Minute, Rack: rack,
 	}
 	f.racks[in.ID] = rack
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -156,11 +156,10 @@
 }
 
 func (s *Scheduler) beginMove(name string, pool fleet.PoolID, in *instance) {
-	m := &move{pool: pool, startedAt: s.now, instance: in}
+	m := &move{pool: pool, startedAt: s.now, instance: in, endedBoot: s.latestBoot(name)}
 	if in != nil {
 		in.consolidating = false
 		s.deregisterEvacuated(in)
-		m.endedBoot = in.Boot
 	}
 	s.moves[name] = m
 	s.decisions = append(s.decisions, Decision{What: "machine moved", Machine: name, Reason: "to pool " + string(pool)})
@@ -178,7 +177,7 @@
 	case MachineDone:
 		m.done = true
 		m.startedAt = s.now
-		m.endedBoot = max(m.endedBoot, s.markDeparted(order.Machine))
+		s.markDeparted(order.Machine, m.endedBoot)
 		moved.Pool = order.Pool
 		moved.Available = true
 		moved.backoffUntil = s.now + machineTransitionTime
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -72,7 +72,6 @@
 		}
 		m := &maintenance{startedAt: s.now, instance: in}
 		if in != nil {
-			m.endedBoot = in.Boot
 			in.evacuating = true
 		}
 		w.inProgress[machine] = m
@@ -146,6 +145,9 @@
 	if m.instance != nil && s.instances.byID[m.instance.ID] == m.instance {
 		s.deregisterEvacuated(m.instance)
 	}
+	if m.requestedAt == 0 {
+		m.endedBoot = s.latestBoot(machine)
+	}
 	m.inFlight = true
 	m.requestedAt = s.now
 	s.machineOrders = append(s.machineOrders, MachineOrder{Machine: machine, Wave: w.Number})
@@ -211,7 +213,7 @@
 	case MachineDone:
 		m.done = true
 		m.startedAt = s.now
-		m.endedBoot = max(m.endedBoot, s.markDeparted(order.Machine))
+		s.markDeparted(order.Machine, m.endedBoot)
 	case MachineGone:
 		delete(w.inProgress, order.Machine)
 	case MachineBusy:
@@ -227,12 +229,20 @@
 	return true
 }
 
-// markDeparted marks the instances of a machine as departed and returns their latest boot. Only a later boot counts as
-// the machine's return.
-func (s *Scheduler) markDeparted(machine string) (boot int64) {
+// latestBoot returns the latest known boot on a machine, which the first order of a move or maintenance ends.
+func (s *Scheduler) latestBoot(machine string) (boot int64) {
 	for _, in := range s.instances.byMachine[machine] {
-		in.departed = true
 		boot = max(boot, in.Boot)
 	}
 	return boot
 }
+
+// markDeparted marks the instances of a machine as departed, except for those that booted after the given boot: a machine may be
+// back before the outcome of its order is known. Only a later boot counts as the machine's return.
+func (s *Scheduler) markDeparted(machine string, endedBoot int64) {
+	for _, in := range s.instances.byMachine[machine] {
+		if in.Boot <= endedBoot {
+			in.departed = true
+		}
+	}
+}
