Evacuate the boot that returns during a wave before its machine is maintained

Callers could see runs killed and started again.

A wave that evacuates an instance waits for its runs. If the instance crashed meanwhile, or the platform refused the order because the machine was down, the machine came back with a boot that is schedulable, and the maintenance was ordered while it ran tasks, because only the instance that the wave had chosen was looked at.

The wave now chooses the machine again, with its later boot, unless an order is on its way or may have been carried out: then the later boot is the one after the maintenance.

--- a/internal/scheduler/crossed_test.go
+++ b/internal/scheduler/crossed_test.go
@@ -102,3 +102,38 @@
 		returnBoot(f)
 	})
 }
+
+// TestMaintenanceWaitsForReturnedBoot guards against runs that maintenance kills: the instance that a wave evacuates crashes, and
+// its machine is back with a boot that runs tasks before the maintenance is ordered or after it was refused.
+func TestMaintenanceWaitsForReturnedBoot(t *testing.T) {
+	for _, refused := range []bool{false, true} {
+		t.Run(map[bool]string{false: "before the order", true: "after a refused order"}[refused], func(t *testing.T) {
+			f := newTestFleet(t)
+			f.runOnEach("a")
+			wave := workload.Wave{Number: 7, Machines: []string{"m-a"}, TimeLimit: time.Minute, MaxConcurrent: 1}
+			f.commit(state.AddWave{Wave: wave, At: state.Timestamp(f.now.Milliseconds())})
+			f.scheduler.AddWave(f.now, f.now.Milliseconds(), f.state.Workload.Waves[7])
+			f.advance(5 * time.Second)
+			assert.Equal(t, len(f.machineOrders), 0, "the machine has a run")
+			if refused {
+				f.endRun("i-a", f.startOrders[0].Task, workload.EndedDone)
+				f.advance(time.Second)
+				assert.Equal(t, len(f.machineOrders), 1)
+				f.scheduler.HandleMachineOutcome(f.now, f.machineOrders[0], scheduler.MachineBusy)
+				f.machineOrders = nil
+				f.submitJob(workload.Step{Count: 1, Resources: workload.Resources{Processors: 1000}})
+			}
+			delete(f.runs, "i-a")
+			f.addInstanceOnMachine("returned", "p", "m-a")
+			for range 50 {
+				f.advance(100 * time.Millisecond)
+				assert.Assert(t, len(f.machineOrders) == 0 || len(f.runs["i-returned"]) == 0, "the maintenance kills a run")
+			}
+			for task := range f.runs["i-returned"] {
+				f.endRun("i-returned", task, workload.EndedDone)
+			}
+			f.advance(5 * time.Second)
+			assert.Assert(t, len(f.machineOrders) > 0, "the maintenance is not ordered")
+		})
+	}
+}
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -36,7 +36,9 @@
 	startedAt   time.Duration
 	requestedAt time.Duration
 	inFlight    bool
-	done        bool
+	// uncertain is set once an order was not answered; it may have been carried out.
+	uncertain bool
+	done      bool
 }
 
 // AddWave adds a committed wave.
@@ -133,6 +135,10 @@
 		}
 		return
 	}
+	if in := s.instanceOn(machine); in != nil && m.instance != nil && in != m.instance && !m.inFlight && !m.uncertain {
+		delete(w.inProgress, machine) // a later boot has to be evacuated first
+		return
+	}
 	if in := m.instance; in != nil && s.instances.byID[in.ID] == in {
 		s.evacuate(w, in)
 		if len(in.runs) > 0 || in.failedPolls > 0 || !s.endsCommitted(in) {
@@ -223,6 +229,7 @@
 		}
 		return false
 	default:
+		m.uncertain = m.uncertain || outcome == MachineUncertain
 		return false
 	}
 	w.started[order.Machine] = true
