--- a/internal/scheduler/crossed_test.go
+++ b/internal/scheduler/crossed_test.go
@@ -137,3 +137,72 @@
 		})
 	}
 }
+
+// TestCrossedStopKeepsRun guards against a second run of one task: a start that is not answered may still be carried out, until a
+// poll that was sent after the accepted stop does not list the run.
+func TestCrossedStopKeepsRun(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		sentAfter bool
+		lost      bool
+	}{
+		{"poll sent before the stop is accepted", false, false},
+		{"poll sent after the stop is accepted", true, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newTestFleet(t)
+			id := f.addInstance("a", "p")
+			f.advance(time.Second)
+			start := submitAndTakeStart(f)
+			report := func(sentAt time.Duration) {
+				f.now += 10 * time.Millisecond
+				f.scheduler.HandleReport(f.now, id, sentAt, scheduler.StatusReport{Clock: time.Minute + f.now})
+			}
+			f.scheduler.HandleOrderOutcome(f.now, start, scheduler.Uncertain)
+			report(f.now + time.Millisecond)
+			var stop scheduler.Order
+			for _, o := range f.scheduler.TakeOrders() {
+				if o.Kind == scheduler.Stop {
+					stop = o
+				}
+			}
+			assert.Equal(t, stop.Run, start.Run, "no stop prevents the start")
+			sentBefore := f.now + time.Millisecond
+			f.now += 10 * time.Millisecond
+			f.scheduler.HandleOrderOutcome(f.now, stop, scheduler.Accepted)
+			f.scheduler.TakeDecisions()
+			if tc.sentAfter {
+				report(f.now + time.Millisecond)
+			} else {
+				report(sentBefore)
+			}
+			lost := false
+			for _, d := range f.scheduler.TakeDecisions() {
+				lost = lost || d.What == "run lost"
+			}
+			assert.Equal(t, lost, tc.lost)
+		})
+	}
+}
+
+// TestOvertakenAnnouncementsAreIgnored guards against a start on an instance that is draining, and against the departure of an
+// instance whose later boot is in use.
+func TestOvertakenAnnouncementsAreIgnored(t *testing.T) {
+	startsAfter := func(t *testing.T, overtaken func(f *testFleet)) int {
+		f := newTestFleet(t)
+		f.addInstance("a", "p")
+		f.advance(time.Second)
+		overtaken(f)
+		f.submitJob(workload.Step{Count: 1, Resources: workload.Resources{Processors: 1000}})
+		f.advance(time.Second)
+		return len(f.startOrders)
+	}
+	assert.Equal(t, startsAfter(t, func(f *testFleet) {
+		f.announceDraining("a", "p", time.Minute)
+		earlier := f.state.Workload.Enrolled["i-a"]
+		f.scheduler.HandleAnnouncement(f.now, earlier)
+	}), 0, "started on a draining instance")
+	assert.Equal(t, startsAfter(t, func(f *testFleet) {
+		f.scheduler.HandleDeparture(f.now, "i-a", f.bootMillis["i-a"]-1)
+	}), 1, "the later boot is not used")
+}
