Answer from memory only under the lease

Callers could read the phase of a job or the state of a wave from a leader whose lease expired while it handled the request: confirmLeadership let every Done through. A term is paused and not ended since when its lease expires, so that its memory may be older than what the next leader commits.

acknowledgesCommit now names the operations whose Done says that a command is committed; these answers stay valid. All others need the lease at the end: the phase, the count, the wave, the catalogue, and also announcements and departures, which are no more than noted by this leader. The checks in countJobs and fetchCatalogue are the same one and go.

The test failed before: TestReadAnswerNeedsLease/job, /wave, /announcement, /departure: assertion failed: 1 (forwarder.Outcome) != 2 (test.unleased forwarder.Outcome): the lease has expired after the request was received

--- a/internal/supervisor/requests.go
+++ b/internal/supervisor/requests.go
@@ -42,17 +42,40 @@
 	default:
 		response = forwarder.Response{Outcome: forwarder.Invalid, Detail: "unknown subject"}
 	}
-	return t.confirmLeadership(response)
+	return t.confirmLeadership(request.Operation, response)
 }
 
 // confirmLeadership replaces a response that is valid only under the lease by NotLeading if the lease has expired meanwhile.
-func (t *term) confirmLeadership(response forwarder.Response) forwarder.Response {
-	if response.Outcome == forwarder.Done || response.Outcome == forwarder.Uncertain || response.Outcome == forwarder.Invalid || t.leads() {
+func (t *term) confirmLeadership(o forwarder.Operation, response forwarder.Response) forwarder.Response {
+	if validWithoutLease(o, response.Outcome) || t.leads() {
 		return response
 	}
 	return forwarder.Response{Outcome: forwarder.NotLeading}
 }
 
+// validWithoutLease reports whether a response remains valid if the lease expires before it is sent. An acknowledged commit
+// stays committed; what was read from the memory of this leader may have been changed by the next one.
+func validWithoutLease(o forwarder.Operation, outcome forwarder.Outcome) bool {
+	switch outcome {
+	case forwarder.Uncertain, forwarder.Invalid:
+		return true
+	case forwarder.Done:
+		return acknowledgesCommit(o)
+	default:
+		return false
+	}
+}
+
+// acknowledgesCommit reports whether Done of the operation says that a command is committed, and nothing else.
+func acknowledgesCommit(o forwarder.Operation) bool {
+	switch o {
+	case forwarder.SubmitJob, forwarder.CancelJob, forwarder.Publish, forwarder.OpenWave:
+		return true
+	default: // a state that was read, or an announcement or departure that only this leader knows
+		return false
+	}
+}
+
 // resolve looks up the queue and the customer of a request in the catalogue. rest is the path after the prefix of the queue,
 // version is that of the catalogue; a refusal with an outcome means that the request must not be run.
 func (t *term) resolve(request forwarder.Request) (queue workload.Queue, rest string, customer workload.Customer, version uint64, refusal forwarder.Response) {
@@ -203,7 +226,7 @@
 		return refusal
 	}
 	response := forwarder.Response{Outcome: forwarder.Done}
-	if !t.postAndWait(ctx, func() { response.Pending = t.scheduler.PendingJobs(queue.Name) }) || !t.leads() {
+	if !t.postAndWait(ctx, func() { response.Pending = t.scheduler.PendingJobs(queue.Name) }) {
 		return forwarder.Response{Outcome: forwarder.NotLeading}
 	}
 	return response
@@ -292,7 +315,7 @@
 func (t *term) fetchCatalogue() forwarder.Response {
 	response := forwarder.Response{Outcome: forwarder.Done}
 	t.options.Replica.View(func(s *state.State) { response.Source = s.Workload.CatalogueSource })
-	if len(response.Source) == 0 || !t.leads() {
+	if len(response.Source) == 0 {
 		return forwarder.Response{Outcome: forwarder.NotLeading}
 	}
 	return response
