Test that a leader without the lease decides nothing

The loop skips planning while the lease has lapsed; all tests passed without that "continue". Orders are held back later on, but a decision would use up run numbers, and a deregistration is committed without being sent.

No change of logic. With the continue taken out (trial): TestNothingIsDecidedWithoutLease/start: assertion failed: !=: runs were placed without the lease TestNothingIsDecidedWithoutLease/deregistration: assertion failed: deregistered without the lease

--- a/internal/supervisor/pause_test.go
+++ b/internal/supervisor/pause_test.go
@@ -37,6 +37,37 @@
 	assert.Equal(t, s.fleet.started[1].Run, workload.Run(1_000_000_000+2), "the second run of the first session")
 }
 
+// TestNothingIsDecidedWithoutLease guards against a leader that plans while its lease has expired: it would use up run numbers
+// for starts that are not sent, and commit what it decides, as the removal of an instance.
+func TestNothingIsDecidedWithoutLease(t *testing.T) {
+	const pause = 400 * time.Millisecond // eight checks of due times
+	t.Run("start", func(t *testing.T) {
+		s := startResumption(t)
+		s.waitFor("a report of the instance", func() bool { return s.fleet.requests() > 0 })
+		s.replica.setLapsed(true)
+		assert.Equal(t, s.term.Load().handle(t.Context(), submission(jobID, "/q/")).Outcome, forwarder.Done)
+		time.Sleep(pause)
+		s.replica.setLapsed(false)
+		s.waitFor("the start of the job", func() bool { return s.fleet.runs(jobID) })
+		assert.Equal(t, s.fleet.started[0].Run, workload.Run(1_000_000_000+1), "runs were placed without the lease")
+	})
+	t.Run("deregistration", func(t *testing.T) {
+		s := startResumption(t)
+		enrolled := func() (enrolled bool) {
+			s.replica.View(func(committed *state.State) { _, enrolled = committed.Workload.Enrolled["i"] })
+			return enrolled
+		}
+		s.waitFor("a report of the instance", func() bool { return s.fleet.requests() > 0 })
+		s.replica.setLapsed(true)
+		departing := s.instance
+		s.term.Load().handle(t.Context(), forwarder.Request{Operation: forwarder.Depart, Instance: &departing})
+		time.Sleep(pause)
+		assert.Assert(t, enrolled(), "deregistered without the lease")
+		s.replica.setLapsed(false)
+		s.waitFor("the deregistration", func() bool { return !enrolled() })
+	})
+}
+
 // pausedTerm is a term without its event loop, which schedules one reporting instance.
 type pausedTerm struct {
 	*term
