Test that a paused term ends with the leadership

The replica of the tests led term 1 for ever, so that no test showed what ends a pause. It can now be deposed and lead a later term: the paused term goes on while no other begins, ends then, and the later term starts session 0 with run numbers of its own and without starting the running job again.

No change of logic.

--- a/internal/supervisor/lapse_test.go
+++ b/internal/supervisor/lapse_test.go
@@ -13,15 +13,18 @@
 	"github.com/sapphiresail/sapphiresail/internal/workload"
 )
 
-// lapsingReplica is a consensus group of one member that leads term 1 throughout. Its leader lease can lapse, it can refuse
-// proposals as Raft does that is overloaded, and it can hold proposals back, which are then committed in the order in which they
-// were proposed.
+// lapsingReplica is a consensus group of one member that leads term 1 until it is deposed or leads a later term. Its leader lease
+// can lapse, it can refuse proposals as Raft does that is overloaded, and it can hold proposals back, which are then committed in
+// the order in which they were proposed.
 type lapsingReplica struct {
 	singleReplica
-	lapsed   bool
-	refusing bool
-	holding  bool
-	queue    []heldProposal
+	lapsed  bool
+	deposed bool
+	// laterTerms is how many terms after the first this member leads.
+	laterTerms uint64
+	refusing   bool
+	holding    bool
+	queue      []heldProposal
 	// proposed and abandoned count the batches that were held back, and those whose proposer has stopped waiting.
 	proposed, abandoned int
 	refused             int
@@ -35,7 +38,13 @@
 func (r *lapsingReplica) Leads() (uint64, bool) {
 	r.mutex.RLock()
 	defer r.mutex.RUnlock()
-	return 1, !r.lapsed
+	return 1 + r.laterTerms, !r.lapsed && !r.deposed
+}
+
+func (r *lapsingReplica) LeaderTerm() (uint64, bool) {
+	r.mutex.RLock()
+	defer r.mutex.RUnlock()
+	return 1 + r.laterTerms, !r.deposed
 }
 
 func (r *lapsingReplica) CommitAll(ctx context.Context, commands []state.Command) ([]state.Reply, []error) {
@@ -107,6 +116,20 @@
 	r.lapsed = lapsed
 }
 
+func (r *lapsingReplica) setDeposed(deposed bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.deposed = deposed
+}
+
+// leadNextTerm makes this member the leader of the next term, with a lease.
+func (r *lapsingReplica) leadNextTerm() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.laterTerms++
+	r.lapsed, r.deposed = false, false
+}
+
 func (r *lapsingReplica) setRefusing(refusing bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/internal/supervisor/pause_test.go
+++ b/internal/supervisor/pause_test.go
@@ -68,6 +68,43 @@
 	})
 }
 
+// TestPausedTermEndsWithLeadership guards against a paused leader that goes on with what it knows although another keeper has led
+// meanwhile, and against run numbers that are used again in a later term.
+func TestPausedTermEndsWithLeadership(t *testing.T) {
+	const otherID = workload.JobID("00000000000000bb")
+	changes := map[string]func(s *resumption){
+		"another leader": func(s *resumption) {
+			s.replica.setDeposed(true)
+			s.waitFor("the end of the session", func() bool { return s.term.Load() == nil })
+			s.replica.leadNextTerm()
+		},
+		"next term at once": func(s *resumption) { s.replica.leadNextTerm() },
+	}
+	for name, change := range changes {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startResumption(t)
+			s.submit(submission(jobID, "/q/"))
+			s.waitFor("the start of the job", func() bool { return s.fleet.runs(jobID) })
+			paused := s.term.Load()
+			s.replica.setLapsed(true)
+			time.Sleep(200 * time.Millisecond)
+			assert.Equal(t, s.term.Load(), paused, "the term ended although no other began")
+			assert.Assert(t, paused.ctx.Err() == nil)
+			change(s)
+			s.waitFor("the end of the paused term", func() bool { return paused.ctx.Err() != nil })
+			s.waitFor("the next session", func() bool { return s.term.Load() != nil })
+			next := s.term.Load()
+			assert.Equal(t, next.number, uint64(2))
+			assert.Equal(t, next.session, uint64(0))
+			s.submit(submission(otherID, "/q/"))
+			s.waitFor("the start of the other job", func() bool { return s.fleet.runs(otherID) })
+			assert.Equal(t, len(s.fleet.started), 2, "the running job was started again")
+			assert.Equal(t, s.fleet.started[1].Run, workload.Run(2_000_000_000+1), "the first run of the later term")
+		})
+	}
+}
+
 // pausedTerm is a term without its event loop, which schedules one reporting instance.
 type pausedTerm struct {
 	*term
