Log why a leadership ended and why a run was not sent

An order without a dispatcher has the outcome Unpolled, which the scheduler handles as Unsent but for the reason "instance is not polled".

--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -64,7 +64,7 @@
 	case Stop:
 		s.handleStopOutcome(in, r, outcome)
 	case Throttle:
-		if outcome == Unsent {
+		if outcome == Unsent || outcome == Unpolled {
 			r.throttlePercent = throttleUnset
 		}
 	}
@@ -93,6 +93,9 @@
 	case Unsent:
 		s.logRunDecision("run unsent", r, in, "leader lease expired")
 		s.detachRun(in, r)
+	case Unpolled:
+		s.logRunDecision("run unsent", r, in, "instance is not polled")
+		s.detachRun(in, r)
 	default:
 		s.logRunDecision("run uncertain", r, in, outcome.String())
 		if r.status == statusOrdered {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -65,11 +65,13 @@
 	Uncertain
 	// Unsent means that the order was never sent, because the leader lease had expired.
 	Unsent
+	// Unpolled means that the order was never sent, because the instance is not polled yet or any more.
+	Unpolled
 )
 
 // String returns the name that logs and metrics use.
 func (o Outcome) String() string {
-	return [...]string{"none", "accepted", "fenced", "rejected", "unhealthy", "mismatched", "refused", "uncertain", "unsent"}[o]
+	return [...]string{"none", "accepted", "fenced", "rejected", "unhealthy", "mismatched", "refused", "uncertain", "unsent", "unpolled"}[o]
 }
 
 // Timing and limits of decisions.
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -120,7 +120,7 @@
 func (t *term) dispatch(o scheduler.Order) {
 	d := t.dispatchers[o.Instance]
 	if d == nil {
-		t.scheduler.HandleOrderOutcome(monotonicNow(), o, scheduler.Unsent)
+		t.scheduler.HandleOrderOutcome(monotonicNow(), o, scheduler.Unpolled)
 		return
 	}
 	if o.Kind == scheduler.Start {
--- a/internal/supervisor/dispatch_test.go
+++ b/internal/supervisor/dispatch_test.go
@@ -23,3 +23,26 @@
 		p.dispatch(orders[0])
 	}
 }
+
+// TestUnsentStartNamesItsReason guards against a log that blames the leader lease for a start whose instance is not polled.
+func TestUnsentStartNamesItsReason(t *testing.T) {
+	service := workload.Step{Count: 1, Service: true, Resources: workload.Resources{Processors: 1000, Memory: 100}}
+	for reason, send := range map[string]func(p *pausedTerm, o scheduler.Order){
+		"leader lease expired":   func(p *pausedTerm, o scheduler.Order) { p.sendOrder(o); p.drainInbox() },
+		"instance is not polled": func(p *pausedTerm, o scheduler.Order) { p.dispatch(o) },
+	} {
+		t.Run(reason, func(t *testing.T) {
+			p := newPausedTerm(t, workload.Job{ID: jobID, Steps: []workload.Step{service}})
+			p.report()
+			p.tick()
+			orders := p.scheduler.TakeOrders()
+			assert.Equal(t, len(orders), 1)
+			p.scheduler.TakeDecisions()
+			send(p, orders[0])
+			decisions := p.scheduler.TakeDecisions()
+			assert.Equal(t, len(decisions), 1)
+			assert.Equal(t, decisions[0].What, "run unsent")
+			assert.Equal(t, decisions[0].Reason, reason)
+		})
+	}
+}
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -181,7 +181,7 @@
 			planTimer = nil
 		}
 		if !t.lasts() {
-			return "lease is over"
+			return "no longer the leader of the term"
 		}
 		if t.paused() {
 			continue
