Settle a claim whose commit was uncertain

A caller with an idempotency key whose claim was not committed within 5 s, or who hung up meanwhile, got 503 "not-run". If the claim committed later it stayed open: nobody ran its request, and each repetition got 504 until the entry restarted.

The entry that gave up now commits the claim again and settles it as not run, in the background and until that is done; a claim that is settled as not run is replaced by the next request with its key. Committing the claim again makes the settlement independent of when the earlier commit comes through. Only the call that opens a claim runs it, so that none that runs is settled here. If the process ends first, the leader settles the claim as before.

--- a/internal/gateway/claimed.go
+++ b/internal/gateway/claimed.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -11,6 +12,7 @@
 	"github.com/sapphiresail/sapphiresail/internal/carrier"
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
 	"github.com/sapphiresail/sapphiresail/internal/messenger"
+	"github.com/sapphiresail/sapphiresail/internal/replicator"
 	"github.com/sapphiresail/sapphiresail/internal/state"
 )
 
@@ -19,6 +21,9 @@
 // settleTimeout bounds the commit of a claim's result; callers wait this much longer than the timeout of their request.
 const settleTimeout = 15 * time.Second
 
+// abandonRetryInterval is the interval between attempts to settle a claim that nobody runs.
+const abandonRetryInterval = 500 * time.Millisecond
+
 // serveClaimed opens a claim for a request and responds with its recorded result; a repeated request attaches to the existing claim.
 func (g *Gateway) serveClaimed(w http.ResponseWriter, r *http.Request, req *admittedRequest) {
 	claim, opened, p := g.openClaim(r.Context(), req)
@@ -68,11 +73,47 @@
 	if err != nil {
 		p := commitProblem(err)
 		p.Outcome = fleet.NotRun
+		if errors.Is(err, replicator.KindUncertain) {
+			g.abandonClaim(claim)
+		}
 		return state.Claim{}, false, &p
 	}
 	return claim, true, nil
 }
 
+// abandonClaim settles in the background a claim whose commit was uncertain, and which nobody runs, as not run. It commits the claim
+// again first, so that the settlement applies whether or not the earlier commit comes through.
+//
+// If this process ends before, the leader settles the claim (planner.OrphanedClaims).
+func (g *Gateway) abandonClaim(claim state.Claim) {
+	g.inFlight.Add(1)
+	go func() {
+		defer g.inFlight.Done()
+		for !g.draining.Load() && !g.settleAbandoned(claim) {
+			time.Sleep(abandonRetryInterval)
+		}
+	}()
+}
+
+// settleAbandoned commits a claim and its settlement as not run, and reports whether that is done.
+func (g *Gateway) settleAbandoned(claim state.Claim) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
+	defer cancel()
+	for _, c := range []state.Command{
+		state.OpenClaim{Claim: claim},
+		state.SettleClaim{
+			Key: claim.Key, Request: claim.Request, ByEntry: true, At: state.TimestampOf(time.Now()),
+			Result: fleet.NotRun, Status: http.StatusServiceUnavailable, Answer: []byte("the request was not accepted in time"),
+		},
+	} {
+		if _, err := g.options.Replica.Commit(ctx, c); err != nil {
+			var refused *state.Error
+			return errors.As(err, &refused) // refused: the claim is not open
+		}
+	}
+	return true
+}
+
 func (g *Gateway) lookupClaim(key state.ClaimKey) (claim state.Claim, ok bool) {
 	g.options.Replica.View(func(s *state.State) { claim, ok = s.Claims[key] })
 	return claim, ok
