--- a/internal/supervisor/pause_test.go
+++ b/internal/supervisor/pause_test.go
@@ -37,6 +37,74 @@
 	assert.Equal(t, s.fleet.started[1].Run, workload.Run(1_000_000_000+2), "the second run of the first session")
 }
 
+// TestNothingIsDecidedWithoutLease guards against a leader that plans while its lease has expired: it would use up run numbers
+// for starts that are not sent, and commit what it decides, as the removal of an instance.
+func TestNothingIsDecidedWithoutLease(t *testing.T) {
+	const pause = 400 * time.Millisecond // eight checks of due times
+	t.Run("start", func(t *testing.T) {
+		s := startResumption(t)
+		s.waitFor("a report of the instance", func() bool { return s.fleet.requests() > 0 })
+		s.replica.setLapsed(true)
+		assert.Equal(t, s.term.Load().handle(t.Context(), submission(jobID, "/q/")).Outcome, forwarder.Done)
+		time.Sleep(pause)
+		s.replica.setLapsed(false)
+		s.waitFor("the start of the job", func() bool { return s.fleet.runs(jobID) })
+		assert.Equal(t, s.fleet.started[0].Run, workload.Run(1_000_000_000+1), "runs were placed without the lease")
+	})
+	t.Run("deregistration", func(t *testing.T) {
+		s := startResumption(t)
+		enrolled := func() (enrolled bool) {
+			s.replica.View(func(committed *state.State) { _, enrolled = committed.Workload.Enrolled["i"] })
+			return enrolled
+		}
+		s.waitFor("a report of the instance", func() bool { return s.fleet.requests() > 0 })
+		s.replica.setLapsed(true)
+		departing := s.instance
+		s.term.Load().handle(t.Context(), forwarder.Request{Operation: forwarder.Depart, Instance: &departing})
+		time.Sleep(pause)
+		assert.Assert(t, enrolled(), "deregistered without the lease")
+		s.replica.setLapsed(false)
+		s.waitFor("the deregistration", func() bool { return !enrolled() })
+	})
+}
+
+// TestPausedTermEndsWithLeadership guards against a paused leader that goes on with what it knows although another keeper has led
+// meanwhile, and against run numbers that are used again in a later term.
+func TestPausedTermEndsWithLeadership(t *testing.T) {
+	const otherID = workload.JobID("00000000000000bb")
+	changes := map[string]func(s *resumption){
+		"another leader": func(s *resumption) {
+			s.replica.setDeposed(true)
+			s.waitFor("the end of the session", func() bool { return s.term.Load() == nil })
+			s.replica.leadNextTerm()
+		},
+		"next term at once": func(s *resumption) { s.replica.leadNextTerm() },
+	}
+	for name, change := range changes {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startResumption(t)
+			s.submit(submission(jobID, "/q/"))
+			s.waitFor("the start of the job", func() bool { return s.fleet.runs(jobID) })
+			paused := s.term.Load()
+			s.replica.setLapsed(true)
+			time.Sleep(200 * time.Millisecond)
+			assert.Equal(t, s.term.Load(), paused, "the term ended although no other began")
+			assert.Assert(t, paused.ctx.Err() == nil)
+			change(s)
+			s.waitFor("the end of the paused term", func() bool { return paused.ctx.Err() != nil })
+			s.waitFor("the next session", func() bool { return s.term.Load() != nil })
+			next := s.term.Load()
+			assert.Equal(t, next.number, uint64(2))
+			assert.Equal(t, next.session, uint64(0))
+			s.submit(submission(otherID, "/q/"))
+			s.waitFor("the start of the other job", func() bool { return s.fleet.runs(otherID) })
+			assert.Equal(t, len(s.fleet.started), 2, "the running job was started again")
+			assert.Equal(t, s.fleet.started[1].Run, workload.Run(2_000_000_000+1), "the first run of the later term")
+		})
+	}
+}
+
 // pausedTerm is a term without its event loop, which schedules one reporting instance.
 type pausedTerm struct {
 	*term
