--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -93,6 +93,9 @@
 	case Unsent:
 		s.logRunDecision("run unsent", r, in, "leader lease expired")
 		s.detachRun(in, r)
+	case Unpolled:
+		s.logRunDecision("run unsent", r, in, "instance is not polled")
+		s.detachRun(in, r)
 	default:
 		s.logRunDecision("run uncertain", r, in, outcome.String())
 		if r.status == statusOrdered {
