Move machines at the rate that the platform accepts, in place of 24 at a time

Cause: the number of concurrent moves was a constant that fits 48 instances. What binds is the rate of orders that the platform accepts from all keepers: it comes from the settings (machine-order-rate), moves and maintenance share it, maintenance goes ahead, a refusal for too many orders halves the rate for a while, and only orders without an answer are bounded in number.

Ruled out: the estimate of the demand, which wants the right number of instances (event "pool planned").

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -137,7 +137,7 @@
 	p.closers = append(p.closers, client)
 	p.supervisor = supervisor.Start(supervisor.Options{
 		Entry: p.entryID(), Replica: p.replicator, Instances: client, Machines: client, Adviser: client,
-		Lease: time.Duration(leaseShare * float64(p.settings.Lease())), JobRetention: jobRetention,
+		Lease: time.Duration(leaseShare * float64(p.settings.Lease())), JobRetention: jobRetention, MachineOrderRate: p.settings.MachineOrderRate,
 		Logger: p.logger, Metrics: registry,
 	})
 	p.closers = append(p.closers, p.supervisor)
--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -36,11 +36,13 @@
 	MachineUncertain
 	// MachineUnsent means that the order was never sent, because the leader lease had expired.
 	MachineUnsent
+	// MachineThrottled means that the platform refused the order because it had too many; it will never carry it out.
+	MachineThrottled
 )
 
 // String returns the name that logs use.
 func (o MachineOutcome) String() string {
-	return [...]string{"none", "done", "busy", "fenced", "gone", "uncertain", "unsent"}[o]
+	return [...]string{"none", "done", "busy", "fenced", "gone", "uncertain", "unsent", "throttled"}[o]
 }
 
 // machineTransitionTime is how long a machine in a move or maintenance gets no further order. Both take at most 2 s.
@@ -117,9 +119,12 @@
 // recorded as begun.
 func (s *Scheduler) HandleMachineOutcome(now time.Duration, order MachineOrder, outcome MachineOutcome) (begun bool) {
 	s.now = now
-	if outcome == MachineFenced {
+	switch outcome {
+	case MachineFenced:
 		s.superseded = true
 		return false
+	case MachineThrottled:
+		s.machineBudget.throttled(now)
 	}
 	if order.Pool != "" {
 		s.handleMoveOutcome(order, outcome)
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -17,7 +17,6 @@
 	moveArrivalTimeout = 8 * time.Second         // a moved machine announces itself within 3 s
 	refusedMoveBackoff = 3 * time.Second         // a busy machine is down or in maintenance
 	scaleInDelay       = 2500 * time.Millisecond // two moves cost as much as an idle instance in 3 s
-	maxConcurrentMoves = 24
 )
 
 // move is a machine move in progress.
@@ -50,7 +49,7 @@
 		return cmp.Or(cmp.Compare(s.demands[b].deficit(), s.demands[a].deficit()), cmp.Compare(a, b))
 	})
 	for _, p := range pools {
-		for d := s.demands[p]; d.deficit() > 0 && len(s.moves) < maxConcurrentMoves; d.available++ {
+		for d := s.demands[p]; d.deficit() > 0 && s.mayMove(); d.available++ {
 			if !s.growPool(p) {
 				break
 			}
@@ -64,7 +63,8 @@
 
 // advanceMoves repeats unanswered orders and removes moves that are complete or timed out.
 func (s *Scheduler) advanceMoves() {
-	for name, m := range s.moves {
+	for _, name := range slices.Sorted(maps.Keys(s.moves)) {
+		m := s.moves[name]
 		if m.done {
 			in := s.instanceOn(name)
 			arrived := in != nil && in.Boot > m.endedBoot && in.polled || s.catalogue.IsStandby(m.pool) && s.now-m.startedAt > maintenanceRetryInterval*3
@@ -73,14 +73,21 @@
 			}
 			continue
 		}
-		if !m.inFlight && s.now-m.requestedAt > moveRetryInterval {
+		if !m.inFlight && s.now-m.requestedAt > moveRetryInterval && s.machineBudget.takeMove(s.now) {
 			s.requestMove(name, m)
 		}
 	}
 }
 
+// mayMove reports whether the platform is expected to accept another move now. Moves that it has accepted hold up no others.
+func (s *Scheduler) mayMove() bool {
+	s.machineBudget.update(s.now)
+	return s.machineBudget.available >= 1 && s.unansweredMoves < s.machineBudget.maxUnanswered()
+}
+
 func (s *Scheduler) requestMove(name string, m *move) {
 	m.inFlight = true
+	s.unansweredMoves++
 	m.requestedAt = s.now
 	s.machineOrders = append(s.machineOrders, MachineOrder{Machine: name, Pool: m.pool})
 }
@@ -126,7 +133,7 @@
 	if standby == "" || s.now-d.surplusSince < scaleInDelay {
 		return
 	}
-	for d.deficit() < 0 && len(s.moves) < maxConcurrentMoves {
+	for d.deficit() < 0 && s.mayMove() {
 		in := s.idleInstance(func(o *instance) bool { return o.Pool == pool && !s.refusedMoves[refusedMove{o.Machine, standby}] })
 		if in == nil {
 			return
@@ -162,6 +169,7 @@
 		s.deregisterEvacuated(in)
 	}
 	s.moves[name] = m
+	s.machineBudget.takeMove(s.now)
 	s.decisions = append(s.decisions, Decision{What: "machine moved", Machine: name, Reason: "to pool " + string(pool)})
 	s.requestMove(name, m)
 }
@@ -171,7 +179,10 @@
 	if m == nil || m.done || m.pool != order.Pool {
 		return
 	}
-	m.inFlight = false
+	if m.inFlight {
+		m.inFlight = false
+		s.unansweredMoves--
+	}
 	moved := s.machineOf(order.Machine)
 	switch outcome {
 	case MachineDone:
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -105,6 +105,8 @@
 	LeaseDuration time.Duration
 	// LeadingSince is when the leadership began.
 	LeadingSince time.Duration
+	// MachineOrderRate is how many machine orders a second the platform accepts from all keepers; zero selects a default.
+	MachineOrderRate float64
 }
 
 // Scheduler places the tasks of all jobs. It is not safe for concurrent use.
@@ -152,8 +154,11 @@
 	machineNames  []string
 	machineOrders []MachineOrder
 	moves         map[string]*move
-	demands       map[fleet.PoolID]*demand
-	refusedMoves  map[refusedMove]bool
+	machineBudget machineBudget
+	// unansweredMoves is the number of moves whose order is in flight.
+	unansweredMoves int
+	demands         map[fleet.PoolID]*demand
+	refusedMoves    map[refusedMove]bool
 	// batchWorkSeen is set by the first job with a batch step; until then the demand is unknown.
 	batchWorkSeen    bool
 	movesPlannedAt   time.Duration
@@ -193,6 +198,7 @@
 		waves:            map[uint64]*wave{},
 		machines:         map[string]*machine{},
 		moves:            map[string]*move{},
+		machineBudget:    newMachineBudget(now, options.MachineOrderRate),
 		demands:          map[fleet.PoolID]*demand{},
 		refusedMoves:     map[refusedMove]bool{},
 		machinesListedAt: -machineListInterval,
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -64,8 +64,8 @@
 }
 
 func (s *Scheduler) tickWave(w *wave) {
-	for machine, m := range w.inProgress {
-		s.tickMaintenance(w, machine, m)
+	for _, machine := range slices.Sorted(maps.Keys(w.inProgress)) {
+		s.tickMaintenance(w, machine, w.inProgress[machine])
 	}
 	for len(w.inProgress) < max(1, w.MaxConcurrent) {
 		machine, in := s.nextMachine(w)
@@ -145,7 +145,7 @@
 			return
 		}
 	}
-	if m.inFlight || s.now-m.requestedAt < maintenanceRetryInterval {
+	if m.inFlight || s.now-m.requestedAt < maintenanceRetryInterval || !s.machineBudget.takeMaintenance(s.now) {
 		return
 	}
 	if m.instance != nil && s.instances.byID[m.instance.ID] == m.instance {
--- a/internal/settings/deployment.go
+++ b/internal/settings/deployment.go
@@ -37,6 +37,8 @@
 	// Grace is the time for a graceful shutdown, in seconds.
 	Grace           float64 `json:"grace"`
 	PlatformAddress string  `json:"platform-address,omitempty"`
+	// MachineOrderRate is how many machine orders a second the platform accepts from all keepers together.
+	MachineOrderRate float64 `json:"machine-order-rate,omitempty"`
 	// PolicyAddress is the address of the policy service, which returns the instances that may run the steps of queues with advice.
 	PolicyAddress string `json:"policy-address,omitempty"`
 	// FleetKey is the shared secret, in hex, with which the processes of the deployment authenticate each other.
@@ -79,6 +81,9 @@
 	if d.MaximumLease <= 0 {
 		return fmt.Errorf("maximum-lease: %d ms is not positive", d.MaximumLease)
 	}
+	if d.MachineOrderRate < 0 {
+		return fmt.Errorf("machine-order-rate: %g orders a second are less than 0", d.MachineOrderRate)
+	}
 	if len(d.FleetKey) < 2*identity.MinKeyBytes {
 		return fmt.Errorf("fleet-key: must have at least %d bytes in hex", identity.MinKeyBytes)
 	}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -60,6 +60,8 @@
 	Adviser   Adviser
 	// Lease is how long tasks keep running after the last contact of their instance with a leader.
 	Lease time.Duration
+	// MachineOrderRate is how many machine orders a second the platform accepts from all keepers; zero selects a default.
+	MachineOrderRate float64
 	// JobRetention is how long the record of a job is kept after its end.
 	JobRetention time.Duration
 	Logger       *zap.Logger
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -147,7 +147,7 @@
 	jobs, instances := 0, 0
 	t.options.Replica.View(func(s *state.State) {
 		t.scheduler = scheduler.New(now, wallMillis(), scheduler.Options{
-			Fence: t.number, Session: t.session, LeaseDuration: t.options.Lease, LeadingSince: now,
+			Fence: t.number, Session: t.session, LeaseDuration: t.options.Lease, LeadingSince: now, MachineOrderRate: t.options.MachineOrderRate,
 		}, &s.Workload)
 		t.ready.Store(s.Workload.Catalogue.Version > 0)
 		jobs, instances = len(s.Workload.Jobs), len(s.Workload.Enrolled)
