Answer queries about the leader without the event loop

Cause: every entry asks twice a second who leads. The list is published at each tick. Failed before: TestPeersDoNotWaitForLoop.

--- a/internal/replicator/loop.go
+++ b/internal/replicator/loop.go
@@ -39,6 +39,7 @@
 func (r *Replicator) tick() {
 	now := r.clock()
 	r.raft.Tick(now)
+	r.publishPeers()
 	r.reconcileVoters(now)
 	if r.raft.Role() == raft.Leader || now-r.lastJoin < joinInterval {
 		return
--- a/internal/replicator/reconcile.go
+++ b/internal/replicator/reconcile.go
@@ -151,12 +151,17 @@
 				r.options.Peers = append(r.options.Peers, p)
 			}
 		}
+		r.publishPeers()
 	})
 }
 
-// Peers returns all other processes that may be or know the leader.
+// Peers returns all other processes that may be or know the leader, as of the last tick. It must not wait for the event loop, which
+// waits for the disk: every entry asks several times a second.
 func (r *Replicator) Peers() []fleet.EntryID {
-	var list []fleet.EntryID
-	r.runInLoop(func() { list = r.peerEntries() })
-	return list
+	return *r.knownPeers.Load()
+}
+
+func (r *Replicator) publishPeers() {
+	list := r.peerEntries()
+	r.knownPeers.Store(&list)
 }
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -106,6 +106,8 @@
 	leaseUntil atomic.Int64
 	leadership atomic.Pointer[leadership]
 	status     atomic.Pointer[Status]
+	// knownPeers is the result of Peers, renewed at each tick.
+	knownPeers atomic.Pointer[[]fleet.EntryID]
 	failure    atomic.Pointer[error]
 }
 
@@ -150,6 +152,7 @@
 		return nil, err
 	}
 	r.publishStatus()
+	r.publishPeers()
 	o.Messenger.Handle(topicRaft, r.handleMessage)
 	o.Messenger.Handle(topicPropose, r.handleProposal)
 	o.Messenger.Handle(topicBootstrap, r.handleBootstrap)
