--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -291,7 +291,7 @@
 func (s *session) dispatch(ctx context.Context, f frame) {
 	switch {
 	case f.AdvertisedAddress != "":
-		s.messenger.SetPeer(s.peer, f.AdvertisedAddress)
+		s.messenger.learnAddress(s.peer, f.AdvertisedAddress)
 	case f.Cancel:
 		s.cancelCall(f.CallID)
 	case f.CallID == 0:
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -162,6 +162,20 @@
 	m.blocked[id] = blocked
 }
 
+// learnAddress sets the address that a peer advertises, unless the resolver knows it: then a connection is made once there is
+// something to send. A leader that a hundred entries call would otherwise keep a second connection to each.
+func (m *Messenger) learnAddress(id fleet.EntryID, address string) {
+	m.mutex.Lock()
+	resolver := m.resolver
+	m.mutex.Unlock()
+	if resolver != nil {
+		if _, known := resolver(id); known {
+			return
+		}
+	}
+	m.SetPeer(id, address)
+}
+
 func (m *Messenger) isBlocked(id fleet.EntryID) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
