Send entries to learners with the heartbeat

Cause: each commit was sent to all eight other keepers at once and answered by each, although only four of them vote. Learners get what was added with the next heartbeat, at most one message behind; such a learner counts as caught up, as it lacks no more than its first message as a voter brings. Failed before: TestLearnerGetsEntriesWithHeartbeat (50 messages for 50 entries).

--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -51,7 +51,16 @@
 
 // CaughtUp reports whether this member leads and knows that id has all committed entries.
 func (r *Raft) CaughtUp(id ID) bool {
-	return r.role == Leader && r.matchIndexOf(id) >= r.hardState.Commit
+	return r.role == Leader && r.matchIndexOf(id)+r.allowedLag() >= r.hardState.Commit
+}
+
+// allowedLag returns how many committed entries a member may lack to count as caught up. With lazy commits a learner lacks those since
+// the last heartbeat; once it is a voter it gets them with its first message.
+func (r *Raft) allowedLag() uint64 {
+	if r.lazyCommits {
+		return maxLearnerLag
+	}
+	return 0
 }
 
 // MembershipCommitted reports whether the newest membership entry is committed.
--- a/internal/raft/pipeline_test.go
+++ b/internal/raft/pipeline_test.go
@@ -141,3 +141,45 @@
 	assert.Equal(t, follower.Commit(), leader.Commit())
 	assert.Equal(t, follower.Applied(), leader.Applied())
 }
+
+// TestLearnerGetsEntriesWithHeartbeat guards against a leader that copies each entry to every learner at once: with four learners
+// beside five voters that is half of its messages, and no commit waits for them. Learners must have all entries after the next
+// heartbeat, so that they can become voters.
+func TestLearnerGetsEntriesWithHeartbeat(t *testing.T) {
+	leader, follower, now := newLeader(t, raft.WithLazyCommits())
+	learner := raft.New("l", 1, raft.HardState{}, nil, nil, raft.WithDurable(), raft.WithSeed(3))
+	exchange := func() (toLearner int) {
+		for range 20 {
+			for _, m := range drainReady(leader) {
+				switch m.To {
+				case "b":
+					follower.Step(now, m)
+				case "l":
+					toLearner++
+					learner.Step(now, m)
+				}
+			}
+			for _, m := range append(drainReady(follower), drainReady(learner)...) {
+				leader.Step(now, m)
+			}
+		}
+		return toLearner
+	}
+	join := learner.JoinMessage("a")
+	join.Term = leader.Term()
+	leader.Step(now, join)
+	exchange()
+	sent := 0
+	for range 50 {
+		now += time.Millisecond
+		_, err := leader.Propose(now, []byte("command"))
+		assert.NilError(t, err)
+		sent += exchange()
+	}
+	assert.Equal(t, sent, 0, "messages to the learner before the heartbeat")
+	assert.Assert(t, leader.CaughtUp("l"), "it lacks no more than one message brings")
+	now += raft.DefaultHeartbeatInterval
+	leader.Tick(now)
+	exchange()
+	assert.Equal(t, learner.Applied(), leader.Applied())
+}
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -55,7 +55,8 @@
 	maxBatchEntries          = 512
 	maxBatchBytes            = 256 << 10
 	maxUncommittedEntries    = 8192
-	maxInFlightEntries       = 1024 // unacknowledged entries per peer; more would only fill the peer's queue
+	maxInFlightEntries       = 1024            // unacknowledged entries per peer; more would only fill the peer's queue
+	maxLearnerLag            = maxBatchEntries // one message brings a learner up to date
 	snapshotChunkBytes       = 64 << 10
 	learnerExpiry            = 30 * time.Second
 )
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -48,13 +48,21 @@
 
 func (r *Raft) broadcast() {
 	for id, p := range r.peers {
-		r.sendAppend(id, p, false)
+		if r.awaitsEntries(id, p) {
+			r.sendAppend(id, p, false)
+		}
 	}
 	if len(r.voters) == 1 {
 		r.advanceCommit()
 	}
 }
 
+// awaitsEntries reports whether new entries are sent to a peer at once. With lazy commits a learner that is nearly up to date gets
+// them with the next heartbeat: no commit waits for it.
+func (r *Raft) awaitsEntries(id ID, p *peer) bool {
+	return !r.lazyCommits || r.isVoter(id) || p.snapshot != nil || p.matchIndex+maxLearnerLag < r.log.lastIndex()
+}
+
 func (r *Raft) sendAppend(id ID, p *peer, heartbeat bool) {
 	if p.snapshot != nil || p.nextIndex <= r.log.compactedIndex {
 		r.sendSnapshotChunk(id, p)
@@ -157,7 +165,9 @@
 		p.nextIndex = max(p.nextIndex, m.Index+1)
 		r.advanceCommit()
 	}
-	r.sendAppend(m.From, p, false)
+	if r.awaitsEntries(m.From, p) {
+		r.sendAppend(m.From, p, false)
+	}
 	r.continueTransfer()
 }
 
