Let calls that find no leader back off, and wake them when it is found

Cause: every call that found no leader was sent again each 40 ms to the next keeper. A call whose leader answers spares the probe. Failed before: TestCallsWithoutLeaderBackOff (3,700 requests of 100 calls in 1.5 s).

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -58,8 +58,15 @@
 	FetchCatalogue
 	OpenWave
 	InspectWave
+	// OperationCount is one more than the highest operation.
+	OperationCount
 )
 
+// String returns the name that logs use.
+func (o Operation) String() string {
+	return [...]string{"none", "submit", "cancel", "inspect", "count", "announce", "depart", "publish", "fetch", "open-wave", "inspect-wave"}[o]
+}
+
 // Request is a call to the leader. The operation determines which fields are set.
 type Request struct {
 	Operation Operation           `cbor:"1,keyasint"`
@@ -103,6 +110,8 @@
 	Leader fleet.EntryID `cbor:"7,keyasint,omitempty"`
 	// RetryAfter is the delay after which a refused caller may retry.
 	RetryAfter time.Duration `cbor:"8,keyasint,omitempty"`
+	// AnnounceTo is the keeper to which an instance sends its next announcements.
+	AnnounceTo fleet.EntryID `cbor:"9,keyasint,omitempty"`
 }
 
 // LeadershipStatus is the response of a keeper to a probe.
@@ -117,8 +126,10 @@
 // Timing of calls and probes.
 const (
 	attemptTimeout = 600 * time.Millisecond // a commit takes two disk syncs of up to 30 ms each, and more on a slow disk
-	retryInterval  = 40 * time.Millisecond  // short against an election, which takes up to two seconds
-	probeInterval  = 500 * time.Millisecond // an idle entry sends two small calls a second
+	retryInterval  = 40 * time.Millisecond  // doubled with each attempt; short against an election, which takes up to two seconds
+	maxRetryPause  = 500 * time.Millisecond // a leader that is found ends the pause
+	probeInterval  = 500 * time.Millisecond // an entry whose calls are answered sends no probes
+	searchInterval = 250 * time.Millisecond // while no leader is known
 	probeTimeout   = 400 * time.Millisecond // a hundred round trips
 	maxContactAge  = 3 * time.Second        // an entry that has had no contact with a leader for longer is not ready for callers
 )
@@ -139,7 +150,9 @@
 	callDuration metrics.Timer
 	callFailures metrics.Counter
 
-	mutex       sync.Mutex
+	mutex sync.Mutex
+	// found is closed when a leader becomes known.
+	found       chan struct{}
 	keepers     []fleet.EntryID
 	leader      fleet.EntryID
 	lastContact time.Time
@@ -149,7 +162,7 @@
 // Start starts a forwarder, which probes the keepers for the leader until Close.
 func Start(self fleet.EntryID, t transport, keepers []fleet.EntryID, logger *zap.Logger, registry metrics.Registry) *Forwarder {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Forwarder{self: self, transport: t, logger: logger, ctx: ctx, cancel: cancel, keepers: slices.Clone(keepers)}
+	f := &Forwarder{self: self, transport: t, logger: logger, ctx: ctx, cancel: cancel, keepers: slices.Clone(keepers), found: make(chan struct{})}
 	f.callDuration = metrics.GetOrRegisterTimer("call", registry)
 	f.callFailures = metrics.GetOrRegisterCounter("calls-failed", registry)
 	f.goroutines.Go(f.probeLoop)
@@ -189,18 +202,48 @@
 }
 
 func (f *Forwarder) probeLoop() {
-	ticker := time.NewTicker(probeInterval)
-	defer ticker.Stop()
 	for {
-		f.findLeader()
+		if !f.recentContact() {
+			f.findLeader()
+		}
+		interval := probeInterval
+		if f.Leader() == "" {
+			interval = searchInterval
+		}
 		select {
 		case <-f.ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(interval):
 		}
 	}
 }
 
+// recentContact reports whether the leader has answered a call within probeInterval, so that there is no need for a probe.
+func (f *Forwarder) recentContact() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.ready && f.leader != "" && time.Since(f.lastContact) < probeInterval
+}
+
+// recordContact records an answer of the leader.
+func (f *Forwarder) recordContact(keeper fleet.EntryID) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.setLeaderLocked(keeper)
+	f.lastContact = time.Now()
+}
+
+// setLeaderLocked sets the leader, or forgets it if the id is empty, and wakes the calls that wait for one.
+func (f *Forwarder) setLeaderLocked(leader fleet.EntryID) {
+	if f.leader == "" && leader != "" {
+		close(f.found)
+	}
+	if f.leader != "" && leader == "" {
+		f.found = make(chan struct{})
+	}
+	f.leader = leader
+}
+
 // findLeader probes the known leader, and all keepers if that one does not respond or no longer leads.
 func (f *Forwarder) findLeader() {
 	if leader := f.Leader(); leader != "" && f.probe(leader) {
@@ -231,7 +274,7 @@
 	}
 	f.mutex.Lock()
 	changed := f.leader != keeper
-	f.leader = keeper
+	f.setLeaderLocked(keeper)
 	f.lastContact = time.Now()
 	f.ready = f.ready || status.Ready
 	f.mutex.Unlock()
@@ -267,7 +310,7 @@
 	f.AddKeepers([]fleet.EntryID{leader})
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.leader = leader
+	f.setLeaderLocked(leader)
 }
 
 // clearLeader forgets a leader that did not respond, so that the other keepers are called and name the new one.
@@ -275,7 +318,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if f.leader == keeper {
-		f.leader = ""
+		f.setLeaderLocked("")
 	}
 }
 
@@ -315,24 +358,45 @@
 		case response.Outcome == Uncertain:
 			kind = KindUncertain
 		case response.Outcome != NotLeading:
+			f.recordContact(keeper)
 			return response, nil
+		case response.Leader == keeper:
+			f.clearLeader(keeper) // its lease has expired; it may lead on
+		case response.Leader == "":
+			f.clearLeader(keeper)
 		default:
 			f.setLeader(response.Leader)
 		}
 		if f.leaderUnavailable(attempts) {
 			return Response{}, fault.New("call", kind, "no leader for %s", maxContactAge)
 		}
-		select {
-		case <-ctx.Done():
-			return Response{}, &Error{Op: "call", Kind: kind, Err: ctx.Err()}
-		case <-f.ctx.Done():
-			return Response{}, &Error{Op: "call", Kind: kind, Err: f.ctx.Err()}
-		case <-time.After(retryInterval):
+		if err := f.pause(ctx, attempts); err != nil {
+			return Response{}, &Error{Op: "call", Kind: kind, Err: err}
 		}
 		keeper = f.nextKeeper(keeper)
 	}
 }
 
+// pause waits before the next attempt of a call: until a leader is found, or for a time that doubles with each attempt, so that calls
+// that find no leader do not take the processor time that the keepers need to elect one.
+func (f *Forwarder) pause(ctx context.Context, attempts int) error {
+	f.mutex.Lock()
+	found := f.found
+	if f.leader != "" {
+		found = nil
+	}
+	f.mutex.Unlock()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-f.ctx.Done():
+		return f.ctx.Err()
+	case <-found:
+	case <-time.After(min(retryInterval<<min(attempts-1, 10), maxRetryPause)):
+	}
+	return nil
+}
+
 func (f *Forwarder) callOnce(ctx context.Context, keeper fleet.EntryID, request Request) (Response, error) {
 	if keeper == "" {
 		return Response{Outcome: NotLeading}, nil
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -108,3 +108,34 @@
 	assert.Assert(t, errors.Is(err, forwarder.KindNotSent))
 	assert.NilError(t, ctx.Err(), "the call must fail before the caller's deadline")
 }
+
+// TestCallsWithoutLeaderBackOff guards against calls that keep the keepers from electing a leader: of a hundred calls that wait for
+// one, each may be sent a few times, and all must be answered soon after the election.
+func TestCallsWithoutLeaderBackOff(t *testing.T) {
+	n := &fakeTransport{requests: map[fleet.EntryID]int{}}
+	n.setLeader("a")
+	f := startForwarder(t, n)
+	for f.Leader() != "a" {
+		time.Sleep(time.Millisecond)
+	}
+	n.setLeader("")
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	const calls = 100
+	var done sync.WaitGroup
+	for range calls {
+		done.Go(func() {
+			_, err := f.Call(ctx, forwarder.Request{Operation: forwarder.Announce})
+			assert.Check(t, err)
+		})
+	}
+	time.Sleep(1500 * time.Millisecond)
+	n.mutex.Lock()
+	sent := n.requests["a"] + n.requests["b"] + n.requests["c"]
+	n.mutex.Unlock()
+	n.setLeader("b")
+	start := time.Now()
+	done.Wait()
+	assert.Assert(t, sent <= 10*calls, "%d requests for %d calls in 1.5 s; without a growing pause there are 37 a call", sent, calls)
+	assert.Assert(t, time.Since(start) < 2*time.Second, "answered %s after the election", time.Since(start))
+}
