Acknowledge announcements that say nothing new at the keeper where they arrive

A keeper with a leased copy of the committed state acknowledges one that says what is committed; the rest goes to the leader, and draining always does. The leader names followers for later announcements, spread by instance.

--- /dev/null
+++ b/internal/process/announcements.go
@@ -0,0 +1,64 @@
+package process
+
+import (
+	"hash/fnv"
+
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/forwarder"
+	"github.com/sapphiresail/sapphiresail/internal/replicator"
+	"github.com/sapphiresail/sapphiresail/internal/state"
+	"github.com/sapphiresail/sapphiresail/internal/workload"
+)
+
+// maxAnnouncementLag is how many entries a keeper may lack for the leader to name it to instances; more are lacked by keepers that
+// are down.
+const maxAnnouncementLag = 2048
+
+// acknowledgesAnnouncement reports whether this keeper may acknowledge an announcement by itself: the committed state, of which it
+// holds a leased copy, says all that the announcement says. The leader learns nothing new from it, and learns from its own
+// polls whether the instance responds.
+func (p *Process) acknowledgesAnnouncement(announced *workload.Instance) bool {
+	if announced.Draining || !p.replicator.LeaseValid() {
+		return false
+	}
+	known := false
+	p.replicator.View(func(s *state.State) {
+		record, enrolled := s.Workload.Enrolled[announced.ID]
+		known = enrolled && record.SaysSame(announced)
+	})
+	return known
+}
+
+// announcementKeeper returns the keeper to which an instance sends its next announcements: this one, or another one if this one
+// leads, since an announcement that says nothing new needs no leader.
+func (p *Process) announcementKeeper(id fleet.InstanceID) fleet.EntryID {
+	s := p.replicator.Status()
+	if !s.Leading {
+		return p.entryID()
+	}
+	return chooseKeeper(s, id)
+}
+
+// chooseKeeper spreads instances over the keepers that follow the leader.
+func chooseKeeper(s replicator.Status, id fleet.InstanceID) fleet.EntryID {
+	var following []fleet.EntryID
+	for _, peer := range s.Peers {
+		if peer.Durable && peer.Match+maxAnnouncementLag >= s.Commit {
+			following = append(following, peer.Entry)
+		}
+	}
+	if len(following) == 0 {
+		return s.Entry
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return following[int(h.Sum32()%uint32(len(following)))]
+}
+
+// acknowledgeAnnouncement answers an announcement that says nothing new; ok is false for any other.
+func (p *Process) acknowledgeAnnouncement(announced *workload.Instance) (response forwarder.Response, ok bool) {
+	if !p.acknowledgesAnnouncement(announced) {
+		return forwarder.Response{}, false
+	}
+	return forwarder.Response{Outcome: forwarder.Done, AnnounceTo: p.announcementKeeper(announced.ID)}, true
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -168,17 +168,31 @@
 
 // Call handles a request in this process if it leads, and forwards it to the leader otherwise.
 func (p *Process) Call(ctx context.Context, request forwarder.Request) (forwarder.Response, error) {
-	if p.supervisor != nil {
-		response := p.supervisor.HandleRequest(ctx, request)
-		switch response.Outcome {
-		case forwarder.NotLeading:
-		case forwarder.Uncertain:
-			return response, &forwarder.Error{Op: "call", Kind: forwarder.KindUncertain}
-		default:
-			return response, nil
-		}
+	if p.supervisor == nil {
+		return p.forwarder.Call(ctx, request)
+	}
+	if request.Operation != forwarder.Announce {
+		return p.callAsKeeper(ctx, request)
+	}
+	if response, ok := p.acknowledgeAnnouncement(request.Instance); ok {
+		return response, nil
+	}
+	response, err := p.callAsKeeper(ctx, request)
+	response.AnnounceTo = p.announcementKeeper(request.Instance.ID)
+	return response, err
+}
+
+// callAsKeeper handles a request in this keeper if it leads, and forwards it to the leader otherwise.
+func (p *Process) callAsKeeper(ctx context.Context, request forwarder.Request) (forwarder.Response, error) {
+	response := p.supervisor.HandleRequest(ctx, request)
+	switch response.Outcome {
+	case forwarder.NotLeading:
+		return p.forwarder.Call(ctx, request)
+	case forwarder.Uncertain:
+		return response, &forwarder.Error{Op: "call", Kind: forwarder.KindUncertain}
+	default:
+		return response, nil
 	}
-	return p.forwarder.Call(ctx, request)
 }
 
 // startServers starts the HTTP servers that the settings name.
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -264,6 +265,13 @@
 	Rack     string        `cbor:"13,keyasint,omitempty"`
 }
 
+// SaysSame reports whether another announcement of the instance says the same but for its sequence number and clock, which every
+// announcement has anew, and the time left while the instance is draining.
+func (i *Instance) SaysSame(other *Instance) bool {
+	return i.ID == other.ID && i.Boot == other.Boot && i.Pool == other.Pool && i.Address == other.Address && i.DataCentre == other.DataCentre &&
+		i.Machine == other.Machine && i.Capacity == other.Capacity && i.Draining == other.Draining && i.Rack == other.Rack && slices.Equal(i.Labels, other.Labels)
+}
+
 // Wave is a request to maintain machines within a time limit.
 type Wave struct {
 	Number        uint64        `cbor:"1,keyasint"`
