--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -71,7 +71,7 @@
 	LeadershipEnded    = define(402, "leadership ended", "term", "session", "reason", "lapsed")
 	RunsReconciled     = define(403, "inherited runs reconciled", "term")
 	LeaderLoad         = define(404, "leader load", "term", "session", "over", "processor", "plans", "planning", "plan-max", "plan-gap", "posts", "posted",
-		"post-delay", "inbox", "polls", "polls-in-flight", "reports", "report-age", "report-age-max", "orders-in-flight", "orders-waiting", "commits",
+		"post-delay", "inbox", "polls", "polls-in-flight", "reports", "report-age", "report-age-max", "orders", "calls", "orders-in-flight", "orders-waiting", "commits",
 		"commits-in-flight", "commit", "jobs", "instances", "waiting", "lease-left")
 	LeadershipResumed      = define(405, "leadership resumed", "term", "paused")
 	JobAccepted            = define(410, "job accepted", "job", "queue", "customer", "tasks", "version")
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -152,6 +152,7 @@
 		t.post(func() { t.scheduler.HandleOrderOutcome(monotonicNow(), o, scheduler.Unsent) })
 		return
 	}
+	t.load.orders.Add(1)
 	t.load.ordersInFlight.Add(1)
 	defer t.load.ordersInFlight.Add(-1)
 	start := time.Now()
--- a/internal/supervisor/load.go
+++ b/internal/supervisor/load.go
@@ -5,9 +5,11 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"golang.org/x/sys/unix"
 
 	"github.com/sapphiresail/sapphiresail/internal/event"
+	"github.com/sapphiresail/sapphiresail/internal/forwarder"
 	"github.com/sapphiresail/sapphiresail/internal/state"
 )
 
@@ -30,7 +32,11 @@
 	reportAge, reportAgeMax    time.Duration
 	leaseLeft                  time.Duration
 
-	posts, polls, pollsInFlight           atomic.Int64
+	posts, polls, pollsInFlight atomic.Int64
+	// calls counts the calls of callers, instances and operators by operation.
+	calls [forwarder.OperationCount]atomic.Int64
+	// orders counts the orders sent to instances.
+	orders                                atomic.Int64
 	ordersInFlight, ordersWaiting         atomic.Int64
 	commits, commitsInFlight, commitNanos atomic.Int64
 }
@@ -43,6 +49,10 @@
 	l.reports, l.reportAge, l.reportAgeMax = 0, 0, 0
 	l.leaseLeft = time.Hour
 	l.posts.Store(0)
+	l.orders.Store(0)
+	for i := range l.calls {
+		l.calls[i].Store(0)
+	}
 	l.polls.Store(0)
 	l.commits.Store(0)
 	l.commitNanos.Store(0)
@@ -132,13 +142,23 @@
 		zap.Duration("plan-max", l.planMax), zap.Duration("plan-gap", l.planGap), zap.Int64("posts", l.posts.Load()), zap.Duration("posted", l.batchTime),
 		zap.Duration("post-delay", l.postDelay), zap.Int("inbox", l.inboxMax), zap.Int64("polls", l.polls.Load()),
 		zap.Int64("polls-in-flight", l.pollsInFlight.Load()), zap.Int("reports", l.reports), zap.Duration("report-age", l.reportAge/time.Duration(max(1, l.reports))),
-		zap.Duration("report-age-max", l.reportAgeMax), zap.Int64("orders-in-flight", l.ordersInFlight.Load()), zap.Int64("orders-waiting", l.ordersWaiting.Load()),
+		zap.Duration("report-age-max", l.reportAgeMax), zap.Int64("orders", l.orders.Load()), zap.Object("calls", l), zap.Int64("orders-in-flight", l.ordersInFlight.Load()), zap.Int64("orders-waiting", l.ordersWaiting.Load()),
 		zap.Int64("commits", l.commits.Load()), zap.Int64("commits-in-flight", l.commitsInFlight.Load()),
 		zap.Duration("commit", time.Duration(l.commitNanos.Load()/max(1, l.commits.Load()))), zap.Int("jobs", jobs), zap.Int("instances", instances),
 		zap.Int("waiting", waiting), zap.Duration("lease-left", l.leaseLeft))
 	l.reset(now)
 }
 
+// MarshalLogObject writes the number of calls of each operation.
+func (l *load) MarshalLogObject(e zapcore.ObjectEncoder) error {
+	for i := range l.calls {
+		if n := l.calls[i].Load(); n > 0 {
+			e.AddInt64(forwarder.Operation(i).String(), n)
+		}
+	}
+	return nil
+}
+
 // logWaiting logs what holds waiting tasks and returns the number of jobs with tasks that wait.
 func (t *term) logWaiting() int {
 	list, total := t.scheduler.ExplainWaiting(monotonicNow(), maxWaitingLines)
--- a/internal/supervisor/requests.go
+++ b/internal/supervisor/requests.go
@@ -17,6 +17,9 @@
 
 // handle runs one request of a caller, an instance or an operator on the leader.
 func (t *term) handle(ctx context.Context, request forwarder.Request) forwarder.Response {
+	if request.Operation < forwarder.OperationCount {
+		t.load.calls[request.Operation].Add(1)
+	}
 	var response forwarder.Response
 	switch request.Operation {
 	case forwarder.SubmitJob:
