--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -67,19 +67,20 @@
 // Events of jobs.
 var (
 	LeaderFound        = define(400, "leader found", "leader")
-	LeadershipAcquired = define(401, "leadership acquired", "term", "session", "jobs", "instances")
-	LeadershipEnded    = define(402, "leadership ended", "term", "session", "reason", "lapsed")
+	LeadershipAcquired = define(401, "leadership acquired", "term", "jobs", "instances")
+	LeadershipEnded    = define(402, "leadership ended", "term", "reason", "lapsed")
 	RunsReconciled     = define(403, "inherited runs reconciled", "term")
-	LeaderLoad         = define(404, "leader load", "term", "session", "over", "processor", "plans", "planning", "plan-max", "plan-gap", "posts", "posted",
+	LeaderLoad         = define(404, "leader load", "term", "over", "processor", "plans", "planning", "plan-max", "plan-gap", "posts", "posted",
 		"post-delay", "inbox", "polls", "polls-in-flight", "reports", "report-age", "report-age-max", "orders", "calls", "orders-in-flight", "orders-waiting", "commits",
 		"commits-in-flight", "commit", "jobs", "instances", "waiting", "lease-left")
+	LeadershipGivenUp      = define(406, "leadership given up", "term")
 	LeadershipResumed      = define(405, "leadership resumed", "term", "paused")
 	JobAccepted            = define(410, "job accepted", "job", "queue", "customer", "tasks", "version")
 	JobRefused             = define(411, "job refused", "job", "host", "path", "reason", "version")
 	JobCancelled           = define(412, "job cancelled", "job")
 	JobFailed              = define(413, "job failed", "job")
 	JobCompleted           = define(414, "job completed", "job", "took")
-	JobsMismatched         = define(415, "jobs mismatched", "term", "session", "what", "count", "jobs")
+	JobsMismatched         = define(415, "jobs mismatched", "term", "what", "count", "jobs")
 	DecisionMade           = define(420, "scheduling decision made", "what", "task", "run", "instance", "machine", "reason")
 	OrderCompleted         = define(421, "order completed", "order", "task", "run", "instance", "outcome", "took", "error")
 	PollFailed             = define(422, "poll failed", "instance", "outcome", "error")
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -131,6 +131,18 @@
 	r.continueTransfer()
 }
 
+// Resign gives up the leadership of the current term and asks the voter with the longest log to campaign at once.
+func (r *Raft) Resign(now time.Duration) {
+	r.now = now
+	if r.role != Leader {
+		return
+	}
+	if to := r.mostCaughtUpVoter(); to != "" {
+		r.send(Message{Kind: TimeoutNow, To: to})
+	}
+	r.becomeFollower(r.hardState.Term, "")
+}
+
 func (r *Raft) mostCaughtUpVoter() ID {
 	best := ID("")
 	for _, v := range r.voters {
--- a/internal/raft/pipeline_test.go
+++ b/internal/raft/pipeline_test.go
@@ -183,3 +183,25 @@
 	exchange()
 	assert.Equal(t, learner.Applied(), leader.Applied())
 }
+
+// TestResignationEndsTerm guards against a member that leads a term again after it has resigned, and against a group that waits for an
+// election timeout although the leader said that it stops.
+func TestResignationEndsTerm(t *testing.T) {
+	leader, follower, now := newLeader(t)
+	term := leader.Term()
+	leader.Resign(now)
+	assert.Equal(t, leader.Role(), raft.Follower)
+	for range 10 {
+		for _, m := range drainReady(leader) {
+			if m.To == "b" {
+				follower.Step(now, m)
+			}
+		}
+		for _, m := range drainReady(follower) {
+			leader.Step(now, m)
+		}
+	}
+	assert.Equal(t, follower.Role(), raft.Leader, "the other voter campaigns at once")
+	assert.Assert(t, follower.Term() > term)
+	assert.Equal(t, leader.Role(), raft.Follower)
+}
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -277,6 +277,15 @@
 	}
 }
 
+// Resign gives up the leadership of a term if this member still leads it.
+func (r *Replicator) Resign(term uint64) {
+	r.runInLoop(func() {
+		if r.raft.Term() == term {
+			r.raft.Resign(r.clock())
+		}
+	})
+}
+
 // runInLoop runs f in the event loop and waits until it returns or the loop has ended.
 func (r *Replicator) runInLoop(f func()) {
 	finished := make(chan struct{})
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -86,8 +86,7 @@
 	defaultAttempts          = 3                       // for a queue that is no longer configured
 	lateFactor               = 3                       // beyond three times its latency objective a job has no value
 	unschedulableFailedPolls = 1                       // consecutive failed polls that make an instance unschedulable
-	runsPerFence             = 1_000_000_000           // run numbers of one term: 1000 sessions
-	runsPerSession           = 1_000_000               // one hour at 300 starts a second
+	runsPerFence             = 1_000_000_000           // run numbers of one term: 11 days at 1,000 starts a second
 	shortPollWait            = 700 * time.Millisecond  // detects a stalled task within two polls
 	longPollWait             = 2 * time.Second         // longest wait that instances allow
 	stallTimeout             = 1500 * time.Millisecond // progress is reported in steps of 1% of a task that takes seconds
@@ -99,8 +98,6 @@
 type Options struct {
 	// Fence is the fencing token of this leadership, higher than that of any earlier one.
 	Fence uint64
-	// Session numbers the leaderships of this process under the same token, each begun after its leader lease had expired.
-	Session uint64
 	// LeaseDuration is how long runs continue after the last contact, under this and all earlier leaders.
 	LeaseDuration time.Duration
 	// LeadingSince is when the leadership began.
@@ -289,7 +286,7 @@
 
 func (s *Scheduler) nextRunNumber() workload.Run {
 	s.runCounter++
-	return workload.Run(s.options.Fence*runsPerFence + s.options.Session*runsPerSession + s.runCounter)
+	return workload.Run(s.options.Fence*runsPerFence + s.runCounter)
 }
 
 func (s *Scheduler) logRunDecision(event string, r *run, in *instance, reason string) {
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -183,7 +183,7 @@
 		if t.scheduler.HandleMachineOutcome(monotonicNow(), o, outcome) {
 			t.commitAsync(state.RecordMaintenanceStart{Wave: o.Wave, Machine: o.Machine}, func(_ state.Reply, err error) {
 				if err != nil {
-					t.cancel() // the next session orders the maintenance again
+					t.cancel() // the next leader orders the maintenance again
 				}
 			})
 		}
--- a/internal/supervisor/lapse_test.go
+++ b/internal/supervisor/lapse_test.go
@@ -47,6 +47,15 @@
 	return 1 + r.laterTerms, !r.deposed
 }
 
+// Resign makes this member, the only one, lead the next term.
+func (r *lapsingReplica) Resign(term uint64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if term == 1+r.laterTerms {
+		r.laterTerms++
+	}
+}
+
 func (r *lapsingReplica) CommitAll(ctx context.Context, commands []state.Command) ([]state.Reply, []error) {
 	p := heldProposal{commands: commands, committed: make(chan []state.Reply, 1)}
 	errs := make([]error, len(commands))
--- a/internal/supervisor/load.go
+++ b/internal/supervisor/load.go
@@ -137,7 +137,7 @@
 	waiting := t.logWaiting()
 	l := &t.load
 	jobs, instances := t.scheduler.Size()
-	event.LeaderLoad.Info(t.options.Logger, zap.Uint64("term", t.number), zap.Uint64("session", t.session), zap.Duration("over", now.Sub(l.since)),
+	event.LeaderLoad.Info(t.options.Logger, zap.Uint64("term", t.number), zap.Duration("over", now.Sub(l.since)),
 		zap.Duration("processor", processorTime()-l.processorTime), zap.Int("plans", l.plans), zap.Duration("planning", l.planTime),
 		zap.Duration("plan-max", l.planMax), zap.Duration("plan-gap", l.planGap), zap.Int64("posts", l.posts.Load()), zap.Duration("posted", l.batchTime),
 		zap.Duration("post-delay", l.postDelay), zap.Int("inbox", l.inboxMax), zap.Int64("polls", l.polls.Load()),
--- a/internal/supervisor/mismatch.go
+++ b/internal/supervisor/mismatch.go
@@ -76,7 +76,7 @@
 			continue
 		}
 		slices.Sort(ids)
-		event.JobsMismatched.Warn(t.options.Logger, zap.Uint64("term", t.number), zap.Uint64("session", t.session), zap.String("what", string(m)),
+		event.JobsMismatched.Warn(t.options.Logger, zap.Uint64("term", t.number), zap.String("what", string(m)),
 			zap.Int("count", len(ids)), zap.Strings("jobs", ids[:min(len(ids), maxMismatchIDs)]))
 	}
 }
--- a/internal/supervisor/registration_test.go
+++ b/internal/supervisor/registration_test.go
@@ -30,6 +30,8 @@
 
 func (r *singleReplica) LeaderTerm() (uint64, bool) { return 1, true }
 
+func (r *singleReplica) Resign(uint64) {}
+
 func (r *singleReplica) View(read func(s *state.State)) {
 	r.mutex.RLock()
 	defer r.mutex.RUnlock()
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sapphiresail/sapphiresail/internal/bootclock"
+	"github.com/sapphiresail/sapphiresail/internal/event"
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
 	"github.com/sapphiresail/sapphiresail/internal/forwarder"
 	"github.com/sapphiresail/sapphiresail/internal/scheduler"
@@ -31,6 +32,8 @@
 	// CommitAll commits commands in order and returns a reply and an error for each. It returns early once ctx ends; the commands
 	// may still be committed then, but only before any that are passed to a later call.
 	CommitAll(ctx context.Context, commands []state.Command) ([]state.Reply, []error)
+	// Resign gives up the leadership of a term. This member may lead again in a later one.
+	Resign(term uint64)
 }
 
 // Instances sends orders and polls to instances.
@@ -78,9 +81,8 @@
 	cancel      context.CancelFunc
 	goroutines  sync.WaitGroup
 	term        atomic.Pointer[term]
-	// lastTerm is the latest term led, and sessions the number of schedulers that were run in it.
+	// lastTerm is the latest term in which a scheduler was run.
 	lastTerm uint64
-	sessions uint64
 }
 
 // Start runs a supervisor until Close.
@@ -113,18 +115,22 @@
 	}
 }
 
-// runTerm runs one session of a term until its leadership ends. Requests are handled once the session knows all commands of
-// the earlier ones.
+// runTerm runs a scheduler until its leadership ends. Requests are handled once it knows all commands of the earlier ones.
+//
+// A term has one scheduler, because the term is the fencing token of its orders: an order of a scheduler that ended within the term, as
+// after a commit that failed, may still be carried out and would not be told from those of the next. So the leadership is given up.
 func (s *Supervisor) runTerm(number uint64) {
-	if number != s.lastTerm {
-		s.lastTerm, s.sessions = number, 0
+	if number == s.lastTerm {
+		event.LeadershipGivenUp.Info(s.options.Logger, zap.Uint64("term", number))
+		s.options.Replica.Resign(number)
+		return
 	}
-	t := newTerm(s.ctx, &s.options, s.instruments, number, s.sessions)
+	t := newTerm(s.ctx, &s.options, s.instruments, number)
 	defer t.close()
 	if !t.commitBarrier() {
 		return
 	}
-	s.sessions++
+	s.lastTerm = number
 	s.instruments.termsLed.Inc(1)
 	s.term.Store(t)
 	t.run()
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -31,7 +31,6 @@
 	options     *Options
 	instruments *instruments
 	number      uint64
-	session     uint64
 	ctx         context.Context
 	cancel      context.CancelFunc
 	inbox       chan func()
@@ -65,8 +64,8 @@
 	cancel  context.CancelFunc
 }
 
-func newTerm(ctx context.Context, o *Options, m *instruments, number, session uint64) *term {
-	t := &term{options: o, instruments: m, number: number, session: session, inbox: make(chan func(), inboxCapacity), dispatchers: map[fleet.InstanceID]*dispatcher{}, pollPacer: pollPacer{limits: defaultPollLimits}}
+func newTerm(ctx context.Context, o *Options, m *instruments, number uint64) *term {
+	t := &term{options: o, instruments: m, number: number, inbox: make(chan func(), inboxCapacity), dispatchers: map[fleet.InstanceID]*dispatcher{}, pollPacer: pollPacer{limits: defaultPollLimits}}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	return t
 }
@@ -93,7 +92,7 @@
 	t.logLoad(time.Now())
 	t.close()
 	t.instruments.resetGauges()
-	event.LeadershipEnded.Info(t.options.Logger, zap.Uint64("term", t.number), zap.Uint64("session", t.session), zap.String("reason", reason), zap.Duration("lapsed", lapsed))
+	event.LeadershipEnded.Info(t.options.Logger, zap.Uint64("term", t.number), zap.String("reason", reason), zap.Duration("lapsed", lapsed))
 }
 
 // spawn starts a goroutine that close waits for; after close it starts none.
@@ -116,7 +115,7 @@
 
 // commitBarrier commits a barrier and reports whether it is applied and the term still lasts.
 //
-// Earlier sessions of this process may have proposed commands that are not committed yet, and their callbacks are gone. The
+// Earlier terms of this process may have proposed commands that are not committed yet, and their callbacks are gone. The
 // scheduler is built from one reading of the committed state, so all of these commands must be in it or never be committed:
 // close has waited for the goroutines that propose them, the replicator keeps proposals in order from its inbox to the log,
 // and entries are applied in the order of the log. A proposal that Raft has refused or that a later term has overwritten is
@@ -147,12 +146,12 @@
 	jobs, instances := 0, 0
 	t.options.Replica.View(func(s *state.State) {
 		t.scheduler = scheduler.New(now, wallMillis(), scheduler.Options{
-			Fence: t.number, Session: t.session, LeaseDuration: t.options.Lease, LeadingSince: now, MachineOrderRate: t.options.MachineOrderRate,
+			Fence: t.number, LeaseDuration: t.options.Lease, LeadingSince: now, MachineOrderRate: t.options.MachineOrderRate,
 		}, &s.Workload)
 		t.ready.Store(s.Workload.Catalogue.Version > 0)
 		jobs, instances = len(s.Workload.Jobs), len(s.Workload.Enrolled)
 	})
-	event.LeadershipAcquired.Info(t.options.Logger, zap.Uint64("term", t.number), zap.Uint64("session", t.session), zap.Int("jobs", jobs), zap.Int("instances", instances))
+	event.LeadershipAcquired.Info(t.options.Logger, zap.Uint64("term", t.number), zap.Int("jobs", jobs), zap.Int("instances", instances))
 	t.load.reset(time.Now())
 	t.plan()
 }
