Let followers carry the leader's exchanges with instances in a large fleet

Cause: the leader of 542 instances sent every poll, start and stop itself: 2,400 polls and about 2,000 orders a second in a turn, each an HTTP exchange with three goroutines and its own connections (2,064 files). Eight other keepers stood at 0.02 of a core.

Above 96 instances a dispatcher hands exchanges, in batches of 6 ms, to as many keepers as the fleet needs (one for 128 instances). The leader keeps all decisions. Each batch carries a permission: term, start of the carrier and the end of the leader lease on the carrier's clock, worked out from its last reading with the allowed drift. The carrier asks before each exchange; one that was suspended, cut off, started again or superseded sends nothing and says so, so that the order has certainly not run. One process writes to an instance at a time: the next only when no exchange is under way, or when the permission of a lost carrier has run out (443). A silent carrier is not a silent instance: its polls count against no instance, its orders may still be executed. Weighed: pools spread over owners, which moves decisions, limits and shares as well and was not tried.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -93,6 +93,7 @@
 	WaveOpened             = define(432, "wave opened", "wave", "machines", "at-once", "within")
 	MachineOrderCompleted  = define(433, "machine order completed", "machine", "wave", "pool", "outcome", "error")
 	MachineListFailed      = define(434, "machine list request failed", "error")
+	CarrierLost            = define(443, "carrier lost", "carrier", "exchanges", "silent")
 	CallFailed             = define(440, "call failed", "subject", "host", "path", "reason", "took")
 	SettingsReloaded       = define(441, "settings reloaded", "seeds")
 	LinesDropped           = define(442, "log lines dropped", "count")
--- a/internal/process/announcements.go
+++ b/internal/process/announcements.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
 	"github.com/sapphiresail/sapphiresail/internal/forwarder"
@@ -10,9 +11,8 @@
 	"github.com/sapphiresail/sapphiresail/internal/workload"
 )
 
-// maxAnnouncementLag is how many entries a keeper may lack for the leader to name it to instances; more are lacked by keepers that
-// are down.
-const maxAnnouncementLag = 2048
+// maxFollowerLag is how many entries a keeper may lack to count as following; those that are down soon lack more.
+const maxFollowerLag = 2048
 
 // acknowledgesAnnouncement reports whether this keeper may acknowledge an announcement by itself: the committed state, of which it
 // holds a leased copy, says all that the announcement says. The leader learns nothing new from it, and learns from its own
@@ -41,12 +41,7 @@
 
 // chooseKeeper spreads instances over the keepers that follow the leader.
 func chooseKeeper(s replicator.Status, id fleet.InstanceID) fleet.EntryID {
-	var following []fleet.EntryID
-	for _, peer := range s.Peers {
-		if peer.Durable && peer.Match+maxAnnouncementLag >= s.Commit {
-			following = append(following, peer.Entry)
-		}
-	}
+	following := followers(s)
 	if len(following) == 0 {
 		return s.Entry
 	}
@@ -55,6 +50,18 @@
 	return following[int(h.Sum32()%uint32(len(following)))]
 }
 
+// followers returns the keepers that follow this one, which leads, in the order of their ids.
+func followers(s replicator.Status) []fleet.EntryID {
+	var list []fleet.EntryID
+	for _, peer := range s.Peers {
+		if peer.Durable && peer.Match+maxFollowerLag >= s.Commit {
+			list = append(list, peer.Entry)
+		}
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
 // acknowledgeAnnouncement answers an announcement that says nothing new; ok is false for any other.
 func (p *Process) acknowledgeAnnouncement(announced *workload.Instance) (response forwarder.Response, ok bool) {
 	if !p.acknowledgesAnnouncement(announced) {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -17,6 +17,8 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/sapphiresail/sapphiresail/internal/bootclock"
+	"github.com/sapphiresail/sapphiresail/internal/courier"
 	"github.com/sapphiresail/sapphiresail/internal/event"
 	"github.com/sapphiresail/sapphiresail/internal/exposer"
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
@@ -135,8 +137,17 @@
 	p.closers = append(p.closers, p.replicator)
 	client := platform.NewClient(p.settings.PlatformAddress, p.settings.PolicyAddress)
 	p.closers = append(p.closers, client)
+	carrier := courier.StartCarrier(courier.CarrierOptions{
+		Transport: p.messenger, Instances: client, Term: func() uint64 { return p.replicator.Status().Term }, Clock: bootclock.Now, Metrics: registry,
+	})
+	p.closers = append(p.closers, carrier)
+	dispatcher := courier.StartDispatcher(courier.DispatcherOptions{
+		Transport: p.messenger, Direct: client, Leads: p.replicator.Leads, LeaseLeft: p.replicator.LeaderLeaseLeft,
+		Carriers: func() []fleet.EntryID { return followers(p.replicator.Status()) }, Clock: bootclock.Now, Logger: p.logger,
+	})
+	p.closers = append(p.closers, dispatcher)
 	p.supervisor = supervisor.Start(supervisor.Options{
-		Entry: p.entryID(), Replica: p.replicator, Instances: client, Machines: client, Adviser: client,
+		Entry: p.entryID(), Replica: p.replicator, Instances: dispatcher, Machines: client, Adviser: client,
 		Lease: time.Duration(leaseShare * float64(p.settings.Lease())), JobRetention: jobRetention, MachineOrderRate: p.settings.MachineOrderRate,
 		Logger: p.logger, Metrics: registry,
 	})
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -12,29 +12,32 @@
 
 // PollRequest describes the next poll of an instance.
 type PollRequest struct {
-	Instance fleet.InstanceID
-	Address  string
-	Fence    uint64
+	Instance fleet.InstanceID `cbor:"1,keyasint"`
+	Address  string           `cbor:"2,keyasint"`
+	Fence    uint64           `cbor:"3,keyasint"`
 	// AckedEnd acknowledges the ends up to this number; their handling is committed.
-	AckedEnd uint64
+	AckedEnd uint64 `cbor:"4,keyasint,omitempty"`
 	// Deadline extends the lease, on the clock of the instance; zero leaves it unchanged.
-	Deadline time.Duration
+	Deadline time.Duration `cbor:"5,keyasint,omitempty"`
 	// Wait is how long the instance may hold the response until a run ends.
-	Wait time.Duration
+	Wait time.Duration `cbor:"6,keyasint,omitempty"`
+	// Timeout is how long the sender waits for the response of the instance.
+	Timeout time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // StatusReport is the response of an instance to a poll.
 type StatusReport struct {
-	Boot  int64
-	Clock time.Duration
+	Boot  int64         `cbor:"1,keyasint"`
+	Clock time.Duration `cbor:"2,keyasint"`
 	// ReceivedAt is when the response arrived; zero stands for the time at which the report is processed.
-	ReceivedAt time.Duration
-	Running    []ReportedRun
-	Ended      []ReportedEnd
+	ReceivedAt time.Duration `cbor:"-"`
+	Running    []ReportedRun `cbor:"3,keyasint,omitempty"`
+	Ended      []ReportedEnd `cbor:"4,keyasint,omitempty"`
 }
 
 // ReportedRun is a run in a status report.
 type ReportedRun struct {
+	_          struct{} `cbor:",toarray"`
 	Task       workload.TaskID
 	Run        workload.Run
 	Checkpoint string
@@ -45,6 +48,7 @@
 
 // ReportedEnd is an ended run in a status report.
 type ReportedEnd struct {
+	_          struct{} `cbor:",toarray"`
 	Number     uint64
 	Task       workload.TaskID
 	Run        workload.Run
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -27,21 +27,23 @@
 
 // Order is a command to an instance. It concerns one run, unless its kind is ImmediatePoll.
 type Order struct {
-	Kind       OrderKind
-	Instance   fleet.InstanceID
-	Address    string
-	Task       workload.TaskID
-	Run        workload.Run
-	Spec       string
-	Checkpoint string
+	Kind       OrderKind        `cbor:"1,keyasint"`
+	Instance   fleet.InstanceID `cbor:"2,keyasint"`
+	Address    string           `cbor:"3,keyasint"`
+	Task       workload.TaskID  `cbor:"4,keyasint"`
+	Run        workload.Run     `cbor:"5,keyasint"`
+	Spec       string           `cbor:"6,keyasint,omitempty"`
+	Checkpoint string           `cbor:"7,keyasint,omitempty"`
 	// Deadline is the end of the lease, on the clock of the instance.
-	Deadline        time.Duration
-	Fence           uint64
-	ThrottlePercent int
+	Deadline        time.Duration `cbor:"8,keyasint,omitempty"`
+	Fence           uint64        `cbor:"9,keyasint"`
+	ThrottlePercent int           `cbor:"10,keyasint,omitempty"`
 	// Ticket is the policy service's authorisation of the start; it is empty on queues without advice.
-	Ticket string
+	Ticket string `cbor:"11,keyasint,omitempty"`
+	// Timeout is how long the sender waits for the response of the instance.
+	Timeout time.Duration `cbor:"12,keyasint,omitempty"`
 	// Reason is for the log.
-	Reason string
+	Reason string `cbor:"-"`
 }
 
 // Outcome is the result of an order or poll as far as the leader knows it.
@@ -67,11 +69,14 @@
 	Unsent
 	// Unpolled means that the order was never sent, because the instance is not polled yet or any more.
 	Unpolled
+	// Uncarried means that the process that was to send the exchange did not answer. An order may still be executed; of the instance a
+	// poll shows nothing.
+	Uncarried
 )
 
 // String returns the name that logs and metrics use.
 func (o Outcome) String() string {
-	return [...]string{"none", "accepted", "fenced", "rejected", "unhealthy", "mismatched", "refused", "uncertain", "unsent", "unpolled"}[o]
+	return [...]string{"none", "accepted", "fenced", "rejected", "unhealthy", "mismatched", "refused", "uncertain", "unsent", "unpolled", "uncarried"}[o]
 }
 
 // Timing and limits of decisions.
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -72,11 +72,10 @@
 		return nextPoll{}, false
 	}
 	sentAt := monotonicNow()
-	requestCtx, cancel := context.WithTimeout(ctx, request.Wait+pollTimeoutMargin)
-	defer cancel()
+	request.Timeout = request.Wait + pollTimeoutMargin
 	t.load.polls.Add(1)
 	t.load.pollsInFlight.Add(1)
-	report, outcome, err := t.options.Instances.Poll(requestCtx, request)
+	report, outcome, err := t.options.Instances.Poll(ctx, request)
 	t.load.pollsInFlight.Add(-1)
 	if ctx.Err() != nil {
 		return nextPoll{}, false
@@ -99,6 +98,9 @@
 		return following, true
 	}
 	t.instruments.pollsMissed.Inc(1)
+	if outcome == scheduler.Unsent || outcome == scheduler.Uncarried {
+		return nextPoll{}, false // the instance may be well
+	}
 	event.PollFailed.Info(t.options.Logger, zap.String("instance", string(id)), zap.Stringer("outcome", outcome), zap.NamedError("error", err))
 	t.post(func() { t.scheduler.HandlePollFailure(monotonicNow(), id, outcome) })
 	return nextPoll{}, false
@@ -156,9 +158,8 @@
 	t.load.ordersInFlight.Add(1)
 	defer t.load.ordersInFlight.Add(-1)
 	start := time.Now()
-	ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
-	defer cancel()
-	outcome, err := t.options.Instances.Order(ctx, o)
+	o.Timeout = orderTimeout
+	outcome, err := t.options.Instances.Order(t.ctx, o)
 	t.instruments.orderDuration.UpdateSince(start)
 	t.instruments.countOrderOutcome(o, outcome)
 	if outcome != scheduler.Accepted {
