Carry exchanges from the data centre of the instance, and spread instances evenly over carriers

Cause: carriers were the first keepers by id, wherever they stood, so the HTTP exchanges crossed data centres and the batches did, too. And the hash that spread the instances ordered the carriers alike for ids with a common beginning: of 200 instances in one data centre 193 went to one of two carriers. Now a carrier of each data centre comes first, an instance goes to one beside it, and the hash is mixed.

--- a/internal/courier/carrier.go
+++ b/internal/courier/carrier.go
@@ -15,8 +15,9 @@
 
 // CarrierOptions are the dependencies of a carrier.
 type CarrierOptions struct {
-	Transport Transport
-	Instances Exchanger
+	Transport  Transport
+	Instances  Exchanger
+	DataCentre fleet.DataCentreID
 	// Term returns the latest term that this process knows; the permissions of earlier terms are void.
 	Term func() uint64
 	// Clock returns the time since boot, including suspended time.
@@ -79,7 +80,7 @@
 }
 
 func (c *Carrier) handleClock(context.Context, fleet.EntryID, []byte) (any, error) {
-	return c.readClock(), nil
+	return introduction{Clock: c.readClock(), DataCentre: c.options.DataCentre}, nil
 }
 
 func (c *Carrier) readClock() clockReading {
--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -106,6 +106,12 @@
 	Now         time.Duration `cbor:"2,keyasint"`
 }
 
+// introduction is the answer of a carrier that is asked for its clock.
+type introduction struct {
+	Clock      clockReading       `cbor:"1,keyasint"`
+	DataCentre fleet.DataCentreID `cbor:"2,keyasint,omitempty"`
+}
+
 // result is the result of an exchange; Report is set for an accepted poll.
 type result struct {
 	ID      uint64                  `cbor:"1,keyasint"`
--- a/internal/courier/dispatcher.go
+++ b/internal/courier/dispatcher.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -57,9 +56,11 @@
 
 // route is who writes to an instance.
 type route struct {
-	link     *link // nil for this process
-	underWay int
-	usedAt   time.Duration
+	link *link // nil for this process
+	// dataCentre is where the instance is, once it was polled.
+	dataCentre fleet.DataCentreID
+	underWay   int
+	usedAt     time.Duration
 	// blockedUntil is when the permission of a carrier that was lost has run out.
 	blockedUntil time.Duration
 }
@@ -82,7 +83,7 @@
 
 // Order sends an order to its instance.
 func (d *Dispatcher) Order(ctx context.Context, o scheduler.Order) (scheduler.Outcome, error) {
-	l, release, err := d.route(ctx, o.Instance)
+	l, release, err := d.route(ctx, o.Instance, "")
 	if err != nil {
 		return scheduler.Unsent, err
 	}
@@ -96,7 +97,7 @@
 
 // Poll requests the status report of an instance.
 func (d *Dispatcher) Poll(ctx context.Context, request scheduler.PollRequest) (scheduler.StatusReport, scheduler.Outcome, error) {
-	l, release, err := d.route(ctx, request.Instance)
+	l, release, err := d.route(ctx, request.Instance, request.DataCentre)
 	if err != nil {
 		return scheduler.StatusReport{}, scheduler.Unsent, err
 	}
@@ -119,8 +120,8 @@
 }
 
 // route returns the link that writes to an instance, or nil for this process, and counts an exchange until release is called. It waits
-// until a carrier that was lost can no longer send.
-func (d *Dispatcher) route(ctx context.Context, id fleet.InstanceID) (l *link, release func(), err error) {
+// until a carrier that was lost can no longer send. dataCentre is that of the instance, or empty if it is not known here.
+func (d *Dispatcher) route(ctx context.Context, id fleet.InstanceID, dataCentre fleet.DataCentreID) (l *link, release func(), err error) {
 	for {
 		d.mutex.Lock()
 		now := d.options.Clock()
@@ -129,10 +130,13 @@
 			r = &route{}
 			d.routes[id] = r
 		}
+		if dataCentre != "" {
+			r.dataCentre = dataCentre
+		}
 		wait := r.blockedUntil - now
 		if wait <= 0 {
 			if r.underWay == 0 {
-				r.link = d.chooseLink(id)
+				r.link = d.chooseLink(id, r.dataCentre)
 			}
 			r.underWay++
 			r.usedAt = now
@@ -156,13 +160,18 @@
 	r.usedAt = d.options.Clock()
 }
 
-// chooseLink returns the usable link with the highest weight for an instance, so that the loss of a carrier moves only its instances.
-func (d *Dispatcher) chooseLink(id fleet.InstanceID) *link {
+// chooseLink returns the usable link for an instance: in its data centre if there is one, because an HTTP exchange has more bytes than what
+// the leader and the carrier send of it, and among those the one with the highest weight, so that the loss of a carrier moves only its instances.
+func (d *Dispatcher) chooseLink(id fleet.InstanceID, dataCentre fleet.DataCentreID) *link {
 	var best *link
-	highest := uint64(0)
+	near, highest := false, uint64(0)
 	for _, l := range d.active {
-		if w := weight(id, l.carrier); l.usable && (best == nil || w > highest) {
-			best, highest = l, w
+		if !l.usable {
+			continue
+		}
+		isNear, w := l.dataCentre == dataCentre, weight(id, l.carrier)
+		if best == nil || isNear && !near || isNear == near && w > highest {
+			best, near, highest = l, isNear, w
 		}
 	}
 	return best
@@ -176,7 +185,10 @@
 			h = (h ^ uint64(b)) * 1099511628211
 		}
 	}
-	return h ^ h>>29
+	// FNV-1a alone orders the carriers alike for ids that differ in their last characters; the finaliser of MurmurHash3 mixes the bits.
+	h = (h ^ h>>33) * 0xff51afd7ed558ccd
+	h = (h ^ h>>33) * 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
 }
 
 // exchange has a carrier send an exchange and waits for its result, or until the carrier is silent.
@@ -334,29 +346,41 @@
 	}
 }
 
-// choose makes links to as many carriers as the fleet needs, and asks those whose clock is not known or old.
+// choose makes links to the carriers, takes as many as the fleet needs, and asks those whose clock is not known or old.
 func (d *Dispatcher) choose(now time.Duration, carriers []fleet.EntryID) {
-	needed := 0
-	if len(d.routes) > directInstances {
-		needed = (len(d.routes) + instancesPerCarrier - 1) / instancesPerCarrier
+	d.active = nil
+	if len(d.routes) <= directInstances {
+		return
 	}
-	d.active = d.active[:0]
+	var candidates []*link
 	for _, id := range carriers {
 		l := d.links[id]
-		if len(d.active) >= needed && (l == nil || !l.usable) {
-			continue
-		}
 		if l == nil {
 			l = &link{carrier: id, pending: map[uint64]chan result{}}
 			d.links[id] = l
 		}
-		if l.usable && len(d.active) < needed {
-			d.active = append(d.active, l)
+		if l.usable {
+			candidates = append(candidates, l)
 		}
 		if !l.asking && (!l.usable && now >= l.retryAt || l.usable && now-l.clockReadAt > maxClockAge) {
 			l.asking = true
 			d.goroutines.Go(func() { d.askClock(l) })
 		}
 	}
-	d.active = slices.Clone(d.active)
+	d.active = chooseActive(candidates, (len(d.routes)+instancesPerCarrier-1)/instancesPerCarrier)
+}
+
+// chooseActive returns the first candidate of each data centre, and others until there are as many as are needed.
+func chooseActive(candidates []*link, needed int) []*link {
+	var active, rest []*link
+	seen := map[fleet.DataCentreID]bool{}
+	for _, l := range candidates {
+		if seen[l.dataCentre] {
+			rest = append(rest, l)
+			continue
+		}
+		seen[l.dataCentre] = true
+		active = append(active, l)
+	}
+	return append(active, rest[:min(len(rest), max(0, needed-len(active)))]...)
 }
--- a/internal/courier/link.go
+++ b/internal/courier/link.go
@@ -16,8 +16,9 @@
 
 // link is what the leader knows of a carrier. The dispatcher's mutex guards it.
 type link struct {
-	carrier fleet.EntryID
-	clock   clockReading
+	carrier    fleet.EntryID
+	dataCentre fleet.DataCentreID
+	clock      clockReading
 	// clockReadAt is when the reading arrived, on the leader's clock.
 	clockReadAt time.Duration
 	// usable is set while the carrier answers. retryAt is when one that does not is asked for its clock again.
@@ -65,8 +66,8 @@
 func (d *Dispatcher) askClock(l *link) {
 	ctx, cancel := context.WithTimeout(d.ctx, silenceTimeout)
 	defer cancel()
-	var reading clockReading
-	err := d.options.Transport.Call(ctx, l.carrier, topicClock, true, &reading)
+	var answer introduction
+	err := d.options.Transport.Call(ctx, l.carrier, topicClock, true, &answer)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	l.asking = false
@@ -82,5 +83,5 @@
 		l.acknowledged, l.unacknowledgedSince = l.lastNumber, 0
 	}
 	l.usable = true
-	l.clock, l.clockReadAt = reading, now
+	l.clock, l.clockReadAt, l.dataCentre = answer.Clock, now, answer.DataCentre
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -138,7 +138,7 @@
 	client := platform.NewClient(p.settings.PlatformAddress, p.settings.PolicyAddress)
 	p.closers = append(p.closers, client)
 	carrier := courier.StartCarrier(courier.CarrierOptions{
-		Transport: p.messenger, Instances: client, Term: func() uint64 { return p.replicator.Status().Term }, Clock: bootclock.Now, Metrics: registry,
+		Transport: p.messenger, Instances: client, DataCentre: p.settings.DataCentre, Term: func() uint64 { return p.replicator.Status().Term }, Clock: bootclock.Now, Metrics: registry,
 	})
 	p.closers = append(p.closers, carrier)
 	dispatcher := courier.StartDispatcher(courier.DispatcherOptions{
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -23,6 +23,8 @@
 	Wait time.Duration `cbor:"6,keyasint,omitempty"`
 	// Timeout is how long the sender waits for the response of the instance.
 	Timeout time.Duration `cbor:"7,keyasint,omitempty"`
+	// DataCentre is where the instance is.
+	DataCentre fleet.DataCentreID `cbor:"-"`
 }
 
 // StatusReport is the response of an instance to a poll.
@@ -65,7 +67,7 @@
 		return PollRequest{}, false
 	}
 	in.advanceAckedEnd(s.committedBatch)
-	request := PollRequest{Instance: id, Address: in.Address, Fence: s.options.Fence, AckedEnd: in.ackedEnd}
+	request := PollRequest{Instance: id, Address: in.Address, DataCentre: in.DataCentre, Fence: s.options.Fence, AckedEnd: in.ackedEnd}
 	if in.clock > 0 && in.failedPolls == 0 {
 		request.Deadline = s.nextDeadline(in)
 	}
