--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -7,13 +7,13 @@
 
 func (r *Raft) updateVoters() { r.voters = r.log.votersAt(r.log.lastIndex()) }
 
-// AddVoter proposes to promote a durable learner that has all committed entries to voter.
+// AddVoter proposes to promote a durable learner that is caught up to voter.
 func (r *Raft) AddVoter(now time.Duration, id ID) error {
 	p := r.peers[id]
 	if p == nil && r.role == Leader {
 		return &Error{Op: "add " + string(id), Kind: KindNotCaughtUp}
 	}
-	if p != nil && (!p.durable || p.matchIndex < r.hardState.Commit) {
+	if p != nil && (!p.durable || !r.CaughtUp(id)) {
 		return &Error{Op: "add " + string(id), Kind: KindNotCaughtUp}
 	}
 	if r.isVoter(id) {
@@ -49,7 +49,7 @@
 	return nil
 }
 
-// CaughtUp reports whether this member leads and knows that id has all committed entries.
+// CaughtUp reports whether this member leads and knows that id has the committed entries, but for those that one message brings.
 func (r *Raft) CaughtUp(id ID) bool {
 	return r.role == Leader && r.matchIndexOf(id)+r.allowedLag() >= r.hardState.Commit
 }
--- a/internal/raft/pipeline_test.go
+++ b/internal/raft/pipeline_test.go
@@ -182,6 +182,12 @@
 	leader.Tick(now)
 	exchange()
 	assert.Equal(t, learner.Applied(), leader.Applied())
+	_, err := leader.Propose(now, []byte("command"))
+	assert.NilError(t, err)
+	exchange()
+	assert.NilError(t, leader.AddVoter(now, "l"), "under load a learner lacks entries at any moment, and must become a voter all the same")
+	exchange()
+	assert.Assert(t, leader.MembershipCommitted())
 }
 
 // TestResignationEndsTerm guards against a member that leads a term again after it has resigned, and against a group that waits for an
