--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -30,6 +30,8 @@
 	ProcessStopping           = define(101, "process stopping", "reason")
 	ProcessStopped            = define(102, "process stopped")
 	JournalOpened             = define(110, "journal opened", "index", "entries", "cut-bytes")
+	JournalFull               = define(128, "journal full", "error")
+	JournalWritable           = define(129, "journal writable again", "after")
 	JournalFailed             = define(111, "journal failed", "error")
 	GroupBootstrapped         = define(112, "consensus group bootstrapped", "voters")
 	RoleChanged               = define(113, "role changed", "role", "term", "leader")
--- a/internal/journaler/journaler.go
+++ b/internal/journaler/journaler.go
@@ -25,11 +25,13 @@
 	KindFull
 	KindIO
 	KindClosed
+	// KindNoRoom means that the disk had no room for a write and that nothing changed; the write may be repeated.
+	KindNoRoom
 )
 
 // Error returns the name of the kind.
 func (k Kind) Error() string {
-	return [...]string{"none", "journal is damaged", "disk is full", "disk I/O failed", "journal is closed"}[k]
+	return [...]string{"none", "journal is damaged", "disk is full", "disk I/O failed", "journal is closed", "no room on the disk"}[k]
 }
 
 // Error is a failed journal operation.
@@ -39,6 +41,7 @@
 type Journaler struct {
 	dir      string
 	sync     func(*os.File) error
+	write    func(f *os.File, frame []byte, offset int64) error
 	file     *os.File
 	fileSeq  uint64
 	size     int64
@@ -62,6 +65,16 @@
 // WithSync replaces the function that syncs a file; tests use it to drop or fail writes.
 func WithSync(sync func(*os.File) error) Option { return func(j *Journaler) { j.sync = sync } }
 
+// WithWrite replaces the function that writes a frame; tests use it to fill the disk.
+func WithWrite(write func(f *os.File, frame []byte, offset int64) error) Option {
+	return func(j *Journaler) { j.write = write }
+}
+
+func writeFrame(f *os.File, frame []byte, offset int64) error {
+	_, err := f.WriteAt(frame, offset)
+	return err
+}
+
 // record is the body of one frame of a journal file.
 type record struct {
 	HardState   *raft.HardState `cbor:"1,keyasint,omitempty"`
@@ -78,7 +91,7 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, ioError("create directory", err)
 	}
-	j := &Journaler{dir: dir, sync: (*os.File).Sync}
+	j := &Journaler{dir: dir, sync: (*os.File).Sync, write: writeFrame}
 	for _, o := range options {
 		o(j)
 	}
@@ -137,6 +150,9 @@
 	}
 	seq := j.fileSeq + 1
 	f, err := j.createFile(j.path(seq), frame)
+	if errors.Is(err, KindNoRoom) {
+		return err
+	}
 	if err != nil {
 		return j.failWrites("rotate", err)
 	}
@@ -157,9 +173,9 @@
 	temporary := name + ".new"
 	f, err := os.OpenFile(temporary, os.O_CREATE|os.O_TRUNC|os.O_RDWR, 0o600)
 	if err != nil {
-		return nil, err
+		return nil, noRoomError("create file", err)
 	}
-	if _, err = f.Write(frame); err == nil {
+	if err = noRoomError("write file", j.write(f, frame, 0)); err == nil {
 		err = j.sync(f)
 	}
 	if err == nil {
@@ -184,7 +200,9 @@
 	if err != nil {
 		return err
 	}
-	if _, err := j.file.WriteAt(frame, j.size); err != nil {
+	if err := noRoomError("append", j.write(j.file, frame, j.size)); errors.Is(err, KindNoRoom) {
+		return errors.Join(err, j.file.Truncate(j.size))
+	} else if err != nil {
 		return j.failWrites("append", err)
 	}
 	if err := j.sync(j.file); err != nil {
@@ -224,6 +242,15 @@
 	return j.file.Close()
 }
 
+// noRoomError returns the error of a write that was not synced as KindNoRoom if the disk or the quota is exhausted. After a failed sync the
+// content of the disk is unknown, so that ENOSPC from a sync is final.
+func noRoomError(op string, err error) error {
+	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
+		return &Error{Op: op, Kind: KindNoRoom, Err: err}
+	}
+	return err
+}
+
 // ioError returns err as KindFull if the disk or the quota is exhausted, otherwise as KindIO.
 func ioError(op string, err error) error {
 	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
--- a/internal/journaler/journaler_test.go
+++ b/internal/journaler/journaler_test.go
@@ -164,3 +164,36 @@
 		assert.NilError(b, reopened.Close())
 	}
 }
+
+// A write that a full disk refuses has changed nothing that was synced: it can be repeated once there is room, whatever part of it
+// reached the file, and the journal holds then what it would have held without the shortage. That goes for new files, too.
+func TestWriteIsRepeatedOnceDiskHasRoom(t *testing.T) {
+	dir := t.TempDir()
+	full := false
+	j := openJournal(t, dir, journaler.WithWrite(func(f *os.File, frame []byte, offset int64) error {
+		if full {
+			_, err := f.WriteAt(frame[:len(frame)/2], offset)
+			return errors.Join(err, syscall.ENOSPC)
+		}
+		_, err := f.WriteAt(frame, offset)
+		return err
+	}))
+	assert.NilError(t, j.SetIncarnation("a"))
+	assert.NilError(t, j.Save(raft.Ready{Entries: newEntries(1, 2)}))
+	full = true
+	for range 3 {
+		assert.Assert(t, errors.Is(j.Save(raft.Ready{Entries: newEntries(3, 50)}), journaler.KindNoRoom))
+		assert.Assert(t, errors.Is(j.Rotate(raft.HardState{Term: 4}, &raft.Snapshot{Index: 2}, nil), journaler.KindNoRoom))
+	}
+	full = false
+	assert.NilError(t, j.Save(raft.Ready{Entries: newEntries(3, 1)}), "shorter than what was refused")
+	assert.NilError(t, j.Close())
+	reopened := openJournal(t, dir)
+	assert.Equal(t, len(reopened.Loaded().Entries), 3)
+	assert.Equal(t, reopened.Loaded().Incarnation, "a")
+	assert.NilError(t, reopened.Rotate(raft.HardState{Term: 4}, &raft.Snapshot{Index: 3}, newEntries(4, 1)))
+	assert.NilError(t, reopened.Close())
+	rotated := openJournal(t, dir)
+	assert.Equal(t, rotated.Loaded().Snapshot.Index, uint64(3))
+	assert.NilError(t, rotated.Close())
+}
--- a/internal/replicator/loop.go
+++ b/internal/replicator/loop.go
@@ -1,12 +1,14 @@
 package replicator
 
 import (
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/sapphiresail/sapphiresail/internal/event"
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/journaler"
 	"github.com/sapphiresail/sapphiresail/internal/raft"
 	"github.com/sapphiresail/sapphiresail/internal/state"
 )
@@ -140,7 +142,7 @@
 		ready := r.raft.Ready()
 		r.sendAll(ready.Immediate)
 		if r.options.Journal != nil {
-			if err := r.options.Journal.Save(ready); err != nil {
+			if err := r.save(ready); err != nil {
 				return err
 			}
 		}
@@ -155,6 +157,31 @@
 	return nil
 }
 
+// save writes the records of a Ready to the journal. While the disk is full it waits for room: nothing is acknowledged meanwhile, a leader
+// loses its lease, and the others go on.
+func (r *Replicator) save(ready raft.Ready) error {
+	err := r.options.Journal.Save(ready)
+	if !errors.Is(err, journaler.KindNoRoom) {
+		return err
+	}
+	since := r.clock()
+	event.JournalFull.Error(r.options.Logger, zap.Error(err))
+	ticker := time.NewTicker(fullDiskRetryInterval)
+	defer ticker.Stop()
+	for errors.Is(err, journaler.KindNoRoom) {
+		select {
+		case <-r.ctx.Done():
+			return err
+		case <-ticker.C:
+		}
+		err = r.options.Journal.Save(ready)
+	}
+	if err == nil {
+		event.JournalWritable.Info(r.options.Logger, zap.Duration("after", r.clock()-since))
+	}
+	return err
+}
+
 func (r *Replicator) sendAll(messages []raft.Message) {
 	for _, m := range messages {
 		r.options.Messenger.Send(EntryOf(m.To), topicRaft, m)
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -60,6 +60,7 @@
 	maxJournalBytes        = 16 << 20
 	maxProposeAttempts     = 40
 	proposeRetryInterval   = 50 * time.Millisecond
+	fullDiskRetryInterval  = 200 * time.Millisecond // shorter than an election, so that a short shortage costs little
 )
 
 // Options configure a replicator.
