Tell a run that stands still by the clock of its instance

Cause: progress was dated by the arrival of reports. Now both times are on the clock of the instance, which each report carries.

--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -95,11 +95,12 @@
 	// startOutcomeAt is when the outcome of the start became known, by its response or by the first report that lists the run.
 	startOutcomeAt time.Duration
 	// stopping is set once a stop was sent; stopSentAt and stopAckedAt are when the last one was sent and accepted.
-	stopping        bool
-	stopSentAt      time.Duration
-	stopAckedAt     time.Duration
-	checkpoint      string
-	percent         int
+	stopping    bool
+	stopSentAt  time.Duration
+	stopAckedAt time.Duration
+	checkpoint  string
+	percent     int
+	// progressedAt is the clock of the instance in the first report with the current percent.
 	progressedAt    time.Duration
 	tailMillis      int
 	throttlePercent int
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -31,7 +31,6 @@
 	r.status = statusOrdered
 	r.claim = j.step(r.task.Position).Claim()
 	r.orderedAt = s.now
-	r.progressedAt = s.now
 	r.throttlePercent = 100
 	s.attachRun(in, r)
 	s.orders = append(s.orders, Order{
@@ -77,7 +76,6 @@
 		r.startOutcomeAt = s.now
 		if r.status != statusRunning {
 			r.status = statusRunning
-			r.progressedAt = s.now
 		}
 	case Rejected:
 		s.logRunDecision("run rejected", r, in, outcome.String())
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -280,8 +280,7 @@
 	}
 }
 
-// stopStalledRuns stops runs that make no progress, so that their tasks run elsewhere. Only a later reading of the clock of
-// an instance can show that a run stands still.
+// stopStalledRuns stops runs that make no progress, so that their tasks run elsewhere. Only a later report can show that a run stands still.
 func (s *Scheduler) stopStalledRuns() {
 	for _, in := range s.instances.sorted {
 		if in.failedPolls > 0 || !in.polled || in.stallsCheckedAt == in.clockReadAt {
@@ -289,7 +288,7 @@
 		}
 		in.stallsCheckedAt = in.clockReadAt
 		for _, r := range in.runs {
-			if r.stalled(in.clockReadAt) {
+			if r.stalled(in.reportedAt) {
 				in.recentFailures++
 				s.stopRun(in, r, "stands still")
 			}
@@ -297,14 +296,15 @@
 	}
 }
 
-// stalled reports whether polls up to polledAt have shown no progress within the stall timeout.
-func (r *run) stalled(polledAt time.Duration) bool {
+// stalled reports whether the reports up to reportedAt have shown no progress within the stall timeout. Both times are on the clock of the
+// instance: a report that was long on its way says nothing about the time since.
+func (r *run) stalled(reportedAt time.Duration) bool {
 	step := r.job.step(r.task.Position)
 	if r.status != statusRunning || r.stopping || !r.reported || r.percent >= 100 || step.Gang || step.BestEffort {
 		return false
 	}
 	if step.Service {
-		return polledAt-r.progressedAt > serviceStallTimeout
+		return reportedAt-r.progressedAt > serviceStallTimeout
 	}
-	return polledAt-r.progressedAt > stallTimeout
+	return reportedAt-r.progressedAt > stallTimeout
 }
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -307,7 +307,7 @@
 		r.checkpoint = reported.Checkpoint
 	}
 	if reported.Percent != r.percent || !r.reported {
-		r.progressedAt = s.now
+		r.progressedAt = in.reportedAt
 		r.reported = true
 	}
 	r.percent = reported.Percent
@@ -326,7 +326,7 @@
 		needed := !j.finished && !t.done && t.run == nil
 		r := &run{
 			task: reported.Task, number: reported.Run, job: j, status: statusRunning, claim: j.step(reported.Task.Position).Claim(),
-			orderedAt: s.now, startOutcomeAt: s.now, progressedAt: s.now, throttlePercent: throttleUnset,
+			orderedAt: s.now, startOutcomeAt: s.now, throttlePercent: throttleUnset,
 		}
 		s.attachRun(in, r)
 		s.logRunDecision("run adopted", r, in, "listed by the instance")
