Ask for the leader lease again when a machine order is written

Cause: the lease was checked when the order was made; a process that was suspended while it connected to the platform sent it afterwards. The body of the request asks before it is read, after the connection is there; without its body the platform has no order. Failed with the check taken out: TestMachineOrderNeedsPermissionWhenItIsWritten. A suspension between this check and the write remains.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -135,7 +135,10 @@
 		return err
 	}
 	p.closers = append(p.closers, p.replicator)
-	client := platform.NewClient(p.settings.PlatformAddress, p.settings.PolicyAddress)
+	client := platform.NewClient(p.settings.PlatformAddress, p.settings.PolicyAddress, platform.WithMachinePermission(func(fence uint64) bool {
+		term, leads := p.replicator.Leads()
+		return leads && term == fence
+	}))
 	p.closers = append(p.closers, client)
 	carrier := courier.StartCarrier(courier.CarrierOptions{
 		Transport: p.messenger, Instances: client, DataCentre: p.settings.DataCentre, Term: func() uint64 { return p.replicator.Status().Term }, Clock: bootclock.Now, Metrics: registry,
