--- a/internal/supervisor/poll_pacer_simulation_test.go
+++ b/internal/supervisor/poll_pacer_simulation_test.go
@@ -45,6 +45,8 @@
 
 	polls          int
 	longestControl time.Duration
+	// overload is the load in [overloadFrom, overloadUntil), as a multiple of the usual one.
+	overload float64
 	startWaits     []time.Duration
 }
 
@@ -284,7 +286,7 @@
 	})
 }
 
-// arrive submits jobs of eight tasks to a pool at a rate in tasks a second.
+// arrive submits jobs of eight tasks to a pool at a rate in tasks a second, times the load.
 func (s *simulation) arrive(pool int, rate float64) {
 	const width = 8
 	arrival := s.now
@@ -294,13 +296,26 @@
 		}
 		s.planSoon()
 	})
-	s.after(time.Duration(width/rate*float64(time.Second)*2*s.random.Float64()), func() { s.arrive(pool, rate) })
+	s.after(time.Duration(width/(rate*s.load())*float64(time.Second)*2*s.random.Float64()), func() { s.arrive(pool, rate) })
+}
+
+const (
+	overloadFrom  = 4 * time.Second
+	overloadUntil = 7 * time.Second
+)
+
+// load returns the demand now as a multiple of the usual one.
+func (s *simulation) load() float64 {
+	if s.overload > 0 && s.now >= overloadFrom && s.now < overloadUntil {
+		return s.overload
+	}
+	return 1
 }
 
 // simulateTurn simulates a leader of 349 instances in five pools in a turn: one pool has four times the demand of the others.
-func simulateTurn(limits pollLimits) *simulation {
+func simulateTurn(limits pollLimits, overload float64) *simulation {
 	const instances, pools, duration = 349, 5, 10 * time.Second
-	s := &simulation{random: rand.New(rand.NewPCG(1, 2)), pacer: pollPacer{limits: limits}, waiting: map[int][]time.Duration{}}
+	s := &simulation{random: rand.New(rand.NewPCG(1, 2)), pacer: pollPacer{limits: limits}, waiting: map[int][]time.Duration{}, overload: overload}
 	for i := range instances {
 		in := &simulatedInstance{pool: i % pools, freeSince: make([]time.Duration, simulatedSlots)}
 		s.instances = append(s.instances, in)
@@ -331,8 +346,8 @@
 // until its lease ends. Load pattern: 349 instances in a turn, 890 tasks of one second and 111 jobs a second, on a leader with a quarter of
 // a processor.
 func TestTurnOfManyInstancesDoesNotHoldUpControl(t *testing.T) {
-	unpaced := simulateTurn(pollLimits{minInterval: 80 * time.Millisecond, maxInterval: 80 * time.Millisecond})
-	paced := simulateTurn(defaultPollLimits)
+	unpaced := simulateTurn(pollLimits{minInterval: 80 * time.Millisecond, maxInterval: 80 * time.Millisecond}, 1)
+	paced := simulateTurn(defaultPollLimits, 1)
 	for name, s := range map[string]*simulation{"unpaced": unpaced, "paced": paced} {
 		t.Logf("%s: %d polls, control waits %v at most, %d starts wait %v on average, loop delay %v", name, s.polls, s.longestControl, len(s.startWaits), s.meanStartWait(), s.pacer.loopDelay.value)
 	}
@@ -340,3 +355,14 @@
 	assert.Assert(t, paced.longestControl < electionBound)
 	assert.Assert(t, paced.meanStartWait() < unpaced.meanStartWait())
 }
+
+// TestOverloadedLeaderKeepsItsLease guards against a burst that costs the leadership: heartbeats and commits must not wait as long as an
+// election, whatever the callers ask. Load pattern: the turn above, for three seconds with two and with four times its demand, and then
+// as before.
+func TestOverloadedLeaderKeepsItsLease(t *testing.T) {
+	for _, overload := range []float64{2, 4} {
+		s := simulateTurn(defaultPollLimits, overload)
+		t.Logf("%g times the demand: %d polls, control waits %v at most, %d starts wait %v on average", overload, s.polls, s.longestControl, len(s.startWaits), s.meanStartWait())
+		assert.Check(t, s.longestControl < electionBound, "%g times the demand: heartbeats and commits wait %v", overload, s.longestControl)
+	}
+}
