--- a/internal/supervisor/poll_pacer_simulation_test.go
+++ b/internal/supervisor/poll_pacer_simulation_test.go
@@ -46,8 +46,8 @@
 	polls          int
 	longestControl time.Duration
 	// overload is the load in [overloadFrom, overloadUntil), as a multiple of the usual one.
-	overload float64
-	startWaits     []time.Duration
+	overload   float64
+	startWaits []time.Duration
 }
 
 // simulatedInstance has slots for tasks; ends count up, and a response returns at once while some are not acknowledged.
