--- a/internal/process/announcements.go
+++ b/internal/process/announcements.go
@@ -14,10 +14,10 @@
 // maxFollowerLag is how many entries a keeper may lack to count as following; those that are down soon lack more.
 const maxFollowerLag = 2048
 
-// acknowledgesAnnouncement reports whether this keeper may acknowledge an announcement by itself: the committed state, of which it
-// holds a leased copy, says all that the announcement says. The leader learns nothing new from it, and learns from its own
+// saysNothingNew reports whether the committed state, of which this keeper holds a leased copy, says all that an announcement says, so
+// that this keeper may acknowledge it by itself. The leader learns nothing new from it, and learns from its own
 // polls whether the instance responds.
-func (p *Process) acknowledgesAnnouncement(announced *workload.Instance) bool {
+func (p *Process) saysNothingNew(announced *workload.Instance) bool {
 	if announced.Draining || !p.replicator.LeaseValid() {
 		return false
 	}
@@ -64,7 +64,7 @@
 
 // acknowledgeAnnouncement answers an announcement that says nothing new; ok is false for any other.
 func (p *Process) acknowledgeAnnouncement(announced *workload.Instance) (response forwarder.Response, ok bool) {
-	if !p.acknowledgesAnnouncement(announced) {
+	if !p.saysNothingNew(announced) {
 		return forwarder.Response{}, false
 	}
 	return forwarder.Response{Outcome: forwarder.Done, AnnounceTo: p.announcementKeeper(announced.ID)}, true
--- a/internal/scheduler/machine_rate.go
+++ b/internal/scheduler/machine_rate.go
@@ -4,14 +4,14 @@
 
 // Shares of the rate at which the platform accepts machine orders.
 const (
-	defaultMachineOrderRate = 32.0 // orders a second, for a platform that states no rate
-	sustainedShare          = 0.8  // the rest is for repeated orders of earlier leaders
-	burstShare              = 0.15 // with sustainedShare less than a second's orders in any second
-	throttleRecoveryShare   = 0.2  // of the rate that returns each second after the platform has throttled
-	minRateShare            = 0.1  // of the rate that is left however often the platform throttles
-	unansweredMoveWindow    = 300 * time.Millisecond
-	minUnansweredMoves      = 8
-	maintenanceDebt         = 1.0 // seconds of the rate that maintenance may use in advance
+	defaultMachineOrderRate = 32.0                   // orders a second, for a platform that states no rate
+	sustainedShare          = 0.8                    // the rest is for repeated orders of earlier leaders
+	burstShare              = 0.15                   // with sustainedShare less than a second's orders in any second
+	throttleRecoveryShare   = 0.2                    // of the rate that returns each second after the platform has throttled
+	minRateShare            = 0.1                    // of the rate that is left however often the platform throttles
+	unansweredMoveWindow    = 300 * time.Millisecond // the platform answers within tens of milliseconds
+	minUnansweredMoves      = 8                      // while the platform throttles
+	maintenanceDebt         = 1.0                    // seconds of the rate that maintenance may use in advance
 )
 
 // machineBudget limits machine orders to what the platform accepts from all keepers together. Maintenance is ordered in waves with
