Ask for the lease before the leader itself writes to an instance of a lost carrier

Cause, found by reading: an exchange waits until the permission of a lost carrier is over, up to 0.7 s, and was then sent by the leader without another look at its own lease. Failed before: TestLeaderThatWaitedForCarrierNeedsItsLease.

--- a/internal/courier/dispatcher.go
+++ b/internal/courier/dispatcher.go
@@ -89,6 +89,9 @@
 	}
 	defer release()
 	if l == nil {
+		if !d.leads(o.Fence) {
+			return scheduler.Unsent, &Error{Op: "send", Kind: KindNotPermitted}
+		}
 		return d.options.Direct.Order(ctx, o)
 	}
 	r := d.exchange(ctx, l, exchange{Order: &o}, o.Timeout)
@@ -103,6 +106,9 @@
 	}
 	defer release()
 	if l == nil {
+		if !d.leads(request.Fence) {
+			return scheduler.StatusReport{}, scheduler.Unsent, &Error{Op: "send", Kind: KindNotPermitted}
+		}
 		return d.options.Direct.Poll(ctx, request)
 	}
 	r := d.exchange(ctx, l, exchange{Poll: &request}, request.Timeout)
@@ -112,6 +118,12 @@
 	return *r.Report, r.Outcome, r.err()
 }
 
+// leads reports whether this process leads the term of a fence under a valid lease, after it may have waited for a carrier.
+func (d *Dispatcher) leads(fence uint64) bool {
+	term, ok := d.options.Leads()
+	return ok && term == fence
+}
+
 func (r result) err() error {
 	if r.Failure == "" {
 		return nil
