--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -106,6 +106,8 @@
 	throttlePercent int
 	// reported is set once the instance has listed the run.
 	reported bool
+	// listedAt is the clock of the instance in the first report that listed the run.
+	listedAt time.Duration
 	// account includes the run's claim; it is nil for service tasks.
 	account *account
 }
@@ -150,7 +152,7 @@
 // replaceBoot replaces an instance by a later boot under the same ID. While it is unknown what earlier leaders started on the
 // instance, the later boot may have executed their orders, which name no boot.
 func (s *Scheduler) replaceBoot(in *instance, later workload.Instance) *instance {
-	s.dropRuns(in, "instance restarted")
+	s.dropRuns(in, "instance restarted", in.lossByLaterBoot())
 	s.cancelEnrolment(in)
 	replacement := s.addInstance(later)
 	replacement.inherited, replacement.cordonIndex = in.inherited, in.cordonIndex
@@ -169,7 +171,7 @@
 			return true
 		}
 		if other.ID != announced.ID && other.Boot < announced.Boot {
-			s.removeInstance(other, "address or machine taken by a later boot")
+			s.removeInstance(other, "address or machine taken by a later boot", other.lossByLaterBoot())
 		}
 	}
 	return false
@@ -232,21 +234,14 @@
 }
 
 // removeInstance deletes an instance that certainly runs nothing any more, and reports its remaining runs as lost.
-func (s *Scheduler) removeInstance(in *instance, reason string) {
-	s.dropRuns(in, reason)
+func (s *Scheduler) removeInstance(in *instance, reason string, cause loss) {
+	s.dropRuns(in, reason, cause)
 	s.cancelEnrolment(in)
 	s.instances.remove(in.ID)
 	delete(s.unreconciled, in.ID)
 	s.deregistrations = append(s.deregistrations, in.ID)
 }
 
-func (s *Scheduler) dropRuns(in *instance, reason string) {
-	for _, r := range in.runs {
-		s.logRunDecision("run lost", r, in, reason)
-		s.detachRun(in, r)
-	}
-}
-
 func (s *Scheduler) attachRun(in *instance, r *run) {
 	if in.runs[r.task] == nil {
 		in.count(r, 1)
@@ -328,7 +323,7 @@
 		if in.failedPolls == 0 && in.polled || s.now < s.leasesExpiredAt(in) {
 			continue
 		}
-		s.dropRuns(in, "lease outlived")
+		s.dropRuns(in, "lease outlived", lossSilent)
 		delete(s.unreconciled, in.ID)
 		if in.failedPolls > 0 && s.endsCommitted(in) {
 			s.deregister(in)
@@ -336,7 +331,7 @@
 		in.polled = false
 		in.inherited = false
 		if in.departed || s.now-max(in.announcedAt, in.clockReadAt) > silentInstanceRetention {
-			s.removeInstance(in, "gone")
+			s.removeInstance(in, "gone", lossSilent)
 		}
 	}
 }
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -50,7 +50,7 @@
 		return
 	}
 	if outcome == Mismatched {
-		s.removeInstance(in, "another boot of the instance answered")
+		s.removeInstance(in, "another boot of the instance answered", in.lossByLaterBoot())
 		return
 	}
 	r := in.runs[order.Task]
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -306,6 +306,9 @@
 	if reported.Checkpoint != "" {
 		r.checkpoint = reported.Checkpoint
 	}
+	if !r.reported {
+		r.listedAt = in.reportedAt
+	}
 	if reported.Percent != r.percent || !r.reported {
 		r.progressedAt = in.reportedAt
 		r.reported = true
@@ -362,7 +365,7 @@
 		}
 		ended := r.status == statusRunning && r.startOutcomeAt < sentAt || r.stopAckedAt > 0 && r.stopAckedAt < sentAt
 		if ended {
-			s.logRunDecision("run lost", r, in, "not listed")
+			s.logRunDecision("run lost", r, in, "not listed"+s.describeAge(in, r))
 			s.detachRun(in, r)
 		}
 	}
@@ -381,6 +384,6 @@
 	case outcome == Fenced:
 		s.superseded = true
 	case outcome == Mismatched, outcome == Refused && in.departed:
-		s.removeInstance(in, outcome.String())
+		s.removeInstance(in, outcome.String(), in.lossByLaterBoot())
 	}
 }
