--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
 	"github.com/sapphiresail/sapphiresail/internal/scheduler"
+	"github.com/sapphiresail/sapphiresail/internal/state"
 	"github.com/sapphiresail/sapphiresail/internal/workload"
 )
 
@@ -24,30 +27,44 @@
 	handled  int
 	boots    int
 	downTime time.Duration
-	returns  []returningMachine
+	// crashAge is the age of a run of a deadly task at the crash.
+	crashAge time.Duration
+	dying    []dyingInstance
+	returns  []returningBoot
 	starts   map[workload.TaskID]int
 	crashes  int
 	// lost counts the runs of other tasks that ended in crashes.
 	lost int
 }
 
-type returningMachine struct {
+type dyingInstance struct {
+	at    time.Duration
+	order scheduler.Order
+}
+
+type returningBoot struct {
 	at      time.Duration
-	machine string
-	pool    fleet.PoolID
+	address string
 }
 
-func newCrashingFleet(t *testing.T, instances int, pool fleet.PoolID) *crashingFleet {
+func newCrashingFleet(t *testing.T, instances int) *crashingFleet {
 	f := &crashingFleet{testFleet: newTestFleet(t), deadly: map[workload.TaskID]bool{}, starts: map[workload.TaskID]int{}, downTime: 3 * time.Second}
 	for range instances {
-		f.boots++
-		f.addInstanceOnMachine(fmt.Sprintf("boot-%03d", f.boots), pool, fmt.Sprintf("m-%03d", f.boots))
+		f.boot(fmt.Sprintf("address-%03d", f.boots), "p")
 	}
-	f.reportedPercent = 10
 	f.advance(time.Second)
 	return f
 }
 
+// boot starts an instance at an address. It is on no machine that could be moved to another pool.
+func (f *crashingFleet) boot(address string, pool fleet.PoolID) {
+	f.boots++
+	f.enrol(workload.Instance{
+		ID: fleet.InstanceID(fmt.Sprintf("i-boot-%03d", f.boots)), Boot: f.now.Milliseconds(), Pool: pool, Address: address, Sequence: 1,
+		Capacity: workload.Resources{Processors: 64000, Memory: 131072}, Clock: time.Minute, Rack: "r1-1",
+	})
+}
+
 // addDeadly makes the first count tasks of a job deadly.
 func (f *crashingFleet) addDeadly(job workload.JobID, count int) {
 	for i := range count {
@@ -62,12 +79,27 @@
 		for ; f.handled < len(f.startOrders); f.handled++ {
 			o := f.startOrders[f.handled]
 			f.starts[o.Task]++
-			if f.deadly[o.Task] && f.runs[o.Instance] != nil {
-				f.crash(o.Instance)
+			if f.deadly[o.Task] {
+				f.dying = append(f.dying, dyingInstance{at: f.now + f.crashAge, order: o})
 			}
 		}
-		f.returnMachines()
+		f.crashDying()
+		f.returnBoots()
+	}
+}
+
+func (f *crashingFleet) crashDying() {
+	var later []dyingInstance
+	for _, d := range f.dying {
+		switch {
+		case f.runs[d.order.Instance][d.order.Task] != d.order.Run:
+		case f.now < d.at:
+			later = append(later, d)
+		default:
+			f.crash(d.order.Instance)
+		}
 	}
+	f.dying = later
 }
 
 func (f *crashingFleet) crash(id fleet.InstanceID) {
@@ -80,34 +112,247 @@
 	delete(f.runs, id)
 	delete(f.unackedEnds, id)
 	f.scheduler.HandlePollFailure(f.now, id, scheduler.Refused)
-	f.returns = append(f.returns, returningMachine{at: f.now + f.downTime, machine: f.machines[id], pool: "p"})
+	f.returns = append(f.returns, returningBoot{at: f.now + f.downTime, address: f.addresses[id]})
+}
+
+// reachable returns the instances that are up, the earliest boot first.
+func (f *crashingFleet) reachable() []fleet.InstanceID {
+	return slices.Sorted(maps.Keys(f.runs))
 }
 
-func (f *crashingFleet) returnMachines() {
-	var later []returningMachine
+// finish ends all runs of a job as done.
+func (f *crashingFleet) finish(job workload.JobID) {
+	for task, id := range f.placements(job) {
+		f.endRun(id, task, workload.EndedDone)
+	}
+	f.advance(300 * time.Millisecond)
+}
+
+func (f *crashingFleet) returnBoots() {
+	var later []returningBoot
 	for _, m := range f.returns {
 		if f.now < m.at {
 			later = append(later, m)
 			continue
 		}
-		f.boots++
-		f.addInstanceOnMachine(fmt.Sprintf("boot-%03d", f.boots), m.pool, m.machine)
+		f.boot(m.address, "p")
 	}
 	f.returns = later
 }
 
+// assertContained checks that no deadly task was started more often than the platform allows and that their jobs have failed.
+func (f *crashingFleet) assertContained() {
+	f.t.Helper()
+	for task := range f.deadly {
+		assert.Check(f.t, f.starts[task] <= maxStartsOfDeadlyTask, "%s started %d times", task, f.starts[task])
+		assert.Check(f.t, f.state.Workload.Jobs[task.Job].Failed, "job of %s has not failed", task)
+	}
+}
+
+// assertUnharmed checks that a job has not failed and runs all its tasks.
+func (f *crashingFleet) assertUnharmed(job workload.JobID, tasks int) {
+	f.t.Helper()
+	assert.Check(f.t, f.state.Workload.Jobs[job].Active(), "job %s has failed", job)
+	assert.Check(f.t, len(f.placements(job)) == tasks, "job %s runs %d of %d tasks", job, len(f.placements(job)), tasks)
+}
+
 // TestTaskThatCrashesInstancesIsGivenUp guards against a task that crashes one instance after the other, because nothing counts runs
 // that are lost with their instance (incident BUDGET).
 func TestTaskThatCrashesInstancesIsGivenUp(t *testing.T) {
-	f := newCrashingFleet(t, 6, "p")
+	f := newCrashingFleet(t, 6)
 	neighbours := f.submitJob(workload.Step{Count: 40, Resources: workload.Resources{Processors: 4000}})
 	f.play(time.Second)
 	job := f.submitJob(workload.Step{Count: 4, Resources: workload.Resources{Processors: 4000}})
 	f.addDeadly(job, 1)
 	f.play(60 * time.Second)
-	task := workload.TaskID{Job: job}
-	assert.Assert(t, f.starts[task] <= maxStartsOfDeadlyTask, "started %d times", f.starts[task])
-	assert.Assert(t, f.state.Workload.Jobs[job].Failed)
-	assert.Assert(t, f.state.Workload.Jobs[neighbours].Active())
-	assert.Equal(t, len(f.placements(neighbours)), 40)
+	f.assertContained()
+	f.assertUnharmed(neighbours, 40)
+}
+
+// TestDeadlyTasksOfEveryKindAreGivenUp guards against a kind of step, a small pool or a number of deadly tasks for which the count of crashes
+// names nobody, or names a neighbour.
+func TestDeadlyTasksOfEveryKindAreGivenUp(t *testing.T) {
+	small := workload.Resources{Processors: 2000}
+	for name, c := range map[string]struct {
+		instances, deadly int
+		step              workload.Step
+		downTime          time.Duration
+		crashAge          time.Duration
+	}{
+		"pool of two":             {2, 1, workload.Step{Count: 4, Resources: small}, 3 * time.Second, 0},
+		"ten at once":             {8, 10, workload.Step{Count: 12, Resources: small}, 3 * time.Second, 0},
+		"service":                 {6, 1, workload.Step{Count: 4, Resources: small, Service: true}, 3 * time.Second, 0},
+		"best effort":             {6, 1, workload.Step{Count: 4, Resources: small, Service: true, BestEffort: true}, 3 * time.Second, 0},
+		"gang":                    {6, 1, workload.Step{Count: 4, Resources: small, Gang: true}, 3 * time.Second, 0},
+		"away beyond the lease":   {6, 1, workload.Step{Count: 4, Resources: small}, 9 * time.Second, 0},
+		"back at once":            {6, 1, workload.Step{Count: 4, Resources: small}, 100 * time.Millisecond, 0},
+		"crash after 0.6 s":       {6, 1, workload.Step{Count: 4, Resources: small}, 3 * time.Second, 600 * time.Millisecond},
+		"crash after 2 s":         {6, 1, workload.Step{Count: 4, Resources: small}, 3 * time.Second, 2 * time.Second},
+		"one task on an instance": {6, 1, workload.Step{Count: 4, Resources: small, MaxPerInstance: 1}, 3 * time.Second, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newCrashingFleet(t, c.instances)
+			f.downTime, f.crashAge = c.downTime, c.crashAge
+			neighbours := f.submitJob(workload.Step{Count: 20, Resources: small})
+			f.play(100 * time.Millisecond)
+			job := f.submitJob(c.step)
+			f.addDeadly(job, c.deadly)
+			f.play(90 * time.Second)
+			f.assertContained()
+			f.assertUnharmed(neighbours, 20)
+		})
+	}
+}
+
+// TestDeadlyTasksOfManyJobsAreGivenUp guards against deadly tasks of several jobs that hide behind each other.
+func TestDeadlyTasksOfManyJobsAreGivenUp(t *testing.T) {
+	f := newCrashingFleet(t, 8)
+	neighbours := f.submitJob(workload.Step{Count: 40, Resources: workload.Resources{Processors: 2000}})
+	for range 5 {
+		f.addDeadly(f.submitJob(workload.Step{Count: 3, Resources: workload.Resources{Processors: 2000}}), 2)
+	}
+	f.play(90 * time.Second)
+	f.assertContained()
+	f.assertUnharmed(neighbours, 40)
+}
+
+// TestCountOfCrashesOutlivesLeader guards against a count that starts anew under each leader, or that a snapshot loses.
+func TestCountOfCrashesOutlivesLeader(t *testing.T) {
+	f := newCrashingFleet(t, 6)
+	neighbours := f.submitJob(workload.Step{Count: 40, Resources: workload.Resources{Processors: 4000}})
+	f.play(time.Second)
+	f.addDeadly(f.submitJob(workload.Step{Count: 4, Resources: workload.Resources{Processors: 4000}}), 1)
+	for f.crashes < 2 {
+		f.play(100 * time.Millisecond)
+	}
+	for range 2 {
+		f.play(4 * time.Second)
+		snapshot, err := f.state.Snapshot()
+		assert.NilError(t, err)
+		f.state, err = state.FromSnapshot(snapshot)
+		assert.NilError(t, err)
+		f.startLeader()
+	}
+	f.play(60 * time.Second)
+	f.assertContained()
+	f.assertUnharmed(neighbours, 40)
+}
+
+// TestCrashIsCommittedBeforeNextStart guards against a start that a later leader cannot count: the leader is lost after it has started the
+// task again and before the crash is committed.
+func TestCrashIsCommittedBeforeNextStart(t *testing.T) {
+	f := newCrashingFleet(t, 6)
+	f.addDeadly(f.submitJob(workload.Step{Count: 1, Resources: workload.Resources{Processors: 4000}}), 1)
+	f.play(time.Second)
+	assert.Equal(t, f.crashes, 1)
+	f.now += f.downTime
+	f.returnBoots()
+	f.scheduler.Tick(f.now, f.now.Milliseconds())
+	for _, o := range f.scheduler.TakeOrders() {
+		assert.Check(t, o.Kind != scheduler.Start, "started before the crash is committed")
+	}
+	f.play(time.Second)
+	assert.Equal(t, f.crashes, 2)
+}
+
+// TestCrashesOfOtherCausesGiveNobodyUp guards against innocent tasks that are given up, or that wait for long, because their instances crash
+// for reasons of their own, alone or a whole rack at once.
+func TestCrashesOfOtherCausesGiveNobodyUp(t *testing.T) {
+	for name, atOnce := range map[string]int{"one by one": 1, "a rack at once": 4} {
+		t.Run(name, func(t *testing.T) {
+			f := newCrashingFleet(t, 10)
+			var jobs []workload.JobID
+			for round := range 12 {
+				jobs = append(jobs, f.submitJob(workload.Step{Count: 20, Resources: workload.Resources{Processors: 2000}}))
+				f.play(200 * time.Millisecond)
+				for _, id := range f.reachable()[:atOnce] {
+					f.crash(id)
+				}
+				f.play(f.downTime + 2500*time.Millisecond)
+				for _, job := range jobs {
+					f.assertUnharmed(job, 20)
+				}
+				if round%2 == 1 {
+					f.finish(jobs[0])
+					jobs = jobs[1:]
+				}
+			}
+		})
+	}
+}
+
+// TestInstanceThatFlapsGivesNobodyUp guards against a task that is given up because it is started again and again on the one instance that
+// keeps crashing.
+func TestInstanceThatFlapsGivesNobodyUp(t *testing.T) {
+	f := newCrashingFleet(t, 4)
+	f.downTime = 500 * time.Millisecond
+	jobs := []workload.JobID{f.submitJob(workload.Step{Count: 50, Resources: workload.Resources{Processors: 4000}})}
+	for range 20 {
+		f.play(200 * time.Millisecond)
+		ids := f.reachable()
+		f.crash(ids[len(ids)-1]) // the latest boot
+		f.play(1300 * time.Millisecond)
+	}
+	f.play(5 * time.Second)
+	f.assertUnharmed(jobs[0], 50)
+}
+
+// TestSilenceIsNoCrash guards against tasks that are suspected because their instance was cut off, drained or moved.
+func TestSilenceIsNoCrash(t *testing.T) {
+	for name, end := range map[string]func(f *crashingFleet, id fleet.InstanceID){
+		"cut off": func(f *crashingFleet, id fleet.InstanceID) {
+			runs := f.runs[id]
+			delete(f.runs, id)
+			for range 80 {
+				f.play(100 * time.Millisecond)
+				f.scheduler.HandlePollFailure(f.now, id, scheduler.Refused)
+			}
+			clear(runs) // their leases have expired
+			f.runs[id] = runs
+		},
+		"drained": func(f *crashingFleet, id fleet.InstanceID) {
+			f.scheduler.HandleAnnouncement(f.now, workload.Instance{
+				ID: id, Boot: f.bootMillis[string(id)], Pool: "p", Address: f.addresses[id], Sequence: 2, Draining: true, TimeLeft: time.Second,
+			})
+			f.crash(id)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newCrashingFleet(t, 2)
+			job := f.submitJob(workload.Step{Count: 20, Resources: workload.Resources{Processors: 1000}})
+			f.advance(100 * time.Millisecond)
+			f.scheduler.TakeDecisions()
+			end(f, f.reachable()[0])
+			f.play(5 * time.Second)
+			for _, d := range f.scheduler.TakeDecisions() {
+				assert.Check(t, d.What != "task set apart" && d.What != "task given up", "%s: %s", d.What, d.Reason)
+			}
+			assert.Equal(t, len(f.state.Workload.Jobs[job].Crashes), 0)
+		})
+	}
+}
+
+// TestUndeliveredStartIsNoSuspect guards against tasks that are suspected although the instance was gone before their start arrived.
+func TestUndeliveredStartIsNoSuspect(t *testing.T) {
+	f := newCrashingFleet(t, 1)
+	delete(f.runs, "i-boot-001") // refuses orders
+	job := f.submitJob(workload.Step{Count: 1, Resources: workload.Resources{Processors: 1000}})
+	f.advance(100 * time.Millisecond)
+	f.now += 100 * time.Millisecond
+	f.boot(f.addresses["i-boot-001"], "p")
+	f.advance(time.Second)
+	assert.Equal(t, len(f.state.Workload.Jobs[job].Crashes), 0)
+	f.assertUnharmed(job, 1)
+}
+
+// TestMoveIsNoCrash guards against tasks that are suspected because the order of an earlier leader to move their machine was carried out late.
+func TestMoveIsNoCrash(t *testing.T) {
+	f := newTestFleet(t)
+	f.addInstanceOnMachine("a", "p", "m-1")
+	job := f.submitJob(workload.Step{Count: 2, Resources: workload.Resources{Processors: 1000}})
+	f.advance(100 * time.Millisecond)
+	delete(f.runs, "i-a")
+	f.addInstanceOnMachine("b", "o", "m-1")
+	f.advance(time.Second)
+	assert.Equal(t, len(f.state.Workload.Jobs[job].Crashes), 0)
 }
--- a/internal/scheduler/fleet_test.go
+++ b/internal/scheduler/fleet_test.go
@@ -33,7 +33,7 @@
 	throttleOrders  []scheduler.Order
 	bootMillis      map[string]int64
 	racks           map[fleet.InstanceID]string
-	machines        map[fleet.InstanceID]string
+	addresses       map[fleet.InstanceID]string
 }
 
 // newTestFleet returns a fleet without instances. It has queue "q" on pool "p", queue "other" on pool "o" and the standby
@@ -43,7 +43,7 @@
 		t: t, now: time.Hour, state: state.New(), runs: map[fleet.InstanceID]map[workload.TaskID]workload.Run{},
 		unackedEnds: map[fleet.InstanceID][]scheduler.ReportedEnd{}, lastEndNumbers: map[fleet.InstanceID]uint64{}, reportedPercent: 100,
 		tailMillis: map[workload.TaskID]int{}, bootMillis: map[string]int64{},
-		racks: map[fleet.InstanceID]string{}, machines: map[fleet.InstanceID]string{},
+		racks: map[fleet.InstanceID]string{}, addresses: map[fleet.InstanceID]string{},
 	}
 	f.commit(state.PublishCatalogue{Source: []byte("x"), Catalogue: workload.Catalogue{
 		Version: 1,
@@ -87,8 +87,12 @@
 		ID: fleet.InstanceID("i-" + name), Boot: f.now.Milliseconds(), Pool: pool, Address: name, Machine: machine, Sequence: 1,
 		Capacity: workload.Resources{Processors: 64000, Memory: 131072}, Clock: time.Minute, Rack: rack,
 	}
-	f.racks[in.ID] = rack
-	f.machines[in.ID] = machine
+	return f.enrol(in)
+}
+
+func (f *testFleet) enrol(in workload.Instance) fleet.InstanceID {
+	f.racks[in.ID] = in.Rack
+	f.addresses[in.ID] = in.Address
 	assert.Assert(f.t, f.scheduler.HandleAnnouncement(f.now, in))
 	f.commit(state.EnrolInstance{Instance: in})
 	f.scheduler.ConfirmEnrolled(in.ID)
@@ -134,7 +138,7 @@
 		}
 		f.machineOrders = append(f.machineOrders, f.scheduler.TakeMachineOrders()...)
 		if ends, failed, batch := f.scheduler.TakeEnds(); batch > 0 {
-			f.commit(state.RecordRunEnds{Ends: ends, Failed: failed, At: state.Timestamp(f.now.Milliseconds())})
+			f.commit(state.RecordRunEnds{Ends: ends, Failed: failed, Crashes: f.scheduler.TakeCrashes(), At: state.Timestamp(f.now.Milliseconds())})
 			f.scheduler.ConfirmEnds(batch)
 		}
 		for _, id := range f.scheduler.TakeDeregistrations() {
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -35,9 +35,11 @@
 	// maxDeadlineSent is the latest lease deadline in any order or poll sent to the instance.
 	maxDeadlineSent time.Duration
 	failedPolls     int
-	runs            map[workload.TaskID]*run
-	serviceRuns     int
-	claimed         workload.Resources
+	// failingSince is when the first poll failed since the last report, zero if none has.
+	failingSince time.Duration
+	runs         map[workload.TaskID]*run
+	serviceRuns  int
+	claimed      workload.Resources
 	// capacity is that of the pool if the instance is schedulable in the current planning run, else nil.
 	capacity *poolCapacity
 	// lastEndNumber is the highest end number that was processed, ackedEnd the highest that is acknowledged.
@@ -60,6 +62,11 @@
 	uncordoning bool
 	// hasOrphans is set while the instance lists runs whose claim is unknown.
 	hasOrphans bool
+	// suspectRuns and loneSuspectRuns are the numbers of runs on probation, and of those that must not share an instance.
+	suspectRuns, loneSuspectRuns int
+	// expiredRuns are the runs that were dropped when the instance fell silent. They count as crashed if a later boot shows that
+	// the instance has crashed.
+	expiredRuns []crashedRun
 }
 
 // pendingEnd is a reported end that is acknowledged once its batch is committed.
@@ -108,6 +115,10 @@
 	reported bool
 	// listedAt is the clock of the instance in the first report that listed the run.
 	listedAt time.Duration
+	// undelivered is set if the instance refused the connection of the start order.
+	undelivered bool
+	// suspicion is that of the task while the run is on probation.
+	suspicion suspicion
 	// account includes the run's claim; it is nil for service tasks.
 	account *account
 }
@@ -152,7 +163,7 @@
 // replaceBoot replaces an instance by a later boot under the same ID. While it is unknown what earlier leaders started on the
 // instance, the later boot may have executed their orders, which name no boot.
 func (s *Scheduler) replaceBoot(in *instance, later workload.Instance) *instance {
-	s.dropRuns(in, "instance restarted", in.lossByLaterBoot())
+	s.dropRuns(in, "instance restarted", in.lossByLaterBoot(later))
 	s.cancelEnrolment(in)
 	replacement := s.addInstance(later)
 	replacement.inherited, replacement.cordonIndex = in.inherited, in.cordonIndex
@@ -171,7 +182,7 @@
 			return true
 		}
 		if other.ID != announced.ID && other.Boot < announced.Boot {
-			s.removeInstance(other, "address or machine taken by a later boot", other.lossByLaterBoot())
+			s.removeInstance(other, "address or machine taken by a later boot", other.lossByLaterBoot(announced))
 		}
 	}
 	return false
@@ -259,6 +270,7 @@
 			r.job.stage(r.task.Position).waiting--
 		}
 	}
+	s.beginProbation(in, r)
 }
 
 // detachRun removes a run that has certainly ended. Its task waits for placement again unless it is done.
@@ -281,6 +293,7 @@
 		}
 	}
 	r.job.runCount--
+	in.endProbation(r)
 	if r.checkpoint != "" {
 		s.storeCheckpoint(r)
 	}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -62,6 +62,8 @@
 	waiting int
 	// runCounts is the number of runs on each instance that has some.
 	runCounts map[*instance]int
+	// suspects is the number of suspected tasks; a gang counts as one.
+	suspects int
 }
 
 // task is one task of a stage.
@@ -74,6 +76,9 @@
 	failedRuns   []workload.Run
 	// waitingSince is zero unless ExplainWaiting found the task waiting.
 	waitingSince time.Duration
+	crashes      state.CrashCount
+	// heldFor is the batch that must be committed before the task is started again.
+	heldFor uint64
 }
 
 func (j *job) step(p workload.Position) *workload.Step { return &j.Steps[p.Step()] }
@@ -118,7 +123,12 @@
 			j.task(p).failedRuns = append(j.task(p).failedRuns, runs...)
 		}
 	}
-	j.started = len(record.Completed) > 0 || len(record.FailedRuns) > 0
+	for p, count := range record.Crashes {
+		if j.hasTask(p) {
+			s.setCrashes(j, p, count)
+		}
+	}
+	j.started = len(record.Completed) > 0 || len(record.Crashes) > 0 || len(record.FailedRuns) > 0
 	if !record.Active() {
 		s.markFinished(j)
 	} else {
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/sapphiresail/sapphiresail/internal/workload"
 )
 
 // stopRun orders a run to stop. Its claim is released when its end is reported, or by a poll after the stop was accepted.
@@ -50,7 +52,7 @@
 		return
 	}
 	if outcome == Mismatched {
-		s.removeInstance(in, "another boot of the instance answered", in.lossByLaterBoot())
+		s.removeInstance(in, "another boot of the instance answered", in.lossByLaterBoot(workload.Instance{}))
 		return
 	}
 	r := in.runs[order.Task]
@@ -77,6 +79,9 @@
 		if r.status != statusRunning {
 			r.status = statusRunning
 		}
+		if r.suspicion != unsuspected {
+			s.pollNow(in)
+		}
 	case Rejected:
 		s.logRunDecision("run rejected", r, in, outcome.String())
 		r.job.dropTicket(r.task.Position, in)
@@ -96,6 +101,7 @@
 		s.detachRun(in, r)
 	default:
 		s.logRunDecision("run uncertain", r, in, outcome.String())
+		r.undelivered = outcome == Refused
 		if r.status == statusOrdered {
 			r.status = statusUncertain
 			r.startOutcomeAt = s.now
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -19,6 +19,8 @@
 	lateClaims workload.Resources
 	// full holds claims that fit on no instance. The free capacity only shrinks while tasks are placed.
 	full []workload.Resources
+	// probations is the number of instances with runs on probation.
+	probations int
 }
 
 type poolCapacities map[fleet.PoolID]*poolCapacity
@@ -56,10 +58,12 @@
 	lists := s.candidates()
 	s.weighCustomers(lists, pools)
 	s.promoteLate(lists)
+	s.probeSuspects()
 	s.unreconciledCapacity = workload.Resources{}
 	for id := range s.unreconciled {
 		s.unreconciledCapacity = s.unreconciledCapacity.Add(s.instances.byID[id].Capacity)
 	}
+	s.placeSuspects(lists)
 	for _, list := range lists {
 		for len(list) > 0 {
 			n := equalRankPrefix(list)
@@ -100,7 +104,9 @@
 	}
 	pool := c.job.account.capacity
 	if c.stage.step.Gang {
-		s.placeGang(c, s.advisedInstances(c, pool.instances))
+		if c.stage.suspects == 0 {
+			s.placeGang(c, s.advisedInstances(c, pool.instances))
+		}
 	} else if !s.placeTasks(c, pool) && c.class == classService {
 		s.demandOf(c.job.pool).unplacedAt = s.now
 		pool.instances = withoutReserved(c, pool.instances)
@@ -143,6 +149,9 @@
 		pool := pools.of(in.Pool)
 		in.capacity = pool
 		pool.instances = append(pool.instances, in)
+		if in.suspectRuns > 0 {
+			pool.probations++
+		}
 		pool.total = pool.total.Add(in.Capacity)
 	}
 	return pools
@@ -154,7 +163,7 @@
 	instances := s.advisedInstances(c, pool.instances)
 	for i := range c.stage.tasks {
 		t := &c.stage.tasks[i]
-		if t.done || t.run != nil {
+		if t.done || t.run != nil || t.suspicion() != unsuspected {
 			continue
 		}
 		if !s.withinLimit(c.job, c.stage.step.Resources) {
@@ -210,8 +219,12 @@
 // admits reports whether a task of the stage may start on the instance.
 func (in *instance) admits(st *stage) bool { return in.free().Fits(st.claim) && in.accepts(st) }
 
-// accepts reports whether a task of the stage may start on the instance if it has the capacity.
-func (in *instance) accepts(st *stage) bool {
+// accepts reports whether a task of the stage may start on the instance if it has the capacity. Nothing starts beside a suspect on
+// probation, so that a crash has few suspects.
+func (in *instance) accepts(st *stage) bool { return in.suspectRuns == 0 && in.suits(st) }
+
+// suits reports whether the instance is of the kind that the stage asks for and has fewer tasks of it than the step allows.
+func (in *instance) suits(st *stage) bool {
 	step := st.step
 	if step.BestEffort && in.Capacity.Processors < step.Resources.Processors {
 		return false
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -151,12 +151,14 @@
 	in.reportedAt = report.Clock
 	in.clockReadAt = cmp.Or(report.ReceivedAt, now)
 	in.clock = report.Clock
-	in.failedPolls = 0
+	in.failedPolls, in.failingSince = 0, 0
 	firstReport := !in.polled
 	in.polled = true
+	in.expiredRuns = nil
 	s.handleEnds(in, report.Ended)
 	s.handleRuns(in, report.Running)
 	s.dropUnlistedRuns(in, report, sentAt)
+	s.settleRuns(in)
 	if firstReport {
 		in.inherited = false
 		delete(s.unreconciled, id)
@@ -379,11 +381,12 @@
 		return
 	}
 	in.failedPolls++
+	in.failingSince = cmp.Or(in.failingSince, now)
 	s.cordon(in)
 	switch {
 	case outcome == Fenced:
 		s.superseded = true
 	case outcome == Mismatched, outcome == Refused && in.departed:
-		s.removeInstance(in, outcome.String(), in.lossByLaterBoot())
+		s.removeInstance(in, outcome.String(), in.lossByLaterBoot(workload.Instance{}))
 	}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -130,6 +130,7 @@
 	runCounter      uint64
 	orders          []Order
 	ends            []state.RunEnd
+	crashes         []state.TaskCrashes
 	failedJobs      []workload.JobID
 	completedJobs   []CompletedJob
 	deregistrations []fleet.InstanceID
@@ -163,6 +164,7 @@
 	refusedMoves    map[refusedMove]bool
 	// batchWorkSeen is set by the first job with a batch step; until then the demand is unknown.
 	batchWorkSeen    bool
+	probations       []probation
 	movesPlannedAt   time.Duration
 	machinesListedAt time.Duration
 }
@@ -253,7 +255,7 @@
 // TakeEnds returns the ends and failed jobs to commit and the number of their batch, for ConfirmEnds. The number is zero
 // when there are none.
 func (s *Scheduler) TakeEnds() (ends []state.RunEnd, failed []workload.JobID, batch uint64) {
-	if len(s.ends) == 0 && len(s.failedJobs) == 0 {
+	if len(s.ends) == 0 && len(s.failedJobs) == 0 && len(s.crashes) == 0 {
 		return nil, nil, 0
 	}
 	ends, failed = s.ends, s.failedJobs
@@ -262,6 +264,13 @@
 	return ends, failed, s.lastBatch
 }
 
+// TakeCrashes returns the counts of crashes to commit with the batch that TakeEnds returned last.
+func (s *Scheduler) TakeCrashes() []state.TaskCrashes {
+	list := s.crashes
+	s.crashes = nil
+	return list
+}
+
 // CompletedJob is a job whose last end is in the batch that TakeEnds returned last.
 type CompletedJob struct {
 	Job workload.JobID
--- a/internal/scheduler/waiting.go
+++ b/internal/scheduler/waiting.go
@@ -156,12 +156,13 @@
 		Task: workload.TaskID{Job: j.ID, Position: p}, Class: s.classOf(j, c.stage).String(), Waited: s.now - w.since, Inherited: j.inherited, Tasks: w.tasks,
 		Pool: j.pool, Free: pool.free, Total: pool.total,
 	}
-	explained.Reason = s.reasonForWaiting(c, j.task(p), pool)
+	explained.Reason = s.reasonForWaiting(c, p, pool)
 	return explained
 }
 
 // reasonForWaiting returns what holds a task of a stage, in the order in which the scheduler checks it.
-func (s *Scheduler) reasonForWaiting(c candidate, t *task, pool poolSummary) string {
+func (s *Scheduler) reasonForWaiting(c candidate, p workload.Position, pool poolSummary) string {
+	t := c.job.task(p)
 	step := &c.job.Steps[c.stage.stepIndex]
 	if t.run != nil {
 		return s.describeRun(t)
@@ -187,6 +188,9 @@
 		}
 		return reason
 	}
+	if suspect := c.job.suspectAt(p); suspect.suspicion() != unsuspected {
+		return fmt.Sprintf("set apart: %s; of %d schedulable instances none has room and no young runs", describeCrashes(suspect.crashes), len(pool.schedulable))
+	}
 	return s.describeRoom(c, step, pool)
 }
 
--- a/internal/state/jobs.go
+++ b/internal/state/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"slices"
+	"time"
 
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
 	"github.com/sapphiresail/sapphiresail/internal/workload"
@@ -26,6 +27,18 @@
 	FinishedAt Timestamp `cbor:"10,keyasint,omitempty"`
 	// Pools are all pools that the queue had while the job was active; its runs can only be there.
 	Pools []fleet.PoolID `cbor:"11,keyasint,omitempty"`
+	// Crashes counts the crashes of instances under each task, for a gang under its first task.
+	Crashes map[workload.Position]CrashCount `cbor:"12,keyasint,omitempty"`
+}
+
+// CrashCount counts the instances that crashed while they ran a task, as long as all crashes may have come at the same age of its runs.
+type CrashCount struct {
+	Crashes int `cbor:"1,keyasint"`
+	// MinAge and MaxAge bound the age of the run at which all of them may have come.
+	MinAge time.Duration `cbor:"2,keyasint,omitempty"`
+	MaxAge time.Duration `cbor:"3,keyasint,omitempty"`
+	// Hosts are the machines of the instances, or else their addresses, each once.
+	Hosts []string `cbor:"4,keyasint,omitempty"`
 }
 
 // Complete reports whether all tasks have succeeded.
@@ -134,11 +147,19 @@
 	Failed bool            `cbor:"3,keyasint,omitempty"`
 }
 
-// RecordRunEnds records the outcomes of runs and the jobs that failed because of them.
+// RecordRunEnds records the outcomes of runs, the crashes under tasks, and the jobs that failed because of them.
 type RecordRunEnds struct {
 	Ends   []RunEnd         `cbor:"1,keyasint"`
 	Failed []workload.JobID `cbor:"2,keyasint,omitempty"`
 	At     Timestamp        `cbor:"3,keyasint"`
+	// Crashes are apart from Ends, because earlier versions take an end that is not marked as failed for a success.
+	Crashes []TaskCrashes `cbor:"4,keyasint,omitempty"`
+}
+
+// TaskCrashes is the new count of crashes under a task.
+type TaskCrashes struct {
+	Task  workload.TaskID `cbor:"1,keyasint"`
+	Count CrashCount      `cbor:"2,keyasint"`
 }
 
 func (c RecordRunEnds) apply(s *State) (Reply, error) {
@@ -157,6 +178,12 @@
 			r.FinishedAt = c.At
 		}
 	}
+	for _, crashes := range c.Crashes {
+		if r := s.Workload.Jobs[crashes.Task.Job]; r != nil {
+			r.Crashes = mapOrEmpty(r.Crashes)
+			r.Crashes[crashes.Task.Position] = crashes.Count
+		}
+	}
 	for _, id := range c.Failed {
 		if r := s.Workload.Jobs[id]; r != nil && r.Active() {
 			r.Failed = true
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -295,10 +295,11 @@
 	t.committingEnds = true
 	takenAt := monotonicNow()
 	completed := t.scheduler.TakeCompleted()
+	crashes := t.scheduler.TakeCrashes()
 	for _, id := range failed {
 		event.JobFailed.Info(t.options.Logger, zap.String("job", string(id)))
 	}
-	t.commitAsync(state.RecordRunEnds{Ends: ends, Failed: failed, At: state.Timestamp(wallMillis())}, func(_ state.Reply, err error) {
+	t.commitAsync(state.RecordRunEnds{Ends: ends, Failed: failed, Crashes: crashes, At: state.Timestamp(wallMillis())}, func(_ state.Reply, err error) {
 		if err != nil {
 			t.cancel()
 			return
