--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -13,20 +13,21 @@
 	drainCheckpointWindow = time.Second     // a stop, the poll after it and a commit take a fraction of this
 )
 
-// UncommittedDraining returns the record to commit for an enrolled instance that is draining, or false if the committed state
-// has it already. Without it a later leader would start tasks there until the next announcement.
-func (s *Scheduler) UncommittedDraining(id fleet.InstanceID) (workload.Instance, bool) {
+// UncommittedChange returns the record to commit for an enrolled instance that is draining or has another capacity than the committed state
+// says, or false if there is none. Without it a later leader would start too much there until the next announcement.
+func (s *Scheduler) UncommittedChange(id fleet.InstanceID) (workload.Instance, bool) {
 	in := s.instances.byID[id]
-	if in == nil || !in.Draining || in.drainCommitted || !in.enrolled && !in.enrolling {
+	if in == nil || !in.enrolled && !in.enrolling || (!in.Draining || in.drainCommitted) && in.Capacity == in.committedCapacity {
 		return workload.Instance{}, false
 	}
 	return in.Instance, true
 }
 
-// ConfirmDraining records that the draining of a boot is committed.
-func (s *Scheduler) ConfirmDraining(record workload.Instance) {
+// ConfirmChange records that the record of a boot is committed.
+func (s *Scheduler) ConfirmChange(record workload.Instance) {
 	if in := s.instances.byID[record.ID]; in != nil && in.Boot == record.Boot {
-		in.drainCommitted = true
+		in.drainCommitted = record.Draining
+		in.committedCapacity = record.Capacity
 	}
 }
 
--- a/internal/scheduler/enrolment.go
+++ b/internal/scheduler/enrolment.go
@@ -16,6 +16,7 @@
 // an ID are matched in the order in which they are committed.
 func (s *Scheduler) beginEnrolment(in *instance) {
 	in.enrolling = true
+	in.committedCapacity = in.Capacity
 	s.enrolling[in.ID] = append(s.enrolling[in.ID], in)
 }
 
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -19,6 +19,8 @@
 	bootUncommitted bool
 	// drainCommitted is set once the committed state records that the enrolled instance is draining.
 	drainCommitted bool
+	// committedCapacity is the capacity in the committed state, or in the enrolment that is being committed.
+	committedCapacity workload.Resources
 	// inherited is set for instances that an earlier leader enrolled, until the first report or lease expiry.
 	inherited bool
 	// polled is set while this leader knows what runs there.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -211,6 +211,7 @@
 		in := s.addInstance(e)
 		in.enrolled = true
 		in.drainCommitted = e.Draining
+		in.committedCapacity = e.Capacity
 		in.clockReadAt = options.LeadingSince
 		in.inherited = true
 		in.cordonIndex = committed.Cordoned[id]
--- a/internal/state/jobs.go
+++ b/internal/state/jobs.go
@@ -216,14 +216,18 @@
 	return Reply{}, nil
 }
 
-// EnrolInstance records a boot of an instance before it receives work, and uncordons the instance.
+// EnrolInstance records a boot of an instance before it receives work, and uncordons the instance. With KeepsCordon it records what
+// the boot has announced since.
 type EnrolInstance struct {
-	Instance workload.Instance `cbor:"1,keyasint"`
+	Instance    workload.Instance `cbor:"1,keyasint"`
+	KeepsCordon bool              `cbor:"2,keyasint,omitempty"`
 }
 
 func (c EnrolInstance) apply(s *State) (Reply, error) {
 	s.Workload.Enrolled[c.Instance.ID] = c.Instance
-	delete(s.Workload.Cordoned, c.Instance.ID)
+	if !c.KeepsCordon {
+		delete(s.Workload.Cordoned, c.Instance.ID)
+	}
 	return Reply{}, nil
 }
 
--- a/internal/supervisor/draining_test.go
+++ b/internal/supervisor/draining_test.go
@@ -67,3 +67,26 @@
 	assert.Equal(t, announce(4).Outcome, forwarder.Done)
 	assert.Assert(t, s.replica.state.Workload.Enrolled["i"].Draining)
 }
+
+// TestAcknowledgedCapacityIsCommitted guards against starts of the next leader beyond a capacity that has shrunk, and against a capacity that
+// has grown again unnoticed: keepers acknowledge without the leader what the committed state says.
+func TestAcknowledgedCapacityIsCommitted(t *testing.T) {
+	r := &singleReplica{state: state.New()}
+	s := Start(Options{
+		Entry: "k", Replica: r, Instances: unresponsiveFleet{}, Machines: unresponsiveFleet{}, Lease: 5 * time.Second, JobRetention: time.Minute,
+		Logger: zap.NewNop(), Metrics: metrics.NewRegistry(),
+	})
+	t.Cleanup(func() { assert.NilError(t, s.Close()) })
+	for i, processors := range []int64{4000, 1000, 1000, 4000} {
+		in := drainingInstance(1)
+		in.Sequence, in.Capacity.Processors = uint64(i+1), processors
+		announceInstance(t, s, in)
+		if i == 0 {
+			continue // an enrolment is not waited for
+		}
+		r.View(func(s *state.State) {
+			record := s.Workload.Enrolled["i"]
+			assert.Assert(t, record.SaysSame(in), "announcement %d: %s", i+1, record.Capacity)
+		})
+	}
+}
--- a/internal/supervisor/requests.go
+++ b/internal/supervisor/requests.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sapphiresail/sapphiresail/internal/event"
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
 	"github.com/sapphiresail/sapphiresail/internal/forwarder"
 	"github.com/sapphiresail/sapphiresail/internal/state"
 	"github.com/sapphiresail/sapphiresail/internal/workload"
@@ -238,19 +239,19 @@
 // announce handles the heartbeat of an instance and names this leader for the next ones.
 func (t *term) announce(ctx context.Context, request forwarder.Request) forwarder.Response {
 	in := *request.Instance
-	drainCommitted := make(chan struct{})
+	changeCommitted := make(chan struct{})
 	if !t.postAndWait(ctx, func() {
 		enrol := t.scheduler.HandleAnnouncement(monotonicNow(), in)
 		t.commitInstanceChanges() // an earlier boot under the same id must be deregistered before this one is enrolled
 		if enrol {
 			t.enrol(in)
 		}
-		t.commitDraining(in, func() { close(drainCommitted) })
+		t.commitChange(in.ID, func() { close(changeCommitted) })
 	}) {
 		return forwarder.Response{Outcome: forwarder.NotLeading}
 	}
 	select {
-	case <-drainCommitted:
+	case <-changeCommitted:
 	case <-ctx.Done():
 		return forwarder.Response{Outcome: forwarder.NotLeading}
 	case <-t.ctx.Done():
@@ -271,16 +272,17 @@
 	})
 }
 
-// commitDraining commits that an enrolled instance is draining, unless it is committed already or not announced. It calls
-// onCommit once the next leader knows all that the announcement says.
-func (t *term) commitDraining(announced workload.Instance, onCommit func()) {
-	record, uncommitted := t.scheduler.UncommittedDraining(announced.ID)
-	if !announced.Draining || !uncommitted {
+// commitChange commits that an enrolled instance is draining or has another capacity, unless that is committed already. It calls onCommit
+// once the next leader knows all that the announcement says.
+func (t *term) commitChange(id fleet.InstanceID, onCommit func()) {
+	record, uncommitted := t.scheduler.UncommittedChange(id)
+	if !uncommitted {
 		onCommit()
 		return
 	}
-	t.enqueueRegistration(state.EnrolInstance{Instance: record}, func() {
-		t.scheduler.ConfirmDraining(record)
+	event.InstanceChanged.Info(t.options.Logger, zap.String("instance", string(record.ID)), zap.Bool("draining", record.Draining), zap.Stringer("capacity", record.Capacity))
+	t.enqueueRegistration(state.EnrolInstance{Instance: record, KeepsCordon: true}, func() {
+		t.scheduler.ConfirmChange(record)
 		onCommit()
 	})
 }
