--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -149,8 +149,8 @@
 		}
 		total += s.Count
 	}
-	if total*j.OccurrenceCount() > maxTasks {
-		return fmt.Errorf("steps: %d tasks, want at most %d", total*j.OccurrenceCount(), maxTasks)
+	if total > maxTasks/j.OccurrenceCount() {
+		return fmt.Errorf("steps: %d tasks %d times, want at most %d tasks", total, j.OccurrenceCount(), maxTasks)
 	}
 	return nil
 }
