--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -96,3 +96,32 @@
 	assert.Equal(t, len(f.runs[a]), 2)
 	assert.Equal(t, len(f.runs[b]), 3)
 }
+
+// TestShrunkInstanceCountsInFullUntilItIsPolled guards against a customer beyond its limit (QUOTA): the next leader counts an instance that has
+// not answered by what may run there, and that is what was started before the instance shrank.
+func TestShrunkInstanceCountsInFullUntilItIsPolled(t *testing.T) {
+	f := newTestFleet(t)
+	f.commit(state.PublishCatalogue{Source: []byte("y"), Catalogue: workload.Catalogue{
+		Version: 2, Queues: f.state.Workload.Catalogue.Queues, Pools: f.state.Workload.Catalogue.Pools,
+		Customers: []workload.Customer{{Name: "c", Keys: []string{"k"}, Limit: workload.Resources{Processors: 48000}}},
+	}})
+	f.startLeader()
+	submit := func(id workload.JobID) {
+		step := workload.Step{Count: 10, Resources: workload.Resources{Processors: 4000}}
+		f.commit(state.SubmitJob{Job: workload.Job{ID: id, Steps: []workload.Step{step}}, Queue: "q", Customer: "c", At: state.Timestamp(f.now.Milliseconds())})
+		f.scheduler.AddJob(f.now, f.now.Milliseconds(), f.state.Workload.Jobs[id], false)
+	}
+	a := f.addInstance("a", "p")
+	f.advance(200 * time.Millisecond)
+	submit("00000000000000aa")
+	f.advance(500 * time.Millisecond)
+	assert.Equal(t, f.claimed(a, 4000), int64(40000))
+	f.announceCapacity(a, 2, 0)
+	b := f.addInstance("b", "p")
+	silent := f.runs[a]
+	delete(f.runs, a)
+	f.startLeader()
+	submit("00000000000000bb")
+	f.advance(time.Second)
+	assert.Assert(t, f.claimed(b, 4000)+4000*int64(len(silent)) <= 48000, "%d runs on the silent instance, %d on the other", len(silent), len(f.runs[b]))
+}
--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -20,7 +20,9 @@
 	if in == nil || !in.enrolled && !in.enrolling || (!in.Draining || in.drainCommitted) && in.Capacity == in.committedCapacity {
 		return workload.Instance{}, false
 	}
-	return in.Instance, true
+	record := in.Instance
+	record.LargestCapacity = in.largestCapacity
+	return record, true
 }
 
 // ConfirmChange records that the record of a boot is committed.
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -21,6 +21,8 @@
 	drainCommitted bool
 	// committedCapacity is the capacity in the committed state, or in the enrolment that is being committed.
 	committedCapacity workload.Resources
+	// largestCapacity is the largest that the boot has announced.
+	largestCapacity workload.Resources
 	// inherited is set for instances that an earlier leader enrolled, until the first report or lease expiry.
 	inherited bool
 	// polled is set while this leader knows what runs there.
@@ -126,7 +128,8 @@
 }
 
 func (s *Scheduler) addInstance(announced workload.Instance) *instance {
-	in := &instance{Instance: announced, runs: map[workload.TaskID]*run{}, orphans: map[runKey]time.Duration{}, clockReadAt: s.now, announcedAt: s.now, throttlePercent: 100}
+	in := &instance{Instance: announced, runs: map[workload.TaskID]*run{}, orphans: map[runKey]time.Duration{}, clockReadAt: s.now, announcedAt: s.now, throttlePercent: 100,
+		largestCapacity: announced.Capacity.Max(announced.LargestCapacity)}
 	s.instances.put(in)
 	return in
 }
--- a/internal/scheduler/instance_table.go
+++ b/internal/scheduler/instance_table.go
@@ -51,6 +51,7 @@
 		t.removeFromMachine(in)
 	}
 	in.Instance = announced
+	in.largestCapacity = in.largestCapacity.Max(announced.Capacity)
 	if moved {
 		t.byMachine[in.Machine] = append(t.byMachine[in.Machine], in)
 	}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -61,7 +61,7 @@
 	s.probeSuspects()
 	s.unreconciledCapacity = workload.Resources{}
 	for id := range s.unreconciled {
-		s.unreconciledCapacity = s.unreconciledCapacity.Add(s.instances.byID[id].Capacity)
+		s.unreconciledCapacity = s.unreconciledCapacity.Add(s.instances.byID[id].largestCapacity)
 	}
 	s.placeSuspects(lists)
 	for _, list := range lists {
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -42,6 +42,11 @@
 	return Resources{n.Processors - o.Processors, n.Memory - o.Memory, n.Accelerators - o.Accelerators}
 }
 
+// Max returns the larger of each resource.
+func (n Resources) Max(other Resources) Resources {
+	return Resources{Processors: max(n.Processors, other.Processors), Memory: max(n.Memory, other.Memory), Accelerators: max(n.Accelerators, other.Accelerators)}
+}
+
 // Fits reports whether o fits into n.
 func (n Resources) Fits(o Resources) bool {
 	return o.Processors <= n.Processors && o.Memory <= n.Memory && o.Accelerators <= n.Accelerators
@@ -263,6 +268,8 @@
 	Sequence uint64        `cbor:"11,keyasint,omitempty"`
 	Clock    time.Duration `cbor:"12,keyasint,omitempty"`
 	Rack     string        `cbor:"13,keyasint,omitempty"`
+	// LargestCapacity is the largest that the boot has announced, in the committed record. Runs may exist up to that.
+	LargestCapacity Resources `cbor:"14,keyasint,omitempty"`
 }
 
 // SaysSame reports whether another announcement of the instance says the same but for its sequence number and clock, which every
