--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -24,8 +24,6 @@
 	probeInterval = 100 * time.Millisecond
 	// suspectGroup is the number of tasks with one crash that may start beside each other.
 	suspectGroup = 4
-	// loneAfter is the number of crashes after which a task starts without other young runs beside it.
-	loneAfter = 2
 	// crashesAtStart and crashesLater are the numbers of crashes after which a task is given up if it was the only suspect of the last one, and
 	// if they hit several machines: a machine that crashes again and again proves nothing.
 	crashesAtStart = 3
@@ -49,7 +47,7 @@
 
 func suspicionOf(c state.CrashCount) suspicion {
 	switch {
-	case c.Crashes >= loneAfter:
+	case c.Crashes >= crashesNeeded(c)-1:
 		return suspectedAlone
 	case c.Crashes > 0 && c.MinAge < settleTime:
 		return suspectedInGroup
@@ -150,25 +148,34 @@
 			continue
 		}
 		counted[id] = true
-		t := j.task(id.Position)
-		count := addCrash(t.crashes, c, in.host())
-		s.setCrashes(j, id.Position, count)
-		t.heldFor = s.lastBatch + 1
-		s.crashes = append(s.crashes, state.TaskCrashes{Task: id, Count: count})
-		what := "task set apart"
+		count := addCrash(j.task(id.Position).crashes, c, in.host())
+		s.commitCrashes(j, id.Position, count)
+		d := Decision{What: "task set apart", Task: id, Run: c.run, Instance: in.ID, Machine: in.Machine,
+			Reason: fmt.Sprintf("%s; the only suspect of the last: %t", describeCrashes(count), c.alone)}
 		switch {
 		case proven(count, c.alone):
-			what = "task given up"
-			s.failedJobs = append(s.failedJobs, j.ID)
-			s.finishJob(j, "failed")
-		case suspicionOf(count) == unsuspected:
-			continue
+			s.giveUp(j, d)
+		case suspicionOf(count) != unsuspected:
+			s.decisions = append(s.decisions, d)
 		}
-		s.decisions = append(s.decisions, Decision{What: what, Task: id, Run: c.run, Instance: in.ID, Machine: in.Machine,
-			Reason: fmt.Sprintf("%s; the only suspect of the last: %t", describeCrashes(count), c.alone)})
 	}
 }
 
+// giveUp fails the job of a task that crashes the instances that start it.
+func (s *Scheduler) giveUp(j *job, d Decision) {
+	d.What = "task given up"
+	s.decisions = append(s.decisions, d)
+	s.failedJobs = append(s.failedJobs, j.ID)
+	s.finishJob(j, "failed")
+}
+
+// commitCrashes replaces the count of crashes under a task, and holds the next start of the task until the count is committed.
+func (s *Scheduler) commitCrashes(j *job, p workload.Position, count state.CrashCount) {
+	s.setCrashes(j, p, count)
+	j.task(p).heldFor = s.lastBatch + 1
+	s.crashes = append(s.crashes, state.TaskCrashes{Task: workload.TaskID{Job: j.ID, Position: p}, Count: count})
+}
+
 // addCrash returns the count after another crash. Crashes that cannot have come at the same age of the runs as the earlier ones start a new count.
 func addCrash(count state.CrashCount, c crashedRun, host string) state.CrashCount {
 	minAge, maxAge := max(count.MinAge, c.minAge), min(count.MaxAge, c.maxAge)
@@ -188,11 +195,15 @@
 	if atStart && count.Crashes >= maxCrashesAtStart {
 		return true
 	}
-	needed := crashesLater
-	if atStart {
-		needed = crashesAtStart
+	return alone && count.Crashes >= crashesNeeded(count) && len(count.Hosts) > 1
+}
+
+// crashesNeeded returns the number of crashes that prove that a task causes them. Before the last of them it starts alone.
+func crashesNeeded(count state.CrashCount) int {
+	if count.MinAge < settleTime {
+		return crashesAtStart
 	}
-	return alone && count.Crashes >= needed && len(count.Hosts) > 1
+	return crashesLater
 }
 
 // host names what stays the same when the instance restarts.
@@ -213,6 +224,56 @@
 	}
 }
 
+// inheritCrashes takes over a committed count. A run that may have been at its start counts as crashed until an instance lists it.
+func (s *Scheduler) inheritCrashes(j *job, p workload.Position, count state.CrashCount) {
+	if count.Pending {
+		if count.Crashes == 0 {
+			count.MaxAge = settleTime
+		}
+		count.Crashes++
+		count.Pending = false
+		j.task(p).assumedCrash = true
+	}
+	s.setCrashes(j, p, count)
+}
+
+// withdrawAssumedCrash corrects the count of a task whose run an instance lists.
+func (s *Scheduler) withdrawAssumedCrash(j *job, p workload.Position) {
+	if t := j.task(p); t.assumedCrash {
+		t.assumedCrash = false
+		count := t.crashes
+		count.Crashes--
+		count.Pending = true
+		s.setCrashes(j, p, count)
+	}
+}
+
+// markPending commits which runs were at their start on an instance that refuses connections, so that a crash counts if this leader is lost
+// before the next boot shows it.
+func (s *Scheduler) markPending(in *instance) {
+	if in.markedPending {
+		return
+	}
+	in.markedPending = true
+	for _, c := range s.crashedRuns(in) {
+		j := s.jobs[c.task.Job]
+		id := j.suspectID(c.task.Position)
+		if count := j.task(id.Position).crashes; c.minAge < settleTime && !j.finished && !count.Pending {
+			count.Pending = true
+			s.commitCrashes(j, id.Position, count)
+		}
+	}
+}
+
+// endPending records that the run of a task has not crashed its instance.
+func (s *Scheduler) endPending(r *run) {
+	p := r.job.suspectID(r.task.Position).Position
+	if count := r.job.task(p).crashes; count.Pending {
+		count.Pending = false
+		s.commitCrashes(r.job, p, count)
+	}
+}
+
 // probation is a run of a suspect that has not run for long enough to be cleared.
 type probation struct {
 	instance *instance
@@ -243,11 +304,11 @@
 // settleRuns clears the tasks whose runs have outlived the age at which the instances crashed under them.
 func (s *Scheduler) settleRuns(in *instance) {
 	for _, r := range in.runs {
-		t := r.job.suspectAt(r.task.Position)
-		if t.crashes.Crashes == 0 || !r.reported || r.young(in) && r.listedFor(in) <= t.crashes.MaxAge+clearMargin {
+		p := r.job.suspectID(r.task.Position).Position
+		if !r.reported || !r.clears(in, r.job.task(p).crashes) {
 			continue
 		}
-		s.setCrashes(r.job, r.job.suspectID(r.task.Position).Position, state.CrashCount{})
+		s.commitCrashes(r.job, p, state.CrashCount{})
 		if r.suspicion != unsuspected {
 			in.endProbation(r)
 			s.logRunDecision("task cleared", r, in, "outlived the age of the crashes")
@@ -255,6 +316,18 @@
 	}
 }
 
+// clears reports whether the run has outlived the age of the crashes that were counted for its task.
+func (r *run) clears(in *instance, count state.CrashCount) bool {
+	switch {
+	case count.Crashes == 0:
+		return count.Pending && r.settled(in)
+	case !r.young(in):
+		return true
+	default:
+		return r.listedFor(in) > count.MaxAge+clearMargin
+	}
+}
+
 // probeSuspects requests reports that show whether the runs on probation still run.
 func (s *Scheduler) probeSuspects() {
 	s.probations = slices.DeleteFunc(s.probations, func(p probation) bool {
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -238,6 +238,25 @@
 	f.assertUnharmed(neighbours, 40)
 }
 
+// TestCrashUnderLostLeaderIsCounted guards against crashes that nobody counts (BUDGET 3 in a hunt): each leader is lost after an instance has crashed and
+// before its next boot shows that.
+func TestCrashUnderLostLeaderIsCounted(t *testing.T) {
+	f := newCrashingFleet(t, 6)
+	neighbours := f.submitJob(workload.Step{Count: 40, Resources: workload.Resources{Processors: 4000}})
+	f.play(time.Second)
+	f.addDeadly(f.submitJob(workload.Step{Count: 4, Resources: workload.Resources{Processors: 4000}}), 1)
+	for leaders := 1; leaders <= 5; leaders++ {
+		for end := f.now + 20*time.Second; f.crashes < leaders && f.now < end; {
+			f.play(100 * time.Millisecond)
+		}
+		f.play(200 * time.Millisecond)
+		f.startLeader()
+	}
+	f.play(60 * time.Second)
+	f.assertContained()
+	f.assertUnharmed(neighbours, 40)
+}
+
 // TestCrashIsCommittedBeforeNextStart guards against a start that a later leader cannot count: the leader is lost after it has started the
 // task again and before the crash is committed.
 func TestCrashIsCommittedBeforeNextStart(t *testing.T) {
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -71,6 +71,8 @@
 	// expiredRuns are the runs that were dropped when the instance fell silent. They count as crashed if a later boot shows that
 	// the instance has crashed.
 	expiredRuns []crashedRun
+	// markedPending is set once the runs at their start are committed, until the next report.
+	markedPending bool
 }
 
 // pendingEnd is a reported end that is acknowledged once its batch is committed.
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -77,6 +77,8 @@
 	// waitingSince is zero unless ExplainWaiting found the task waiting.
 	waitingSince time.Duration
 	crashes      state.CrashCount
+	// assumedCrash is set if a crash was counted for a run of an earlier leader that no instance has listed yet.
+	assumedCrash bool
 	// heldFor is the batch that must be committed before the task is started again.
 	heldFor uint64
 }
@@ -125,7 +127,7 @@
 	}
 	for p, count := range record.Crashes {
 		if j.hasTask(p) {
-			s.setCrashes(j, p, count)
+			s.inheritCrashes(j, p, count)
 		}
 	}
 	j.started = len(record.Completed) > 0 || len(record.Crashes) > 0 || len(record.FailedRuns) > 0
--- a/internal/scheduler/large_fleet_test.go
+++ b/internal/scheduler/large_fleet_test.go
@@ -345,7 +345,7 @@
 		for _, e := range ends {
 			f.record("%d end %s %d %t\n", f.now, e.Task, e.Run, e.Failed)
 		}
-		f.commit(state.RecordRunEnds{Ends: ends, Failed: failed, At: state.Timestamp(f.now.Milliseconds())})
+		f.commit(state.RecordRunEnds{Ends: ends, Failed: failed, Crashes: f.scheduler.TakeCrashes(), At: state.Timestamp(f.now.Milliseconds())})
 		f.scheduler.ConfirmEnds(batch)
 	}
 	f.scheduler.TakeCompleted()
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -154,7 +154,7 @@
 	in.failedPolls, in.failingSince = 0, 0
 	firstReport := !in.polled
 	in.polled = true
-	in.expiredRuns = nil
+	in.expiredRuns, in.markedPending = nil, false
 	s.handleEnds(in, report.Ended)
 	s.handleRuns(in, report.Running)
 	s.dropUnlistedRuns(in, report, sentAt)
@@ -211,6 +211,7 @@
 	}
 	if r != nil {
 		s.detachRun(in, r)
+		s.endPending(r)
 	}
 	mustCommit := false
 	switch {
@@ -329,6 +330,7 @@
 	if j != nil && j.hasTask(reported.Task.Position) && in.runs[reported.Task] == nil {
 		t := j.task(reported.Task.Position)
 		needed := !j.finished && !t.done && t.run == nil
+		s.withdrawAssumedCrash(j, j.suspectID(reported.Task.Position).Position)
 		r := &run{
 			task: reported.Task, number: reported.Run, job: j, status: statusRunning, claim: j.step(reported.Task.Position).Claim(),
 			orderedAt: s.now, startOutcomeAt: s.now, throttlePercent: throttleUnset,
@@ -383,6 +385,9 @@
 	in.failedPolls++
 	in.failingSince = cmp.Or(in.failingSince, now)
 	s.cordon(in)
+	if outcome == Refused {
+		s.markPending(in)
+	}
 	switch {
 	case outcome == Fenced:
 		s.superseded = true
--- a/internal/scheduler/suspects.go
+++ b/internal/scheduler/suspects.go
@@ -42,6 +42,12 @@
 		if in == nil {
 			return false
 		}
+		if !s.mayStartSuspect(c, i) {
+			if c.job.finished {
+				return true
+			}
+			continue
+		}
 		id := workload.TaskID{Job: c.job.ID, Position: workload.NewPosition(c.occurrence, c.stage.stepIndex, i)}
 		r := &run{task: id, number: s.nextRunNumber()}
 		pool.probations += boolToInt(in.suspectRuns == 0)
@@ -62,10 +68,30 @@
 			settled = append(settled, in)
 		}
 	}
+	if !s.mayStartSuspect(c, 0) {
+		return true
+	}
 	s.placeGang(c, settled)
 	return c.stage.waiting == 0
 }
 
+// mayStartSuspect reports whether a suspect may be started now. It gives up one with too many crashes, and first has it committed that the
+// task is about to be started, so that the start counts if this leader is lost.
+func (s *Scheduler) mayStartSuspect(c *candidate, index int) bool {
+	p := workload.NewPosition(c.occurrence, c.stage.stepIndex, index)
+	count := c.job.task(p).crashes
+	if proven(count, false) {
+		s.giveUp(c.job, Decision{Task: workload.TaskID{Job: c.job.ID, Position: p}, Reason: describeCrashes(count) + "; the last under an earlier leader"})
+		return false
+	}
+	if count.Pending {
+		return true
+	}
+	count.Pending = true
+	s.commitCrashes(c.job, p, count)
+	return false
+}
+
 // chooseForSuspect returns the instance for a suspect, or nil: on a machine that has not crashed under it if there is one, with the fewest
 // runs that a crash would end, the oldest boot first.
 func (p *poolCapacity) chooseForSuspect(c *candidate, suspect *task, instances []*instance) *instance {
--- a/internal/state/jobs.go
+++ b/internal/state/jobs.go
@@ -39,6 +39,9 @@
 	MaxAge time.Duration `cbor:"3,keyasint,omitempty"`
 	// Hosts are the machines of the instances, or else their addresses, each once.
 	Hosts []string `cbor:"4,keyasint,omitempty"`
+	// Pending is set while the task may have a run that is at its start, if the task is suspected already or the instance of the run
+	// does not answer. A later leader that does not find the run counts a crash.
+	Pending bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Complete reports whether all tasks have succeeded.
@@ -180,8 +183,7 @@
 	}
 	for _, crashes := range c.Crashes {
 		if r := s.Workload.Jobs[crashes.Task.Job]; r != nil {
-			r.Crashes = mapOrEmpty(r.Crashes)
-			r.Crashes[crashes.Task.Position] = crashes.Count
+			r.recordCrashes(crashes)
 		}
 	}
 	for _, id := range c.Failed {
@@ -193,6 +195,16 @@
 	return Reply{}, nil
 }
 
+// recordCrashes replaces the count of a task.
+func (r *JobRecord) recordCrashes(c TaskCrashes) {
+	if c.Count.Crashes == 0 && !c.Count.Pending {
+		delete(r.Crashes, c.Task.Position)
+		return
+	}
+	r.Crashes = mapOrEmpty(r.Crashes)
+	r.Crashes[c.Task.Position] = c.Count
+}
+
 // recordFailure adds a failed run once.
 func (r *JobRecord) recordFailure(e RunEnd) {
 	r.FailedRuns = mapOrEmpty(r.FailedRuns)
