--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -301,16 +301,21 @@
 	r.suspicion = unsuspected
 }
 
-// settleRuns clears the tasks whose runs have outlived the age at which the instances crashed under them.
+// settleRuns clears the tasks whose runs have outlived the age at which the instances crashed under them. The probation of a group ends with the
+// start of its runs, as nothing is known of a crash in silence but that it came within seconds.
 func (s *Scheduler) settleRuns(in *instance) {
 	for _, r := range in.runs {
+		if r.suspicion == suspectedInGroup && r.settled(in) {
+			in.endProbation(r)
+		}
 		p := r.job.suspectID(r.task.Position).Position
-		if !r.reported || !r.clears(in, r.job.task(p).crashes) {
+		count := r.job.task(p).crashes
+		if !r.reported || !r.clears(in, count) {
 			continue
 		}
 		s.commitCrashes(r.job, p, state.CrashCount{})
-		if r.suspicion != unsuspected {
-			in.endProbation(r)
+		in.endProbation(r)
+		if suspicionOf(count) != unsuspected {
 			s.logRunDecision("task cleared", r, in, "outlived the age of the crashes")
 		}
 	}
