--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -257,8 +257,11 @@
 	in.markedPending = true
 	for _, c := range s.crashedRuns(in) {
 		j := s.jobs[c.task.Job]
+		if j == nil || j.finished || c.minAge >= settleTime {
+			continue
+		}
 		id := j.suspectID(c.task.Position)
-		if count := j.task(id.Position).crashes; c.minAge < settleTime && !j.finished && !count.Pending {
+		if count := j.task(id.Position).crashes; !count.Pending {
 			count.Pending = true
 			s.commitCrashes(j, id.Position, count)
 		}
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -257,6 +257,20 @@
 	f.assertUnharmed(neighbours, 40)
 }
 
+// TestInheritedCountStartsNothing guards against starts of a job that a new leader gives up at once: the last crash that the platform allows
+// happened under an earlier leader.
+func TestInheritedCountStartsNothing(t *testing.T) {
+	f := newCrashingFleet(t, 2)
+	id := workload.JobID("00000000000000aa")
+	f.commitJob(id, workload.Step{Count: 3, Resources: workload.Resources{Processors: 4000}})
+	count := state.CrashCount{Crashes: maxStartsOfDeadlyTask - 1, MaxAge: 20 * time.Millisecond, Hosts: []string{"x"}, Pending: true}
+	f.commit(state.RecordRunEnds{Crashes: []state.TaskCrashes{{Task: workload.TaskID{Job: id}, Count: count}}})
+	f.startLeader()
+	f.advance(5 * time.Second)
+	assert.Equal(t, len(f.startOrders), 0)
+	assert.Assert(t, f.state.Workload.Jobs[id].Failed)
+}
+
 // TestCrashIsCommittedBeforeNextStart guards against a start that a later leader cannot count: the leader is lost after it has started the
 // task again and before the crash is committed.
 func TestCrashIsCommittedBeforeNextStart(t *testing.T) {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -99,7 +99,7 @@
 }
 
 func (s *Scheduler) placeStage(c *candidate) {
-	if c.stage.waiting == 0 {
+	if c.stage.waiting == 0 || c.job.finished {
 		return
 	}
 	pool := c.job.account.capacity
--- a/internal/scheduler/suspects.go
+++ b/internal/scheduler/suspects.go
@@ -14,7 +14,7 @@
 	for _, list := range lists {
 		for i := range list {
 			c := &list[i]
-			if c.stage.suspects == 0 || c.stage.waiting == 0 {
+			if c.stage.suspects == 0 || c.stage.waiting == 0 || c.job.finished {
 				continue
 			}
 			pool := c.job.account.capacity
