--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -269,7 +269,7 @@
 	Clock    time.Duration `cbor:"12,keyasint,omitempty"`
 	Rack     string        `cbor:"13,keyasint,omitempty"`
 	// LargestCapacity is the largest that the boot has announced, in the committed record. Runs may exist up to that.
-	LargestCapacity Resources `cbor:"14,keyasint,omitempty"`
+	LargestCapacity Resources `cbor:"14,keyasint,omitempty" json:",omitzero"`
 }
 
 // SaysSame reports whether another announcement of the instance says the same but for its sequence number and clock, which every
