--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -137,18 +137,18 @@
 
 // countCrash counts a crash for each of the runs that the instance had, and gives up the tasks that it proves to have caused it.
 func (s *Scheduler) countCrash(in *instance, runs []crashedRun) {
-	counted := map[workload.TaskID]bool{}
 	for _, c := range runs {
 		j := s.jobs[c.task.Job]
 		if j == nil || j.finished || j.task(c.task.Position).done {
 			continue
 		}
 		id := j.suspectID(c.task.Position)
-		if counted[id] {
-			continue
+		t := j.task(id.Position)
+		if t.crashedRun == c.run {
+			continue // another member of the gang
 		}
-		counted[id] = true
-		count := addCrash(j.task(id.Position).crashes, c, in.host())
+		t.crashedRun = c.run
+		count := addCrash(t.crashes, c, in.host())
 		s.commitCrashes(j, id.Position, count)
 		d := Decision{What: "task set apart", Task: id, Run: c.run, Instance: in.ID, Machine: in.Machine,
 			Reason: fmt.Sprintf("%s; the only suspect of the last: %t", describeCrashes(count), c.alone)}
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -314,6 +314,21 @@
 	}
 }
 
+// TestGangOnLostRackIsNotGivenUp guards against a gang that is given up because the loss of a rack counts once for each of its instances.
+func TestGangOnLostRackIsNotGivenUp(t *testing.T) {
+	f := newCrashingFleet(t, 8)
+	job := f.submitJob(workload.Step{Count: 4, Resources: workload.Resources{Processors: 40000}, Gang: true})
+	f.play(200 * time.Millisecond)
+	used := f.instancesOf(job)
+	assert.Equal(t, len(used), 4)
+	for id := range used {
+		f.crash(id)
+	}
+	f.play(f.downTime + 2*time.Second)
+	f.assertUnharmed(job, 4)
+	assert.Assert(t, f.state.Workload.Jobs[job].Crashes[0].Crashes <= 1)
+}
+
 // TestInstanceThatFlapsGivesNobodyUp guards against a task that is given up because it is started again and again on the one instance that
 // keeps crashing.
 func TestInstanceThatFlapsGivesNobodyUp(t *testing.T) {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -79,6 +79,8 @@
 	crashes      state.CrashCount
 	// assumedCrash is set if a crash was counted for a run of an earlier leader that no instance has listed yet.
 	assumedCrash bool
+	// crashedRun is the run whose crash was counted last. The members of a gang share its number.
+	crashedRun workload.Run
 	// heldFor is the batch that must be committed before the task is started again.
 	heldFor uint64
 }
