--- a/internal/replicator/full_disk_test.go
+++ b/internal/replicator/full_disk_test.go
@@ -47,6 +47,8 @@
 		_, err := r.Commit(ctx, state.Barrier{})
 		return err
 	}
+	// Commit gives up sooner than a first election may take.
+	waitForLeader([]*replicator.Replicator{r})
 	assert.NilError(t, commit(time.Minute))
 	full.Store(true)
 	assert.ErrorIs(t, commit(2*time.Second), replicator.KindUncertain)
