--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -60,6 +61,31 @@
 	}
 }
 
+// TestTaskThatCrashesInstancesLateIsGivenUp guards against a task that is started without end because its runs crash their instances long after their
+// start, or each at another age.
+func TestTaskThatCrashesInstancesLateIsGivenUp(t *testing.T) {
+	small := workload.Resources{Processors: 2000}
+	for name, ages := range map[string][]time.Duration{
+		"5 s":               {5 * time.Second},
+		"20 s":              {20 * time.Second},
+		"at the start, 2 s": {0, 2 * time.Second},
+		"0.6 s, 8 s, 2 s":   {600 * time.Millisecond, 8 * time.Second, 2 * time.Second},
+	} {
+		for _, service := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, service %t", name, service), func(t *testing.T) {
+				f := newCrashingFleet(t, 6)
+				f.crashAges = ages
+				neighbours := f.submitJob(workload.Step{Count: 20, Resources: small})
+				f.play(100 * time.Millisecond)
+				f.addDeadly(f.submitJob(workload.Step{Count: 4, Resources: small, Service: service}), 1)
+				f.play(180 * time.Second)
+				f.assertContained()
+				f.assertUnharmed(neighbours, 20)
+			})
+		}
+	}
+}
+
 // TestDeadlyTasksOfManyJobsAreGivenUp guards against deadly tasks of several jobs that hide behind each other.
 func TestDeadlyTasksOfManyJobsAreGivenUp(t *testing.T) {
 	f := newCrashingFleet(t, 8)
--- a/internal/scheduler/crashing_fleet_test.go
+++ b/internal/scheduler/crashing_fleet_test.go
@@ -26,12 +26,13 @@
 	handled  int
 	boots    int
 	downTime time.Duration
-	// crashAge is the age of a run of a deadly task at the crash.
-	crashAge time.Duration
-	dying    []dyingInstance
-	returns  []returningBoot
-	starts   map[workload.TaskID]int
-	crashes  int
+	// crashAge is the age of a run of a deadly task at the crash, unless crashAges has one for each start in turn.
+	crashAge  time.Duration
+	crashAges []time.Duration
+	dying     []dyingInstance
+	returns   []returningBoot
+	starts    map[workload.TaskID]int
+	crashes   int
 	// lost counts the runs of other tasks that ended in crashes.
 	lost int
 }
@@ -79,7 +80,7 @@
 			o := f.startOrders[f.handled]
 			f.starts[o.Task]++
 			if f.deadly[o.Task] {
-				f.dying = append(f.dying, dyingInstance{at: f.now + f.crashAge, order: o})
+				f.dying = append(f.dying, dyingInstance{at: f.now + f.ageAtCrash(f.starts[o.Task]), order: o})
 			}
 		}
 		f.crashDying()
@@ -87,6 +88,14 @@
 	}
 }
 
+// ageAtCrash returns the age at which a run of a deadly task crashes its instance. The first start of a task has number 1.
+func (f *crashingFleet) ageAtCrash(start int) time.Duration {
+	if len(f.crashAges) == 0 {
+		return f.crashAge
+	}
+	return f.crashAges[(start-1)%len(f.crashAges)]
+}
+
 func (f *crashingFleet) crashDying() {
 	var later []dyingInstance
 	for _, d := range f.dying {
