--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -20,6 +20,7 @@
 	"github.com/sapphiresail/sapphiresail/internal/fault"
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
 	"github.com/sapphiresail/sapphiresail/internal/identity"
+	"github.com/sapphiresail/sapphiresail/internal/namer"
 	"github.com/sapphiresail/sapphiresail/internal/owner"
 	"github.com/sapphiresail/sapphiresail/internal/retrier"
 	"github.com/sapphiresail/sapphiresail/internal/state"
@@ -43,9 +44,9 @@
 
 // Error returns the description of the kind.
 func (k Kind) Error() string {
-	return [...]string{"none", "the queue is full", "the request can never run", "the customer is at its upper limit",
+	return namer.Name(k, "none", "the queue is full", "the request can never run", "the customer is at its upper limit",
 		"the time ran out", "not available now", "the outcome is not known", "the request fails on healthy targets",
-		"the idempotency key was used with other content", "cancelled"}[k]
+		"the idempotency key was used with other content", "cancelled")
 }
 
 // Error is the failure of a request.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -8,6 +8,7 @@
 
 	"github.com/sapphiresail/sapphiresail/internal/configuration"
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/namer"
 	"github.com/sapphiresail/sapphiresail/internal/table"
 )
 
@@ -67,9 +68,9 @@
 
 // String returns the description of the cause that callers receive.
 func (c Cause) String() string {
-	return [...]string{"", "no instance of the pool can ever hold the request", "the queue is too long for the time left",
+	return namer.Name(c, "", "no instance of the pool can ever hold the request", "the queue is too long for the time left",
 		"the customer is at its upper limit", "the time ran out before a place was free", "cancelled while waiting",
-		"the queue is not configured", "the entry stopped asking"}[c]
+		"the queue is not configured", "the entry stopped asking")
 }
 
 // Action is the preemption that a target applies to a task over its share.
--- a/internal/gateway/problem.go
+++ b/internal/gateway/problem.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -83,7 +84,7 @@
 	status := http.StatusBadGateway
 	var e *carrier.Error
 	if errors.As(err, &e) {
-		status = carrierStatus[e.Kind]
+		status = cmp.Or(carrierStatus[e.Kind], status)
 	}
 	p := problem{Status: status, Detail: err.Error(), Outcome: result}
 	if result == fleet.NotRun && status != http.StatusUnprocessableEntity {
@@ -109,7 +110,7 @@
 func commitProblem(err error) problem {
 	var refused *state.Error
 	if errors.As(err, &refused) {
-		return problem{Status: commandStatus[refused.Kind], Title: refused.Kind.Error(), Detail: refused.Err.Error(), Outcome: fleet.NotRun}
+		return problem{Status: cmp.Or(commandStatus[refused.Kind], http.StatusInternalServerError), Title: refused.Kind.Error(), Detail: refused.Err.Error(), Outcome: fleet.NotRun}
 	}
 	return problem{Status: http.StatusServiceUnavailable, Detail: err.Error(), Outcome: fleet.Unknown, RetryAfterSeconds: retryAfterSeconds}
 }
--- a/internal/replicator/propose.go
+++ b/internal/replicator/propose.go
@@ -65,7 +65,7 @@
 		if o.Kind == 0 {
 			return o.Reply, o.Reply.Err()
 		}
-		if o.Kind == KindUncertain {
+		if !o.Kind.notExecuted() {
 			kind = KindUncertain
 		}
 		select {
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -18,6 +18,7 @@
 	"github.com/sapphiresail/sapphiresail/internal/identity"
 	"github.com/sapphiresail/sapphiresail/internal/journaler"
 	"github.com/sapphiresail/sapphiresail/internal/messenger"
+	"github.com/sapphiresail/sapphiresail/internal/namer"
 	"github.com/sapphiresail/sapphiresail/internal/raft"
 	"github.com/sapphiresail/sapphiresail/internal/state"
 )
@@ -35,9 +36,12 @@
 
 // Error returns the message of the kind.
 func (k Kind) Error() string {
-	return [...]string{"none", "no leader is known", "outcome is not known", "replicator is closed", "membership change failed"}[k]
+	return namer.Name(k, "none", "no leader is known", "outcome is not known", "replicator is closed", "membership change failed")
 }
 
+// notExecuted reports whether a command that failed with the kind was certainly not executed. A leader of a later version may know other kinds.
+func (k Kind) notExecuted() bool { return k == KindNoLeader }
+
 // Error is a failed operation of this package.
 type Error = fault.Error[Kind]
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/namer"
 	"github.com/sapphiresail/sapphiresail/internal/state"
 	"github.com/sapphiresail/sapphiresail/internal/workload"
 )
@@ -23,7 +24,7 @@
 )
 
 // String returns the name that logs and metrics use.
-func (k OrderKind) String() string { return [...]string{"none", "start", "stop", "pace", "glance"}[k] }
+func (k OrderKind) String() string { return namer.Name(k, "none", "start", "stop", "pace", "glance") }
 
 // Order is a command to an instance. It concerns one run, unless its kind is ImmediatePoll.
 type Order struct {
@@ -76,7 +77,7 @@
 
 // String returns the name that logs and metrics use.
 func (o Outcome) String() string {
-	return [...]string{"none", "accepted", "fenced", "rejected", "unhealthy", "mismatched", "refused", "uncertain", "unsent", "unpolled", "uncarried"}[o]
+	return namer.Name(o, "none", "accepted", "fenced", "rejected", "unhealthy", "mismatched", "refused", "uncertain", "unsent", "unpolled", "uncarried")
 }
 
 // Timing and limits of decisions.
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -9,6 +9,7 @@
 	"github.com/sapphiresail/sapphiresail/internal/configuration"
 	"github.com/sapphiresail/sapphiresail/internal/fault"
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/namer"
 )
 
 // Kind classifies why a command was refused.
@@ -28,11 +29,11 @@
 	KindStale
 )
 
-var kindNames = [...]string{"none", "invalid", "conflict", "wrong version", "not known", "availability budget",
-	"upper limit", "wrong phase", "full", "maintenance is halted", "stale"}
-
 // Error returns the name of the kind, which is the title of a problem response.
-func (k Kind) Error() string { return kindNames[k] }
+func (k Kind) Error() string {
+	return namer.Name(k, "none", "invalid", "conflict", "wrong version", "not known", "availability budget",
+		"upper limit", "wrong phase", "full", "maintenance is halted", "stale")
+}
 
 // Error is the refusal of a command.
 type Error = fault.Error[Kind]
