--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -97,6 +97,7 @@
 	MachineOrderCompleted  = define(433, "machine order completed", "machine", "wave", "pool", "outcome", "error")
 	MachineListFailed      = define(434, "machine list request failed", "error")
 	CarrierLost            = define(443, "carrier lost", "carrier", "exchanges", "silent")
+	CallRefused            = define(444, "call refused", "operation", "path", "reason")
 	CallFailed             = define(440, "call failed", "subject", "host", "path", "reason", "took")
 	SettingsReloaded       = define(441, "settings reloaded", "seeds")
 	LinesDropped           = define(442, "log lines dropped", "count")
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 	"github.com/sapphiresail/sapphiresail/internal/fault"
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
 	"github.com/sapphiresail/sapphiresail/internal/messenger"
+	"github.com/sapphiresail/sapphiresail/internal/namer"
 	"github.com/sapphiresail/sapphiresail/internal/workload"
 )
 
@@ -63,20 +64,7 @@
 
 // String returns the name that logs use.
 func (o Operation) String() string {
-	return [...]string{"none", "submit", "cancel", "inspect", "count", "announce", "depart", "publish", "fetch", "open-wave", "inspect-wave"}[o]
-}
-
-// Request is a call to the leader. The operation determines which fields are set.
-type Request struct {
-	Operation Operation           `cbor:"1,keyasint"`
-	Host      string              `cbor:"2,keyasint,omitempty"`
-	Path      string              `cbor:"3,keyasint,omitempty"`
-	Key       string              `cbor:"4,keyasint,omitempty"`
-	Job       *workload.Job       `cbor:"5,keyasint,omitempty"`
-	Instance  *workload.Instance  `cbor:"6,keyasint,omitempty"`
-	Catalogue *workload.Catalogue `cbor:"7,keyasint,omitempty"`
-	Source    []byte              `cbor:"8,keyasint,omitempty"`
-	Wave      *workload.Wave      `cbor:"9,keyasint,omitempty"`
+	return namer.Name(o, "none", "submit", "cancel", "inspect", "count", "announce", "depart", "publish", "fetch", "open-wave", "inspect-wave")
 }
 
 // Outcome is the outcome of a call.
--- /dev/null
+++ b/internal/forwarder/request.go
@@ -0,0 +1,48 @@
+package forwarder
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/sapphiresail/sapphiresail/internal/workload"
+)
+
+// Request is a call to the leader. The operation determines which fields are set.
+type Request struct {
+	Operation Operation           `cbor:"1,keyasint"`
+	Host      string              `cbor:"2,keyasint,omitempty"`
+	Path      string              `cbor:"3,keyasint,omitempty"`
+	Key       string              `cbor:"4,keyasint,omitempty"`
+	Job       *workload.Job       `cbor:"5,keyasint,omitempty"`
+	Instance  *workload.Instance  `cbor:"6,keyasint,omitempty"`
+	Catalogue *workload.Catalogue `cbor:"7,keyasint,omitempty"`
+	Source    []byte              `cbor:"8,keyasint,omitempty"`
+	Wave      *workload.Wave      `cbor:"9,keyasint,omitempty"`
+}
+
+// Validate returns the first error in the fields that the operation needs. The sender may run another version of the program.
+func (r *Request) Validate() error {
+	switch r.Operation {
+	case SubmitJob:
+		if r.Job == nil || r.Job.ID == "" {
+			return errors.New("the job is missing")
+		}
+		return r.Job.Validate()
+	case Announce, Depart:
+		if r.Instance == nil || r.Instance.ID == "" {
+			return errors.New("the instance is missing")
+		}
+	case Publish:
+		if r.Catalogue == nil {
+			return errors.New("the catalogue is missing")
+		}
+	case OpenWave, InspectWave:
+		if r.Wave == nil {
+			return errors.New("the wave is missing")
+		}
+	case CancelJob, InspectJob, CountJobs, FetchCatalogue:
+	default:
+		return fmt.Errorf("unknown operation %d", r.Operation)
+	}
+	return nil
+}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -105,6 +105,10 @@
 	if s.jobs[record.Job.ID] != nil || !record.Active() && !inherited {
 		return
 	}
+	if err := record.Job.Validate(); err != nil {
+		s.refuseJob(record, err)
+		return
+	}
 	s.batchWorkSeen = s.batchWorkSeen || slices.ContainsFunc(record.Job.Steps, func(st workload.Step) bool { return !st.Service })
 	j := &job{Job: record.Job, queue: record.Queue, customer: record.Customer, pools: slices.Clone(record.Pools), maxAttempts: defaultAttempts, inherited: inherited, acceptedIndex: record.AcceptedIndex, tasksLeft: record.Job.TaskCount()}
 	for index := range record.Job.OccurrenceCount() {
@@ -141,6 +145,15 @@
 	s.jobs[j.ID] = j
 }
 
+// refuseJob fails a committed job that no version of the program should have accepted, so that it ends no leader. It has never run.
+func (s *Scheduler) refuseJob(record *state.JobRecord, reason error) {
+	if !record.Active() {
+		return
+	}
+	s.decisions = append(s.decisions, Decision{What: "job refused", Task: workload.TaskID{Job: record.Job.ID}, Reason: reason.Error()})
+	s.failedJobs = append(s.failedJobs, record.Job.ID)
+}
+
 func newOccurrence(j *workload.Job, index int) *occurrence {
 	o := &occurrence{}
 	if j.Repetitions > 0 {
--- a/internal/supervisor/requests.go
+++ b/internal/supervisor/requests.go
@@ -18,9 +18,11 @@
 
 // handle runs one request of a caller, an instance or an operator on the leader.
 func (t *term) handle(ctx context.Context, request forwarder.Request) forwarder.Response {
-	if request.Operation < forwarder.OperationCount {
-		t.load.calls[request.Operation].Add(1)
+	if err := request.Validate(); err != nil {
+		event.CallRefused.Warn(t.options.Logger, zap.Stringer("operation", request.Operation), zap.String("path", request.Path), zap.NamedError("reason", err))
+		return forwarder.Response{Outcome: forwarder.Invalid, Detail: err.Error()}
 	}
+	t.load.calls[request.Operation].Add(1)
 	var response forwarder.Response
 	switch request.Operation {
 	case forwarder.SubmitJob:
@@ -43,8 +45,6 @@
 		response = t.openWave(ctx, request)
 	case forwarder.InspectWave:
 		response = t.inspectWave(request)
-	default:
-		response = forwarder.Response{Outcome: forwarder.Invalid, Detail: "unknown subject"}
 	}
 	return t.confirmLeadership(request.Operation, response)
 }
