--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -42,6 +42,7 @@
 	SnapshotFailed            = define(118, "state snapshot failed", "error")
 	CommandRefused            = define(119, "command refused", "command", "reason")
 	ConfigurationApplied      = define(120, "configuration applied", "version", "digest")
+	MessageRefused            = define(130, "message refused", "from", "reason")
 	KeyChanged                = define(121, "key changed", "key", "customer", "change")
 )
 
--- a/internal/raft/option.go
+++ b/internal/raft/option.go
@@ -24,6 +24,11 @@
 	return func(r *Raft) { r.rng = rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)) }
 }
 
+// WithSnapshotCheck refuses received snapshots for whose data check returns an error, so that none is installed that cannot be applied.
+func WithSnapshotCheck(check func(data []byte) error) Option {
+	return func(r *Raft) { r.snapshotCheck = check }
+}
+
 // WithDurable marks a member that syncs its records to disk and may therefore become a voter.
 func WithDurable() Option { return func(r *Raft) { r.durable = true } }
 
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -20,13 +20,14 @@
 	KindNotCaughtUp
 	KindInvalidChange
 	KindOverloaded
+	KindMalformed
 )
 
 // Error returns the message of the kind.
 func (k Kind) Error() string {
 	return [...]string{"none", "not the leader", "another change is pending",
 		"member holds too little of the state",
-		"no such change of membership", "too many proposals are pending"}[k]
+		"no such change of membership", "too many proposals are pending", "malformed message"}[k]
 }
 
 // Error is a failed operation of this package.
@@ -66,6 +67,7 @@
 	id                ID
 	durable           bool
 	lazyCommits       bool
+	snapshotCheck     func(data []byte) error
 	electionTimeout   time.Duration
 	heartbeatInterval time.Duration
 	clockDrift        float64
@@ -108,6 +110,7 @@
 		hardState:         hardState,
 		syncedHardState:   hardState,
 		peers:             map[ID]*peer{},
+		snapshotCheck:     func([]byte) error { return nil },
 	}
 	WithSeed(1)(r)
 	for _, o := range options {
@@ -188,22 +191,25 @@
 	r.continueTransfer()
 }
 
-// Step handles one message received at clock reading now.
-func (r *Raft) Step(now time.Duration, m Message) {
+// Step handles one message received at clock reading now. It returns an error of KindMalformed for a message that it refuses.
+func (r *Raft) Step(now time.Duration, m Message) error {
 	r.now = now
 	if m.To != r.id {
-		return
+		return nil
 	}
 	if m.Kind == Join {
 		r.stepJoin(m)
-		return
+		return nil
 	}
 	if m.Term < r.hardState.Term {
 		r.rejectStaleTerm(m)
-		return
+		return nil
+	}
+	if err := r.check(m); err != nil {
+		return err
 	}
 	if m.Term > r.hardState.Term && !r.adoptTerm(m) {
-		return
+		return nil
 	}
 	switch m.Kind {
 	case PreVote, Vote:
@@ -215,12 +221,13 @@
 	case AppendReply:
 		r.stepAppendReply(m)
 	case SnapshotChunk:
-		r.stepSnapshotChunk(m)
+		return r.stepSnapshotChunk(m)
 	case SnapshotChunkReply:
 		r.stepSnapshotChunkReply(m)
 	case TimeoutNow:
 		r.stepTimeoutNow(m)
 	}
+	return nil
 }
 
 // adoptTerm handles a message of a newer term: it moves to that term where the protocol demands it, and reports whether m
--- a/internal/raft/snapshot.go
+++ b/internal/raft/snapshot.go
@@ -31,24 +31,29 @@
 	})
 }
 
-func (r *Raft) stepSnapshotChunk(m Message) {
-	if r.role == Leader || m.Snapshot == nil {
-		return
+func (r *Raft) stepSnapshotChunk(m Message) error {
+	if r.role == Leader {
+		return nil
 	}
 	r.recordLeaderContact(m)
 	if m.Snapshot.Index <= r.hardState.Commit {
 		r.send(Message{Kind: AppendReply, To: m.From, Index: r.hardState.Commit, SentAt: m.SentAt})
-		return
+		return nil
 	}
 	r.appendSnapshotChunk(m)
 	received := uint64(len(r.partialSnapshot.Data))
 	if !m.LastChunk || received != m.Offset+uint64(len(m.Snapshot.Data)) {
 		r.send(Message{Kind: SnapshotChunkReply, To: m.From, Index: r.partialSnapshot.Index, Offset: received, SentAt: m.SentAt})
-		return
+		return nil
 	}
-	r.installSnapshot(r.partialSnapshot)
+	s := r.partialSnapshot
 	r.partialSnapshot = nil
-	r.send(Message{Kind: AppendReply, To: m.From, Index: m.Snapshot.Index, SentAt: m.SentAt})
+	if err := r.snapshotCheck(s.Data); err != nil {
+		return malformed(m, "its snapshot of index %d cannot be read: %w", s.Index, err)
+	}
+	r.installSnapshot(s)
+	r.send(Message{Kind: AppendReply, To: m.From, Index: s.Index, SentAt: m.SentAt})
+	return nil
 }
 
 // appendSnapshotChunk appends a chunk that continues the partial snapshot; any other chunk is ignored.
--- a/internal/replicator/loop.go
+++ b/internal/replicator/loop.go
@@ -115,7 +115,9 @@
 	if m.Kind == raft.Join {
 		m.To = r.id
 	}
-	r.raft.Step(r.clock(), m)
+	if err := r.raft.Step(r.clock(), m); err != nil {
+		event.MessageRefused.Warn(r.options.Logger, zap.String("from", string(m.From)), zap.NamedError("reason", err))
+	}
 }
 
 func (r *Replicator) propose(proposals []*proposal) {
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -170,7 +170,7 @@
 func (r *Replicator) open() error {
 	var loaded journaler.Loaded
 	incarnation := identity.RandomHex(8)
-	options := []raft.Option{raft.WithSeed(hashSeed(incarnation)), raft.WithClockDrift(fleet.MaxClockDrift)}
+	options := []raft.Option{raft.WithSeed(hashSeed(incarnation)), raft.WithClockDrift(fleet.MaxClockDrift), raft.WithSnapshotCheck(checkSnapshot)}
 	if r.options.ElectionTimeout > 0 {
 		options = append(options, raft.WithTimeouts(r.options.ElectionTimeout, raft.DefaultHeartbeatInterval))
 	}
@@ -196,6 +196,11 @@
 	return nil
 }
 
+func checkSnapshot(data []byte) error {
+	_, err := state.FromSnapshot(data)
+	return err
+}
+
 func snapshotIndex(s *raft.Snapshot) uint64 {
 	if s == nil {
 		return 0
