--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -13,18 +13,23 @@
 	drainCheckpointWindow = time.Second     // a stop, the poll after it and a commit take a fraction of this
 )
 
-// UncommittedChange returns the record to commit for an enrolled instance that is draining or has another capacity than the committed state
-// says, or false if there is none. Without it a later leader would start too much there until the next announcement.
+// UncommittedChange returns the record to commit for an enrolled instance that is draining, has departed or has another capacity than the
+// committed state says, or false if there is none. Without it a later leader would start too much there until the next announcement. One
+// that has departed is recorded as draining.
 func (s *Scheduler) UncommittedChange(id fleet.InstanceID) (workload.Instance, bool) {
 	in := s.instances.byID[id]
-	if in == nil || !in.enrolled && !in.enrolling || (!in.Draining || in.drainCommitted) && in.Capacity == in.committedCapacity {
+	if in == nil || !in.enrolled && !in.enrolling || (!in.leaving() || in.drainCommitted) && in.Capacity == in.committedCapacity {
 		return workload.Instance{}, false
 	}
 	record := in.Instance
+	record.Draining = in.leaving()
 	record.LargestCapacity = in.largestCapacity
 	return record, true
 }
 
+// leaving reports whether the boot gets no more starts because it shuts down.
+func (in *instance) leaving() bool { return in.Draining || in.departed }
+
 // ConfirmChange records that the record of a boot is committed.
 func (s *Scheduler) ConfirmChange(record workload.Instance) {
 	if in := s.instances.byID[record.ID]; in != nil && in.Boot == record.Boot {
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -17,7 +17,7 @@
 	// bootUncommitted is set while the committed state has an earlier boot of the enrolled instance. The instance is polled but
 	// gets no starts.
 	bootUncommitted bool
-	// drainCommitted is set once the committed state records that the enrolled instance is draining.
+	// drainCommitted is set once the committed state records that the enrolled instance is leaving.
 	drainCommitted bool
 	// committedCapacity is the capacity in the committed state, or in the enrolment that is being committed.
 	committedCapacity workload.Resources
@@ -158,7 +158,7 @@
 		in.observeClock(now, announced.Clock)
 		s.instances.update(in, announced)
 		in.announcedAt = now
-		in.drainCommitted = in.drainCommitted && in.Draining
+		in.drainCommitted = in.drainCommitted && in.leaving()
 	}
 	if !in.needsEnrolment() {
 		return false
--- a/internal/supervisor/draining_test.go
+++ b/internal/supervisor/draining_test.go
@@ -90,3 +90,21 @@
 		})
 	}
 }
+
+// TestAcknowledgedDepartureIsCommitted guards against a start of the next leader on an instance that has left: the departure was acknowledged, and
+// only the leader that was lost knew it.
+func TestAcknowledgedDepartureIsCommitted(t *testing.T) {
+	r := &singleReplica{state: state.New()}
+	s := Start(Options{
+		Entry: "k", Replica: r, Instances: unresponsiveFleet{}, Machines: unresponsiveFleet{}, Lease: 5 * time.Second, JobRetention: time.Minute,
+		Logger: zap.NewNop(), Metrics: metrics.NewRegistry(),
+	})
+	t.Cleanup(func() { assert.NilError(t, s.Close()) })
+	announceInstance(t, s, drainingInstance(1))
+	depart := forwarder.Request{Operation: forwarder.Depart, Instance: &workload.Instance{ID: "i", Boot: 1}}
+	assert.Equal(t, handleWhenLeading(t, s, depart).Outcome, forwarder.Done)
+	r.View(func(s *state.State) {
+		record, enrolled := s.Workload.Enrolled["i"]
+		assert.Assert(t, !enrolled || record.Draining)
+	})
+}
--- a/internal/supervisor/requests.go
+++ b/internal/supervisor/requests.go
@@ -75,7 +75,7 @@
 	switch o {
 	case forwarder.SubmitJob, forwarder.CancelJob, forwarder.Publish, forwarder.OpenWave:
 		return true
-	default: // a state that was read, or an announcement or departure that only this leader knows
+	default: // a state that was read, or an announcement of which only this leader knows the clock
 		return false
 	}
 }
@@ -239,30 +239,40 @@
 // announce handles the heartbeat of an instance and names this leader for the next ones.
 func (t *term) announce(ctx context.Context, request forwarder.Request) forwarder.Response {
 	in := *request.Instance
-	changeCommitted := make(chan struct{})
-	if !t.postAndWait(ctx, func() {
+	if !t.changeInstance(ctx, in.ID, func() {
 		enrol := t.scheduler.HandleAnnouncement(monotonicNow(), in)
 		t.commitInstanceChanges() // an earlier boot under the same id must be deregistered before this one is enrolled
 		if enrol {
 			t.enrol(in)
 		}
-		t.commitChange(in.ID, func() { close(changeCommitted) })
 	}) {
 		return forwarder.Response{Outcome: forwarder.NotLeading}
 	}
-	select {
-	case <-changeCommitted:
-	case <-ctx.Done():
-		return forwarder.Response{Outcome: forwarder.NotLeading}
-	case <-t.ctx.Done():
-		return forwarder.Response{Outcome: forwarder.NotLeading}
-	}
 	if in.Draining {
 		event.InstanceDraining.Info(t.options.Logger, zap.String("instance", string(in.ID)), zap.Duration("left", in.TimeLeft))
 	}
 	return forwarder.Response{Outcome: forwarder.Done, Leader: t.options.Entry}
 }
 
+// changeInstance runs change in the loop, and waits until what it changes of an instance is committed. It returns false if ctx or the term
+// ends before.
+func (t *term) changeInstance(ctx context.Context, id fleet.InstanceID, change func()) bool {
+	committed := make(chan struct{})
+	if !t.postAndWait(ctx, func() {
+		change()
+		t.commitChange(id, func() { close(committed) })
+	}) {
+		return false
+	}
+	select {
+	case <-committed:
+		return true
+	case <-ctx.Done():
+	case <-t.ctx.Done():
+	}
+	return false
+}
+
 // enrol commits a boot of an instance, so that the next leader knows that runs may exist there.
 func (t *term) enrol(in workload.Instance) {
 	t.enqueueRegistration(state.EnrolInstance{Instance: in}, func() {
@@ -272,7 +282,7 @@
 	})
 }
 
-// commitChange commits that an enrolled instance is draining or has another capacity, unless that is committed already. It calls onCommit
+// commitChange commits that an enrolled instance is draining, has departed or has another capacity, unless that is committed already. It calls onCommit
 // once the next leader knows all that the announcement says.
 func (t *term) commitChange(id fleet.InstanceID, onCommit func()) {
 	record, uncommitted := t.scheduler.UncommittedChange(id)
@@ -290,7 +300,7 @@
 // depart handles the deregistration that an instance sends when it shuts down.
 func (t *term) depart(ctx context.Context, request forwarder.Request) forwarder.Response {
 	in := *request.Instance
-	if !t.postAndWait(ctx, func() { t.scheduler.HandleDeparture(monotonicNow(), in.ID, in.Boot) }) {
+	if !t.changeInstance(ctx, in.ID, func() { t.scheduler.HandleDeparture(monotonicNow(), in.ID, in.Boot) }) {
 		return forwarder.Response{Outcome: forwarder.NotLeading}
 	}
 	return forwarder.Response{Outcome: forwarder.Done}
