--- a/internal/gateway/claimed.go
+++ b/internal/gateway/claimed.go
@@ -236,12 +236,18 @@
 	var key state.Key
 	var claim state.Claim
 	var found bool
-	g.options.Replica.View(func(s *state.State) {
+	read := func(s *state.State) {
 		key, _ = s.Authenticate(bearerToken(r))
 		claim, found = s.ClaimByRequest(id)
-	})
+	}
+	g.options.Replica.View(read)
+	inTouch := g.options.Replica.LeaseLeft() > 0
+	if inTouch && key.ID != "" && !found { // another entry may just have accepted the request
+		inTouch = g.catchUp(r.Context()) == nil
+		g.options.Replica.View(read)
+	}
 	switch {
-	case g.options.Replica.LeaseLeft() <= 0:
+	case !inTouch:
 		problem{Status: http.StatusServiceUnavailable, Outcome: fleet.Unknown, Detail: "this entry has lost touch with the committed state", RetryAfterSeconds: retryAfterSeconds}.write(w)
 	case key.ID == "":
 		problem{Status: http.StatusUnauthorized, Outcome: fleet.Unknown, Detail: "the key is missing, wrong or withdrawn"}.write(w)
@@ -253,6 +259,27 @@
 	return claim, false
 }
 
+// catchUp waits until this entry has applied all commands that were acknowledged before the call.
+func (g *Gateway) catchUp(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	index, err := g.options.Leader.ReadIndex(ctx)
+	if err != nil {
+		return err
+	}
+	for {
+		applied, changed := g.options.Replica.Applied()
+		if applied >= index {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 func (g *Gateway) getRequest(w http.ResponseWriter, r *http.Request) {
 	claim, ok := g.authorizeClaim(w, r)
 	if !ok {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,9 +37,12 @@
 	Read(read func(s *sharer.Sharer))
 }
 
-// leader is the leader component of this entry. WaitApplied is forwarded to the leading entry; Decisions collects from all entries.
+// leader is the leader component of this entry. WaitApplied and ReadIndex are forwarded to the leading entry; Decisions collects from all
+// entries.
 type leader interface {
 	WaitApplied(ctx context.Context, index uint64) error
+	// ReadIndex returns a log index that covers all commands acknowledged before the call.
+	ReadIndex(ctx context.Context) (uint64, error)
 	Decisions(subject string) []Decision
 	Reports() []planner.PoolReport
 }
@@ -61,6 +64,7 @@
 	commitTimeout        = 5 * time.Second
 	inForceTimeout       = 10 * time.Second
 	membershipTimeout    = 60 * time.Second
+	catchUpTimeout       = 2 * time.Second // longer than an election
 )
 
 // Options configures a gateway.
--- a/internal/leader/explain.go
+++ b/internal/leader/explain.go
@@ -219,3 +219,27 @@
 		}
 	}
 }
+
+// ReadIndex returns a log index that covers all commands acknowledged before the call. A process that does not lead asks the leader.
+func (l *Leader) ReadIndex(ctx context.Context) (uint64, error) {
+	if index, err := l.readIndexAsLeader(); err == nil {
+		return index, nil
+	}
+	var index uint64
+	err := l.options.Messenger.Call(ctx, l.options.Replica.Status().Leader, topicReadIndex, true, &index)
+	return index, err
+}
+
+func (l *Leader) handleReadIndex(context.Context, fleet.EntryID, []byte) (any, error) {
+	return l.readIndexAsLeader()
+}
+
+// readIndexAsLeader returns the applied index of the leader: a command is acknowledged once the leader has applied it. The lease is checked
+// afterwards, so that no later leader can have acknowledged a command before that.
+func (l *Leader) readIndexAsLeader() (uint64, error) {
+	index, _ := l.options.Replica.Applied()
+	if _, ok := l.options.Replica.Leads(); !ok {
+		return 0, &Error{Op: "read index", Kind: KindNotLeading}
+	}
+	return index, nil
+}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -23,6 +23,7 @@
 	topicReport messenger.Topic = iota + 60
 	topicWaitApplied
 	topicExplain
+	topicReadIndex
 )
 
 // Intervals and timeouts of the main loop.
@@ -42,6 +43,8 @@
 type replica interface {
 	View(read func(s *state.State))
 	Status() replicator.Status
+	Applied() (uint64, <-chan struct{})
+	Leads() (term uint64, ok bool)
 	CommitAll(ctx context.Context, commands []state.Command) ([]state.Reply, []error)
 }
 
@@ -120,6 +123,7 @@
 	o.Messenger.Handle(topicReport, l.handleReport)
 	o.Messenger.Handle(topicWaitApplied, l.handleWaitApplied)
 	o.Messenger.Handle(topicExplain, l.handleExplain)
+	o.Messenger.Handle(topicReadIndex, l.handleReadIndex)
 	l.goroutines.Go(l.loop)
 	return l
 }
