--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -199,8 +199,8 @@
 		case err != nil:
 			kind = KindUncertain
 			f.clearLeader(keeper)
-		case response.Outcome == Uncertain:
-			kind = KindUncertain
+		case response.Outcome == Uncertain, response.Outcome == Refused && kind == KindUncertain:
+			kind = KindUncertain // what was refused now may have been executed before
 		case response.Outcome != NotLeading:
 			f.recordContact(keeper)
 			return response, nil
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -139,3 +139,37 @@
 	assert.Assert(t, sent <= 10*calls, "%d requests for %d calls in 1.5 s; without a growing pause there are 37 a call", sent, calls)
 	assert.Assert(t, time.Since(start) < 2*time.Second, "answered %s after the election", time.Since(start))
 }
+
+// refusingLeader leaves the first call without an answer and refuses all others.
+type refusingLeader struct {
+	mutex sync.Mutex
+	calls int
+}
+
+func (l *refusingLeader) Call(ctx context.Context, to fleet.EntryID, _ messenger.Topic, request, reply any) error {
+	if status, ok := reply.(*forwarder.LeadershipStatus); ok {
+		*status = forwarder.LeadershipStatus{Leading: to == "a", Ready: true}
+		return nil
+	}
+	l.mutex.Lock()
+	l.calls++
+	first := l.calls == 1
+	l.mutex.Unlock()
+	if first {
+		<-ctx.Done()
+		return fault.New("call", messenger.KindUnreachable, "%w", ctx.Err())
+	}
+	*reply.(*forwarder.Response) = forwarder.Response{Outcome: forwarder.Refused}
+	return nil
+}
+
+// TestRefusalAfterLostAnswerIsUncertain guards against a caller that is told that its job does not run although an earlier attempt, whose answer was
+// lost, was accepted.
+func TestRefusalAfterLostAnswerIsUncertain(t *testing.T) {
+	f := forwarder.Start("e", &refusingLeader{}, []fleet.EntryID{"a"}, zap.NewNop(), metrics.NewRegistry())
+	t.Cleanup(func() { assert.NilError(t, f.Close()) })
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	response, err := f.Call(ctx, forwarder.Request{Operation: forwarder.SubmitJob})
+	assert.ErrorIs(t, err, forwarder.KindUncertain, "%+v", response)
+}
