--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -53,6 +53,8 @@
 	planPacer            planPacer
 	pollPacer            pollPacer
 
+	pendingJobs *pendingJobs
+
 	load load
 }
 
@@ -65,7 +67,7 @@
 }
 
 func newTerm(ctx context.Context, o *Options, m *instruments, number uint64) *term {
-	t := &term{options: o, instruments: m, number: number, inbox: make(chan func(), inboxCapacity), dispatchers: map[fleet.InstanceID]*dispatcher{}, pollPacer: pollPacer{limits: defaultPollLimits}}
+	t := &term{options: o, instruments: m, number: number, inbox: make(chan func(), inboxCapacity), dispatchers: map[fleet.InstanceID]*dispatcher{}, pollPacer: pollPacer{limits: defaultPollLimits}, pendingJobs: newPendingJobs()}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	return t
 }
