--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -203,6 +203,9 @@
 			kind = KindUncertain // what was refused now may have been executed before
 		case response.Outcome != NotLeading:
 			f.recordContact(keeper)
+			if kind == KindUncertain && request.mayStillRun(response.Outcome) {
+				return Response{}, fault.New("call", kind, "an earlier attempt had no answer, a later one gives outcome %d", response.Outcome)
+			}
 			return response, nil
 		case response.Leader == keeper:
 			f.clearLeader(keeper) // its lease has expired; it may lead on
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -140,13 +140,14 @@
 	assert.Assert(t, time.Since(start) < 2*time.Second, "answered %s after the election", time.Since(start))
 }
 
-// refusingLeader leaves the first call without an answer and refuses all others.
-type refusingLeader struct {
-	mutex sync.Mutex
-	calls int
+// forgetfulLeader leaves the first call without an answer and gives all others an outcome.
+type forgetfulLeader struct {
+	outcome forwarder.Outcome
+	mutex   sync.Mutex
+	calls   int
 }
 
-func (l *refusingLeader) Call(ctx context.Context, to fleet.EntryID, _ messenger.Topic, request, reply any) error {
+func (l *forgetfulLeader) Call(ctx context.Context, to fleet.EntryID, _ messenger.Topic, request, reply any) error {
 	if status, ok := reply.(*forwarder.LeadershipStatus); ok {
 		*status = forwarder.LeadershipStatus{Leading: to == "a", Ready: true}
 		return nil
@@ -159,17 +160,26 @@
 		<-ctx.Done()
 		return fault.New("call", messenger.KindUnreachable, "%w", ctx.Err())
 	}
-	*reply.(*forwarder.Response) = forwarder.Response{Outcome: forwarder.Refused}
+	*reply.(*forwarder.Response) = forwarder.Response{Outcome: l.outcome}
 	return nil
 }
 
 // TestRefusalAfterLostAnswerIsUncertain guards against a caller that is told that its job does not run although an earlier attempt, whose answer was
-// lost, was accepted.
+// lost, was accepted: the leader refuses under load, or the key or the queue was withdrawn in between (REFUSED 20).
 func TestRefusalAfterLostAnswerIsUncertain(t *testing.T) {
-	f := forwarder.Start("e", &refusingLeader{}, []fleet.EntryID{"a"}, zap.NewNop(), metrics.NewRegistry())
-	t.Cleanup(func() { assert.NilError(t, f.Close()) })
-	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
-	defer cancel()
-	response, err := f.Call(ctx, forwarder.Request{Operation: forwarder.SubmitJob})
-	assert.ErrorIs(t, err, forwarder.KindUncertain, "%+v", response)
+	for outcome, kind := range map[forwarder.Outcome]error{
+		forwarder.Refused: forwarder.KindUncertain, forwarder.KeyMismatch: forwarder.KindUncertain, forwarder.UnknownQueue: forwarder.KindUncertain,
+		forwarder.Invalid: forwarder.KindUncertain, forwarder.Done: nil,
+	} {
+		f := forwarder.Start("e", &forgetfulLeader{outcome: outcome}, []fleet.EntryID{"a"}, zap.NewNop(), metrics.NewRegistry())
+		t.Cleanup(func() { assert.NilError(t, f.Close()) })
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		response, err := f.Call(ctx, forwarder.Request{Operation: forwarder.SubmitJob})
+		if kind == nil {
+			assert.NilError(t, err)
+			continue
+		}
+		assert.ErrorIs(t, err, kind, "outcome %d: %+v", outcome, response)
+	}
 }
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -20,6 +20,10 @@
 	Wave      *workload.Wave      `cbor:"9,keyasint,omitempty"`
 }
 
+// mayStillRun reports whether a job may run although a later attempt to hand it in had an outcome, if an earlier one had none: the catalogue may
+// have changed in between, and another customer or queue may be asked for.
+func (r *Request) mayStillRun(o Outcome) bool { return r.Operation == SubmitJob && o != Done }
+
 // Validate returns the first error in the fields that the operation needs. The sender may run another version of the program.
 func (r *Request) Validate() error {
 	switch r.Operation {
