Commit drains of data centres

An operator could not ask for a data centre to get no more work. The state gets the table DrainedDataCentres with the commands DrainDataCentre and ResumeDataCentre, and the index of the latest change of each data centre: a delayed copy of a request carries an earlier one and is refused, without clocks that agree. Where the machines are is kept from their enrolment, because a machine on standby has no instance.

--- a/internal/state/jobs.go
+++ b/internal/state/jobs.go
@@ -68,6 +68,8 @@
 	Waves    map[uint64]*WaveRecord                 `cbor:"5,keyasint,omitempty"`
 	// Cordoned holds the log index since which nothing has been started on an unresponsive instance.
 	Cordoned map[fleet.InstanceID]uint64 `cbor:"6,keyasint,omitempty"`
+	// MachineDataCentres holds where each machine was when an instance of it was last enrolled. A machine on standby has no instance.
+	MachineDataCentres map[string]fleet.DataCentreID `cbor:"7,keyasint,omitempty"`
 }
 
 // initMaps creates the maps that a decoded snapshot may lack.
@@ -76,6 +78,7 @@
 	w.Enrolled = mapOrEmpty(w.Enrolled)
 	w.Waves = mapOrEmpty(w.Waves)
 	w.Cordoned = mapOrEmpty(w.Cordoned)
+	w.MachineDataCentres = mapOrEmpty(w.MachineDataCentres)
 }
 
 // PublishCatalogue puts a catalogue in force unless the one in force has the same or a higher version.
@@ -237,6 +240,9 @@
 
 func (c EnrolInstance) apply(s *State) (Reply, error) {
 	s.Workload.Enrolled[c.Instance.ID] = c.Instance
+	if c.Instance.Machine != "" && c.Instance.DataCentre != "" {
+		s.Workload.MachineDataCentres[c.Instance.Machine] = c.Instance.DataCentre
+	}
 	if !c.KeepsCordon {
 		delete(s.Workload.Cordoned, c.Instance.ID)
 	}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -147,6 +147,10 @@
 	WaveFailures  int                                          `json:"wave-failed"`
 	// RolloutAt is when an operator last requested maintenance of every instance.
 	RolloutAt Timestamp `json:"rollout-at"`
+	// DrainedDataCentres holds the data centres on whose instances nothing is started, and DrainRevisions the log index of the latest
+	// change of each data centre that an accepted request has named.
+	DrainedDataCentres map[fleet.DataCentreID]DataCentreDrain `json:"drained-data-centres,omitempty"`
+	DrainRevisions     map[fleet.DataCentreID]uint64          `json:"drain-revisions,omitempty"`
 	// Workload holds the catalogue, the jobs, the enrolled instances and the maintenance waves.
 	Workload Workload `json:"work"`
 	// AppliedIndex is the log index of the latest applied command.
@@ -171,6 +175,8 @@
 	s.Permits = mapOrEmpty(s.Permits)
 	s.Claims = mapOrEmpty(s.Claims)
 	s.Members = mapOrEmpty(s.Members)
+	s.DrainedDataCentres = mapOrEmpty(s.DrainedDataCentres)
+	s.DrainRevisions = mapOrEmpty(s.DrainRevisions)
 	s.Workload.initMaps()
 	s.keysByHash = map[string]KeyID{}
 	for id, k := range s.Keys {
@@ -236,7 +242,7 @@
 	Configure{}, GrantKey{}, WithdrawKey{}, AssignInstance{}, Disrupt{}, AdvancePhase{}, CompleteMove{}, Restore{}, SetLost{}, RemoveInstance{},
 	AssignOwner{}, SetPermit{}, RegisterMember{}, RemoveMember{}, OpenClaim{}, DispatchClaim{}, SettleClaim{}, ExpireClaims{}, Halt{}, Resume{}, SetIsolated{}, Roll{}, SetDeprioritized{},
 	PublishCatalogue{}, SubmitJob{}, CancelJob{}, RecordRunEnds{}, DeleteJobs{}, EnrolInstance{}, DeregisterInstances{}, AddWave{}, RecordMaintenanceStart{},
-	CordonInstances{}, UncordonInstances{}, Barrier{},
+	CordonInstances{}, UncordonInstances{}, Barrier{}, DrainDataCentre{}, ResumeDataCentre{},
 )
 
 func newCommandCodec(commands ...any) *codec.Codec {
