--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -58,13 +58,17 @@
 	FetchCatalogue
 	OpenWave
 	InspectWave
+	DrainDataCentre
+	ResumeDataCentre
+	InspectDataCentre
 	// OperationCount is one more than the highest operation.
 	OperationCount
 )
 
 // String returns the name that logs use.
 func (o Operation) String() string {
-	return namer.Name(o, "none", "submit", "cancel", "inspect", "count", "announce", "depart", "publish", "fetch", "open-wave", "inspect-wave")
+	return namer.Name(o, "none", "submit", "cancel", "inspect", "count", "announce", "depart", "publish", "fetch", "open-wave", "inspect-wave",
+		"drain-data-centre", "resume-data-centre", "inspect-data-centre")
 }
 
 // Outcome is the outcome of a call.
@@ -83,6 +87,10 @@
 	Invalid
 	// Refused means that the call was not executed and never will be.
 	Refused
+	// UnknownDataCentre means that neither the settings nor an instance names the data centre.
+	UnknownDataCentre
+	// Superseded means that a later request has changed the data centre since the revision of the call, which changed nothing.
+	Superseded
 )
 
 // Response is the response of a keeper to a call.
@@ -99,6 +107,8 @@
 	RetryAfter time.Duration `cbor:"8,keyasint,omitempty"`
 	// AnnounceTo is the keeper to which an instance sends its next announcements.
 	AnnounceTo fleet.EntryID `cbor:"9,keyasint,omitempty"`
+	// Revision is that of the data centre.
+	Revision uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // LeadershipStatus is the response of a keeper to a probe.
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
 	"github.com/sapphiresail/sapphiresail/internal/workload"
 )
 
@@ -18,6 +19,10 @@
 	Catalogue *workload.Catalogue `cbor:"7,keyasint,omitempty"`
 	Source    []byte              `cbor:"8,keyasint,omitempty"`
 	Wave      *workload.Wave      `cbor:"9,keyasint,omitempty"`
+	// DataCentre is to be drained or resumed on behalf of By, unless it was changed after Revision.
+	DataCentre fleet.DataCentreID `cbor:"10,keyasint,omitempty"`
+	By         string             `cbor:"11,keyasint,omitempty"`
+	Revision   uint64             `cbor:"12,keyasint,omitempty"`
 }
 
 // mayStillRun reports whether a job may run although a later attempt to hand it in had an outcome, if an earlier one had none: the catalogue may
@@ -44,6 +49,10 @@
 		if r.Wave == nil {
 			return errors.New("the wave is missing")
 		}
+	case DrainDataCentre, ResumeDataCentre, InspectDataCentre:
+		if r.DataCentre == "" {
+			return errors.New("the name of the data centre is missing")
+		}
 	case CancelJob, InspectJob, CountJobs, FetchCatalogue:
 	default:
 		return fmt.Errorf("unknown operation %d", r.Operation)
