Start nothing in drained data centres

Instances there are not schedulable and count neither as available for the demand of their pool nor in the capacity of shares. Machines there are not moved, maintenance waves take them first, and the reasons of waiting tasks name the drain.

--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -132,7 +132,7 @@
 func (s *Scheduler) evacuatingInstances(pool fleet.PoolID) int {
 	n := 0
 	for _, in := range s.instances.sorted {
-		if in.Pool == pool && in.enrolled && in.evacuating && s.moves[in.Machine] == nil {
+		if in.Pool == pool && in.enrolled && in.evacuating && s.moves[in.Machine] == nil && !s.drained(in.DataCentre) {
 			n++
 		}
 	}
@@ -152,16 +152,17 @@
 	return workload.Resources{Processors: total.Processors / n, Memory: total.Memory / n}
 }
 
-// availableInstances returns the number of instances of a pool that can run tasks, plus the machines being moved to it.
+// availableInstances returns the number of instances of a pool that can run tasks, plus the machines being moved to it. In a drained data
+// centre none counts.
 func (s *Scheduler) availableInstances(pool fleet.PoolID) int {
 	n := 0
 	for _, in := range s.instances.sorted {
-		if in.Pool == pool && in.enrolled && !in.Draining && !in.departed && in.failedPolls == 0 && s.moves[in.Machine] == nil {
+		if in.Pool == pool && in.enrolled && !in.Draining && !in.departed && in.failedPolls == 0 && s.moves[in.Machine] == nil && !s.drained(in.DataCentre) {
 			n++
 		}
 	}
-	for _, m := range s.moves {
-		if m.pool == pool {
+	for name, m := range s.moves {
+		if m.pool == pool && !s.machineDrained(name) {
 			n++
 		}
 	}
--- /dev/null
+++ b/internal/scheduler/drained.go
@@ -0,0 +1,40 @@
+package scheduler
+
+import (
+	"cmp"
+
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
+)
+
+// SetDrainedDataCentres replaces the data centres on whose instances nothing is started. What runs there ends by itself. The caller must
+// not change the map afterwards.
+func (s *Scheduler) SetDrainedDataCentres(drained map[fleet.DataCentreID]bool) {
+	s.drainedDataCentres = drained
+	for _, in := range s.instances.sorted {
+		if in.consolidating && s.drained(in.DataCentre) {
+			in.consolidating = false // machines there are not moved
+		}
+	}
+}
+
+func (s *Scheduler) drained(dataCentre fleet.DataCentreID) bool {
+	return len(s.drainedDataCentres) > 0 && s.drainedDataCentres[dataCentre]
+}
+
+// machineDrained reports whether a machine was in a drained data centre when it was last seen. A machine that was on standby ever since the
+// deployment began is in none that is known.
+func (s *Scheduler) machineDrained(name string) bool {
+	return len(s.drainedDataCentres) > 0 && s.drainedDataCentres[s.machineDataCentres[name]]
+}
+
+// locateMachine records in which data centre the machine of an instance is.
+func (s *Scheduler) locateMachine(in *instance) {
+	if in.Machine != "" && in.DataCentre != "" {
+		s.machineDataCentres[in.Machine] = in.DataCentre
+	}
+}
+
+// compareDrained orders instances in drained data centres before others.
+func (s *Scheduler) compareDrained(a, b *instance) int {
+	return cmp.Compare(boolToInt(s.drained(b.DataCentre)), boolToInt(s.drained(a.DataCentre)))
+}
--- a/internal/scheduler/fleet_test.go
+++ b/internal/scheduler/fleet_test.go
@@ -60,7 +60,7 @@
 // startLeader replaces the scheduler by one that starts from the committed state, as a new leader does.
 func (f *testFleet) startLeader() {
 	f.scheduler = scheduler.New(f.now, f.now.Milliseconds(), scheduler.Options{
-		Fence: f.index + 1, LeaseDuration: 5400 * time.Millisecond, LeadingSince: f.now,
+		Fence: f.index + 1, LeaseDuration: 5400 * time.Millisecond, LeadingSince: f.now, DrainedDataCentres: f.drainedDataCentres(),
 	}, &f.state.Workload)
 }
 
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -133,6 +133,7 @@
 	in := &instance{Instance: announced, runs: map[workload.TaskID]*run{}, orphans: map[runKey]time.Duration{}, clockReadAt: s.now, announcedAt: s.now, throttlePercent: 100,
 		largestCapacity: announced.Capacity.Max(announced.LargestCapacity)}
 	s.instances.put(in)
+	s.locateMachine(in)
 	return in
 }
 
@@ -157,6 +158,7 @@
 	if announced.Sequence > in.Sequence || in.Sequence == 0 {
 		in.observeClock(now, announced.Clock)
 		s.instances.update(in, announced)
+		s.locateMachine(in)
 		in.announcedAt = now
 		in.drainCommitted = in.drainCommitted && in.leaving()
 	}
@@ -323,7 +325,7 @@
 
 // schedulable reports whether tasks may be started on the instance.
 func (s *Scheduler) schedulable(in *instance) bool {
-	return in.enrolled && !in.bootUncommitted && in.polled && !in.Draining && !in.departed && !in.evacuating && !in.consolidating && !in.cordoned && !in.hasOrphans && in.failedPolls < unschedulableFailedPolls && s.now >= in.backoffUntil
+	return in.enrolled && !in.bootUncommitted && in.polled && !in.Draining && !in.departed && !in.evacuating && !in.consolidating && !in.cordoned && !in.hasOrphans && in.failedPolls < unschedulableFailedPolls && s.now >= in.backoffUntil && !s.drained(in.DataCentre)
 }
 
 // endsCommitted reports whether all ends that the instance has reported are committed. Until then the instance holds the only
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -95,7 +95,7 @@
 // growPool moves one machine to a pool and reports whether there was one to move.
 func (s *Scheduler) growPool(pool fleet.PoolID) bool {
 	for _, name := range s.machineNames {
-		if s.standbyAvailable(name) && !s.refusedMoves[refusedMove{name, pool}] && !s.underMaintenance(name) {
+		if s.standbyAvailable(name) && !s.machineDrained(name) && !s.refusedMoves[refusedMove{name, pool}] && !s.underMaintenance(name) {
 			s.beginMove(name, pool, nil)
 			return true
 		}
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -37,7 +37,7 @@
 	s.attachRun(in, r)
 	s.orders = append(s.orders, Order{
 		Kind: Start, Instance: in.ID, Address: in.Address, Task: r.task, Run: r.number, Spec: j.Spec, Checkpoint: t.checkpoint,
-		Deadline: s.nextDeadline(in), Fence: s.options.Fence, Ticket: j.ticketFor(r.task.Position, in), Reason: "placed",
+		Deadline: s.nextDeadline(in), Fence: s.options.Fence, Ticket: j.ticketFor(r.task.Position, in), Reason: "placed", DataCentre: in.DataCentre,
 	})
 }
 
@@ -96,6 +96,9 @@
 	case Unsent:
 		s.logRunDecision("run unsent", r, in, "leader lease expired")
 		s.detachRun(in, r)
+	case Withheld:
+		s.logRunDecision("run unsent", r, in, "data centre is drained")
+		s.detachRun(in, r)
 	case Unpolled:
 		s.logRunDecision("run unsent", r, in, "instance is not polled")
 		s.detachRun(in, r)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -3,6 +3,7 @@
 package scheduler
 
 import (
+	"maps"
 	"time"
 
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
@@ -45,6 +46,8 @@
 	Timeout time.Duration `cbor:"12,keyasint,omitempty"`
 	// Reason is for the log.
 	Reason string `cbor:"-"`
+	// DataCentre is where the instance is.
+	DataCentre fleet.DataCentreID `cbor:"-"`
 }
 
 // Outcome is the result of an order or poll as far as the leader knows it.
@@ -73,11 +76,13 @@
 	// Uncarried means that the process that was to send the exchange did not answer. An order may still be executed; of the instance a
 	// poll shows nothing.
 	Uncarried
+	// Withheld means that the start was never sent, because the data centre of the instance was drained after it was ordered.
+	Withheld
 )
 
 // String returns the name that logs and metrics use.
 func (o Outcome) String() string {
-	return namer.Name(o, "none", "accepted", "fenced", "rejected", "unhealthy", "mismatched", "refused", "uncertain", "unsent", "unpolled", "uncarried")
+	return namer.Name(o, "none", "accepted", "fenced", "rejected", "unhealthy", "mismatched", "refused", "uncertain", "unsent", "unpolled", "uncarried", "withheld")
 }
 
 // Timing and limits of decisions.
@@ -110,6 +115,8 @@
 	LeadingSince time.Duration
 	// MachineOrderRate is how many machine orders a second the platform accepts from all keepers; zero selects a default.
 	MachineOrderRate float64
+	// DrainedDataCentres are the data centres on whose instances nothing is started.
+	DrainedDataCentres map[fleet.DataCentreID]bool
 }
 
 // Scheduler places the tasks of all jobs. It is not safe for concurrent use.
@@ -164,10 +171,13 @@
 	demands         map[fleet.PoolID]*demand
 	refusedMoves    map[refusedMove]bool
 	// batchWorkSeen is set by the first job with a batch step; until then the demand is unknown.
-	batchWorkSeen    bool
-	probations       []probation
-	movesPlannedAt   time.Duration
-	machinesListedAt time.Duration
+	batchWorkSeen bool
+	probations    []probation
+	// drainedDataCentres is replaced rather than changed.
+	drainedDataCentres map[fleet.DataCentreID]bool
+	machineDataCentres map[string]fleet.DataCentreID
+	movesPlannedAt     time.Duration
+	machinesListedAt   time.Duration
 }
 
 // Decision is one decision for the log.
@@ -207,7 +217,11 @@
 		demands:          map[fleet.PoolID]*demand{},
 		refusedMoves:     map[refusedMove]bool{},
 		machinesListedAt: -machineListInterval,
+
+		drainedDataCentres: options.DrainedDataCentres,
+		machineDataCentres: map[string]fleet.DataCentreID{},
 	}
+	maps.Copy(s.machineDataCentres, committed.MachineDataCentres)
 	for id, e := range committed.Enrolled {
 		in := s.addInstance(e)
 		in.enrolled = true
--- a/internal/scheduler/waiting.go
+++ b/internal/scheduler/waiting.go
@@ -296,6 +296,8 @@
 // unschedulableReason returns why nothing may be started on an instance.
 func (s *Scheduler) unschedulableReason(in *instance) string {
 	switch {
+	case s.drained(in.DataCentre):
+		return "in drained data centre " + string(in.DataCentre)
 	case in.departed || in.Draining:
 		return "draining"
 	case in.evacuating:
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -80,7 +80,7 @@
 	}
 }
 
-// nextMachine returns the next machine of the wave and its instance: a machine on standby, else the one with the fewest
+// nextMachine returns the next machine of the wave and its instance: a machine on standby, else one in a drained data centre, else the one with the fewest
 // runs, else one whose instance is missing. The name is empty if there is none.
 func (s *Scheduler) nextMachine(w *wave) (string, *instance) {
 	var best *instance
@@ -95,7 +95,7 @@
 		if in == nil || !in.polled || in.failedPolls > 0 || in.evacuating || in.Draining {
 			continue
 		}
-		if best == nil || cmp.Or(cmp.Compare(len(in.runs), len(best.runs)), cmp.Compare(in.ID, best.ID)) < 0 {
+		if best == nil || cmp.Or(s.compareDrained(in, best), cmp.Compare(len(in.runs), len(best.runs)), cmp.Compare(in.ID, best.ID)) < 0 {
 			best = in
 		}
 	}
