Drain and resume data centres at the leader

The leader commits the request and acknowledges it once its scheduler has it. Starts that wait for a slot of their instance are withheld, since their goroutine cannot be called back. The drains are proposed again every 10 s for replicas that were of an earlier version. Events 435 and 436 and the gauge data-centres-drained show the drains.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -97,6 +97,8 @@
 	WaveOpened             = define(432, "wave opened", "wave", "machines", "at-once", "within")
 	MachineOrderCompleted  = define(433, "machine order completed", "machine", "wave", "pool", "outcome", "error")
 	MachineListFailed      = define(434, "machine list request failed", "error")
+	DataCentreDrained      = define(435, "data centre drained", "data-centre", "by", "index")
+	DataCentreResumed      = define(436, "data centre resumed", "data-centre", "by", "index")
 	CarrierLost            = define(443, "carrier lost", "carrier", "exchanges", "silent")
 	CallRefused            = define(444, "call refused", "operation", "path", "reason")
 	CallFailed             = define(440, "call failed", "subject", "host", "path", "reason", "took")
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -154,6 +154,11 @@
 		t.post(func() { t.scheduler.HandleOrderOutcome(monotonicNow(), o, scheduler.Unsent) })
 		return
 	}
+	if o.Kind == scheduler.Start && t.isDrained(o.DataCentre) {
+		t.instruments.countOrderOutcome(o, scheduler.Withheld)
+		t.post(func() { t.scheduler.HandleOrderOutcome(monotonicNow(), o, scheduler.Withheld) })
+		return
+	}
 	t.load.orders.Add(1)
 	t.load.ordersInFlight.Add(1)
 	defer t.load.ordersInFlight.Add(-1)
--- a/internal/supervisor/instruments.go
+++ b/internal/supervisor/instruments.go
@@ -20,6 +20,7 @@
 	planDuration   metrics.Timer
 	postDelay      metrics.Timer
 	jobsWaiting    metrics.Gauge
+	drained        metrics.Gauge
 	mismatches     map[mismatch]metrics.Gauge
 	registry       metrics.Registry
 }
@@ -38,6 +39,7 @@
 		planDuration:   metrics.GetOrRegisterTimer("plan", r),
 		postDelay:      metrics.GetOrRegisterTimer("post-delay", r),
 		jobsWaiting:    metrics.GetOrRegisterGauge("jobs-waiting", r),
+		drained:        metrics.GetOrRegisterGauge("data-centres-drained", r),
 		mismatches:     map[mismatch]metrics.Gauge{},
 		registry:       r,
 	}
@@ -52,6 +54,7 @@
 // resetGauges sets the gauges of a leader to zero.
 func (m *instruments) resetGauges() {
 	m.jobsWaiting.Update(0)
+	m.drained.Update(0)
 	for _, g := range m.mismatches {
 		g.Update(0)
 	}
--- a/internal/supervisor/lease_answer_test.go
+++ b/internal/supervisor/lease_answer_test.go
@@ -40,6 +40,9 @@
 		{"catalogue", forwarder.Request{Operation: forwarder.FetchCatalogue}, forwarder.NotLeading},
 		{"announcement", forwarder.Request{Operation: forwarder.Announce, Instance: &announced}, forwarder.NotLeading},
 		{"departure", forwarder.Request{Operation: forwarder.Depart, Instance: &departing}, forwarder.NotLeading},
+		{"data centre", drainRequest(forwarder.InspectDataCentre, "a", 0), forwarder.NotLeading},
+		{"unknown data centre", drainRequest(forwarder.DrainDataCentre, "b", 0), forwarder.NotLeading},
+		{"drain", drainRequest(forwarder.DrainDataCentre, "configured", 0), forwarder.Done},
 		{"submission", submission(otherID, "/q/"), forwarder.Done},
 		{"cancellation", job(forwarder.CancelJob), forwarder.Done},
 		{"opened wave", forwarder.Request{Operation: forwarder.OpenWave, Wave: later}, forwarder.Done},
@@ -50,7 +53,11 @@
 			s.replica.setLapsed(true)
 			assert.Equal(t, handle(), test.unleased, "the lease has expired after the request was received")
 			s.replica.setLapsed(false)
-			assert.Equal(t, handle(), forwarder.Done, "under the lease")
+			leased := forwarder.Done
+			if test.name == "unknown data centre" {
+				leased = forwarder.UnknownDataCentre
+			}
+			assert.Equal(t, handle(), leased, "under the lease")
 		})
 	}
 }
--- a/internal/supervisor/requests.go
+++ b/internal/supervisor/requests.go
@@ -45,6 +45,10 @@
 		response = t.openWave(ctx, request)
 	case forwarder.InspectWave:
 		response = t.inspectWave(request)
+	case forwarder.DrainDataCentre, forwarder.ResumeDataCentre:
+		response = t.changeDrain(ctx, request)
+	case forwarder.InspectDataCentre:
+		response = t.inspectDataCentre(request)
 	}
 	return t.confirmLeadership(request.Operation, response)
 }
@@ -73,7 +77,7 @@
 // acknowledgesCommit reports whether Done of the operation says that a command is committed, and nothing else.
 func acknowledgesCommit(o forwarder.Operation) bool {
 	switch o {
-	case forwarder.SubmitJob, forwarder.CancelJob, forwarder.Publish, forwarder.OpenWave:
+	case forwarder.SubmitJob, forwarder.CancelJob, forwarder.Publish, forwarder.OpenWave, forwarder.DrainDataCentre, forwarder.ResumeDataCentre:
 		return true
 	default: // a state that was read, or an announcement of which only this leader knows the clock
 		return false
--- a/internal/supervisor/resumption_test.go
+++ b/internal/supervisor/resumption_test.go
@@ -38,12 +38,12 @@
 	s := &resumption{
 		t: t, replica: &lapsingReplica{singleReplica: singleReplica{state: state.New()}},
 		fleet:    &responsiveFleet{boot: 1, bootedAt: time.Now()},
-		instance: workload.Instance{ID: "i", Boot: 1, Pool: "p", Address: "a", Machine: "m", Capacity: workload.Resources{Processors: 4000, Memory: 4000}},
+		instance: workload.Instance{ID: "i", Boot: 1, Pool: "p", Address: "a", Machine: "m", DataCentre: "a", Capacity: workload.Resources{Processors: 4000, Memory: 4000}},
 	}
 	_, errs := s.replica.CommitAll(t.Context(), []state.Command{state.PublishCatalogue{Source: []byte("x"), Catalogue: routedCatalogue(1, "other")}})
 	assert.NilError(t, errs[0])
 	s.Supervisor = Start(Options{
-		Entry: "k", Replica: s.replica, Instances: s.fleet, Machines: s.fleet, Lease: 5 * time.Second, JobRetention: time.Minute,
+		Entry: "k", Replica: s.replica, Instances: s.fleet, Machines: s.fleet, Lease: 5 * time.Second, JobRetention: time.Minute, DataCentres: []fleet.DataCentreID{"configured"},
 		Logger: zap.NewNop(), Metrics: metrics.NewRegistry(),
 	})
 	t.Cleanup(func() {
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -65,6 +65,8 @@
 	Lease time.Duration
 	// MachineOrderRate is how many machine orders a second the platform accepts from all keepers; zero selects a default.
 	MachineOrderRate float64
+	// DataCentres are those that the settings name; requests may also name those of instances.
+	DataCentres []fleet.DataCentreID
 	// JobRetention is how long the record of a job is kept after its end.
 	JobRetention time.Duration
 	Logger       *zap.Logger
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -48,11 +48,15 @@
 	settledLogged        bool
 	pausedAt             time.Duration // zero while the lease is held
 	lastRelease          time.Duration
+	drainsRestatedAt     time.Duration
 	logLimiter           logLimiter
 	mismatched           map[workload.JobID]mismatch
 	planPacer            planPacer
 	pollPacer            pollPacer
 
+	// drained holds the data centres in which nothing may be started. The loop replaces the map; senders of orders read it.
+	drained atomic.Pointer[map[fleet.DataCentreID]bool]
+
 	load load
 }
 
@@ -145,8 +149,9 @@
 	now := monotonicNow()
 	jobs, instances := 0, 0
 	t.options.Replica.View(func(s *state.State) {
+		drained := t.readDrains(s)
 		t.scheduler = scheduler.New(now, wallMillis(), scheduler.Options{
-			Fence: t.number, LeaseDuration: t.options.Lease, LeadingSince: now, MachineOrderRate: t.options.MachineOrderRate,
+			Fence: t.number, LeaseDuration: t.options.Lease, LeadingSince: now, MachineOrderRate: t.options.MachineOrderRate, DrainedDataCentres: drained,
 		}, &s.Workload)
 		t.ready.Store(s.Workload.Catalogue.Version > 0)
 		jobs, instances = len(s.Workload.Jobs), len(s.Workload.Enrolled)
@@ -331,7 +336,9 @@
 			}
 		}
 		over = t.unfinishedButOver(s)
+		t.refreshDrains(s)
 	})
+	t.restateDrains(now)
 	t.reportMismatches(t.findMismatches(active, over))
 	if len(jobs) > 0 {
 		t.commitAsync(state.DeleteJobs{Jobs: jobs}, func(state.Reply, error) {})
