Take the names of data centres from the settings

An operator may drain a data centre before an instance has announced itself there. The template fills data-centres from the platform's table.

--- a/internal/settings/deployment.go
+++ b/internal/settings/deployment.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/sapphiresail/sapphiresail/internal/configuration"
@@ -18,7 +19,9 @@
 	// Address is the IP address of the host; peers identify the process by it.
 	Address    string             `json:"address"`
 	DataCentre fleet.DataCentreID `json:"data-centre"`
-	PeerPort   int                `json:"peer-port"`
+	// DataCentres are those of the platform. An operator may drain them before an instance has announced itself there.
+	DataCentres []fleet.DataCentreID `json:"data-centres,omitempty"`
+	PeerPort    int                  `json:"peer-port"`
 	// Callers, Readiness and Control are the listen addresses of the HTTP servers; a server without an address is not started.
 	Callers   string `json:"callers,omitempty"`
 	Readiness string `json:"readiness,omitempty"`
@@ -70,6 +73,11 @@
 	if d.PeerPort < 1 || d.PeerPort > 65535 {
 		return fmt.Errorf("peer-port: %d is not in the range 1 to 65535", d.PeerPort)
 	}
+	for i, name := range d.DataCentres {
+		if name == "" || slices.Contains(d.DataCentres[:i], name) {
+			return fmt.Errorf("data-centres[%d]: %q is empty or named twice", i, name)
+		}
+	}
 	for i, s := range d.Seeds {
 		if _, err := netip.ParseAddrPort(s); err != nil {
 			return fmt.Errorf("seeds[%d]: %w", i, err)
--- a/internal/settings/deployment_test.go
+++ b/internal/settings/deployment_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -47,6 +48,8 @@
 		{`address: "10.1.0.26"`, `address: "here"`, "address"},
 		{`peer-port: 7000`, `peer-port: 70000`, "peer-port"},
 		{`voters: 5`, `voters: 0`, "voters"},
+		{`voters: 5`, "voters: 5\ndata-centres: [\"a\", \"a\"]", "data-centres[1]"},
+		{`voters: 5`, "voters: 5\ndata-centres: [\"\"]", "data-centres[0]"},
 		{`maximum-lease: 6000`, `maximum-lease: 0`, "maximum-lease"},
 		{`"10.2.0.17:8345"]`, `"nowhere"]`, "seeds[1]"},
 		{`grace: 6`, `graze: 6`, "graze"},
@@ -58,3 +61,37 @@
 		assert.Assert(t, cmp.ErrorContains(err, "settings.yaml"), "%s", c.fault)
 	}
 }
+
+// renderTemplate renders the settings template as the platform does: a section over the data centres, and fields.
+func renderTemplate(template string, dataCentres []string) string {
+	section := regexp.MustCompile(`\{\{#zones\}\}(.*)\{\{/zones\}\}`)
+	template = section.ReplaceAllStringFunc(template, func(text string) string {
+		rendered := ""
+		for i, name := range dataCentres {
+			comma := ","
+			if i == len(dataCentres)-1 {
+				comma = ""
+			}
+			body := section.FindStringSubmatch(text)[1]
+			rendered += strings.NewReplacer("{{@}}", name, "{{,}}", comma).Replace(body)
+		}
+		return rendered
+	})
+	fields := strings.NewReplacer("{{ip}}", "10.1.0.26", "{{internalPorts.0}}", "7000", "{{seeds|json}}", `["10.1.0.26:8345"]`, "{{bootstrap}}", "true",
+		"{{bounds.holdMaxMs}}", "6000", "{{bounds.graceS}}", "6", "{{cloudApi.dutyPerS}}", "6")
+	return regexp.MustCompile(`\{\{[^}]*\}\}`).ReplaceAllString(fields.Replace(template), "x")
+}
+
+// TestTemplateNamesDataCentres guards against a settings template whose list of data centres cannot be read with none, one or more of them.
+func TestTemplateNamesDataCentres(t *testing.T) {
+	template, err := os.ReadFile("../../deploy/settings.yaml")
+	assert.NilError(t, err)
+	for _, names := range [][]string{nil, {"lowell-a"}, {"lowell-a", "lowell-b", "salem-a"}} {
+		d, err := loadText(t, renderTemplate(string(template), names))
+		assert.NilError(t, err)
+		assert.Equal(t, len(d.DataCentres), len(names))
+		for i, name := range names {
+			assert.Equal(t, d.DataCentres[i], fleet.DataCentreID(name))
+		}
+	}
+}
