Take drains on the platform's control address

Both calls answer 200 when the change is committed, 404 for an unknown data centre and 503 otherwise. An end-to-end test drains at each keeper, loses the leader, and resumes.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -19,6 +19,7 @@
 
 	"github.com/sapphiresail/sapphiresail/internal/bootclock"
 	"github.com/sapphiresail/sapphiresail/internal/courier"
+	"github.com/sapphiresail/sapphiresail/internal/drainer"
 	"github.com/sapphiresail/sapphiresail/internal/event"
 	"github.com/sapphiresail/sapphiresail/internal/exposer"
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
@@ -151,7 +152,7 @@
 	p.closers = append(p.closers, dispatcher)
 	p.supervisor = supervisor.Start(supervisor.Options{
 		Entry: p.entryID(), Replica: p.replicator, Instances: dispatcher, Machines: client, Adviser: client,
-		Lease: time.Duration(leaseShare * float64(p.settings.Lease())), JobRetention: jobRetention, MachineOrderRate: p.settings.MachineOrderRate,
+		Lease: time.Duration(leaseShare * float64(p.settings.Lease())), JobRetention: jobRetention, MachineOrderRate: p.settings.MachineOrderRate, DataCentres: p.settings.DataCentres,
 		Logger: p.logger, Metrics: registry,
 	})
 	p.closers = append(p.closers, p.supervisor)
@@ -185,7 +186,11 @@
 	if p.supervisor == nil {
 		return p.forwarder.Call(ctx, request)
 	}
-	if request.Operation != forwarder.Announce {
+	switch request.Operation {
+	case forwarder.DrainDataCentre, forwarder.ResumeDataCentre:
+		return drainer.New(p.callAsKeeper).Change(ctx, request)
+	case forwarder.Announce:
+	default:
 		return p.callAsKeeper(ctx, request)
 	}
 	if response, ok := p.acknowledgeAnnouncement(request.Instance); ok {
