Give work to instances that are warming up last

An instance that starts, or a data centre that returns, is slow until its caches are filled. Announcements say how long; the scheduler keeps the end of the warm-up on the clock of the instance and commits it, so that a later leader knows it. Warm instances go first.

--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -13,12 +13,12 @@
 	drainCheckpointWindow = time.Second     // a stop, the poll after it and a commit take a fraction of this
 )
 
-// UncommittedChange returns the record to commit for an enrolled instance that is draining, has departed or has another capacity than the
-// committed state says, or false if there is none. Without it a later leader would start too much there until the next announcement. One
+// UncommittedChange returns the record to commit for an enrolled instance that is draining, has departed, or has another capacity or a later end
+// of its warm-up than the committed state says, or false if there is none. Without it a later leader would start too much there until the next announcement. One
 // that has departed is recorded as draining.
 func (s *Scheduler) UncommittedChange(id fleet.InstanceID) (workload.Instance, bool) {
 	in := s.instances.byID[id]
-	if in == nil || !in.enrolled && !in.enrolling || (!in.leaving() || in.drainCommitted) && in.Capacity == in.committedCapacity {
+	if in == nil || !in.enrolled && !in.enrolling || (!in.leaving() || in.drainCommitted) && in.Capacity == in.committedCapacity && !in.warmsLater() {
 		return workload.Instance{}, false
 	}
 	record := in.Instance
@@ -35,6 +35,7 @@
 	if in := s.instances.byID[record.ID]; in != nil && in.Boot == record.Boot {
 		in.drainCommitted = record.Draining
 		in.committedCapacity = record.Capacity
+		in.committedWarmAt = record.WarmAt()
 	}
 }
 
--- a/internal/scheduler/enrolment.go
+++ b/internal/scheduler/enrolment.go
@@ -17,6 +17,7 @@
 func (s *Scheduler) beginEnrolment(in *instance) {
 	in.enrolling = true
 	in.committedCapacity = in.Capacity
+	in.committedWarmAt = in.WarmAt()
 	s.enrolling[in.ID] = append(s.enrolling[in.ID], in)
 }
 
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -21,7 +21,11 @@
 	if !s.withinLimit(c.job, requested) {
 		return
 	}
-	assigned := fitGang(c, step, instances)
+	warm := warmInstances(instances)
+	assigned := fitGang(c, step, warm)
+	if assigned == nil && len(warm) < len(instances) {
+		assigned = fitGang(c, step, instances)
+	}
 	if assigned == nil {
 		return
 	}
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -21,6 +21,13 @@
 	drainCommitted bool
 	// committedCapacity is the capacity in the committed state, or in the enrolment that is being committed.
 	committedCapacity workload.Resources
+	// committedWarmAt is the end of the warm-up that the committed state knows.
+	committedWarmAt time.Duration
+	// warmupTotal is the longest WarmupLeft of the current warm-up. cold is set during the warm-up, and warmupReserve is capacity that is
+	// not used then; both are set in each planning run.
+	warmupTotal   time.Duration
+	cold          bool
+	warmupReserve workload.Resources
 	// largestCapacity is the largest that the boot has announced.
 	largestCapacity workload.Resources
 	// inherited is set for instances that an earlier leader enrolled, until the first report or lease expiry.
@@ -132,6 +139,7 @@
 func (s *Scheduler) addInstance(announced workload.Instance) *instance {
 	in := &instance{Instance: announced, runs: map[workload.TaskID]*run{}, orphans: map[runKey]time.Duration{}, clockReadAt: s.now, announcedAt: s.now, throttlePercent: 100,
 		largestCapacity: announced.Capacity.Max(announced.LargestCapacity)}
+	in.observeWarmup(false)
 	s.instances.put(in)
 	s.locateMachine(in)
 	return in
@@ -157,7 +165,9 @@
 	}
 	if announced.Sequence > in.Sequence || in.Sequence == 0 {
 		in.observeClock(now, announced.Clock)
+		stillCold := in.warmingUp(now)
 		s.instances.update(in, announced)
+		in.observeWarmup(stillCold)
 		s.locateMachine(in)
 		in.announcedAt = now
 		in.drainCommitted = in.drainCommitted && in.leaving()
@@ -320,8 +330,14 @@
 	}
 }
 
-// free returns the unclaimed capacity of the instance.
-func (in *instance) free() workload.Resources { return in.Capacity.Sub(in.claimed) }
+// free returns the unclaimed capacity of the instance, without the reserve of a warm-up unless it is empty.
+func (in *instance) free() workload.Resources {
+	free := in.Capacity.Sub(in.claimed)
+	if in.cold && len(in.runs) > 0 {
+		return free.Sub(in.warmupReserve)
+	}
+	return free
+}
 
 // schedulable reports whether tasks may be started on the instance.
 func (s *Scheduler) schedulable(in *instance) bool {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -154,6 +154,7 @@
 		}
 		pool.total = pool.total.Add(in.Capacity)
 	}
+	s.measureWarmups(pools)
 	return pools
 }
 
@@ -237,6 +238,7 @@
 
 // Weights of the placement score, in units of a fully used instance.
 const (
+	weightCold            = 500.0 // an instance gets nothing before it is warm if a warm one has room, whatever else speaks for it
 	weightDataRack        = 100.0 // away from its data a task takes two to three times as long
 	weightFailure         = 20.0  // an instance on which tasks failed recently is the last choice
 	weightLastInstance    = 10.0  // a task is retried on another instance after a lost or failed run
@@ -250,6 +252,9 @@
 func (in *instance) score(c *candidate, t *task) float64 {
 	step := c.stage.step
 	score := 0.0
+	if in.cold {
+		score -= weightCold
+	}
 	if step.DataRack != "" && in.Rack == step.DataRack {
 		score += weightDataRack
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -227,6 +227,7 @@
 		in.enrolled = true
 		in.drainCommitted = e.Draining
 		in.committedCapacity = e.Capacity
+		in.committedWarmAt = e.WarmAt()
 		in.clockReadAt = options.LeadingSince
 		in.inherited = true
 		in.cordonIndex = committed.Cordoned[id]
--- a/internal/scheduler/suspects.go
+++ b/internal/scheduler/suspects.go
@@ -105,7 +105,7 @@
 		if !in.free().Fits(c.stage.claim) || !in.suits(c.stage) || !in.mayTakeSuspect(suspect) {
 			continue
 		}
-		if best == nil || cmp.Or(cmp.Compare(crashedBefore(in), crashedBefore(best)), cmp.Compare(len(in.runs), len(best.runs)), cmp.Compare(in.Boot, best.Boot)) < 0 {
+		if best == nil || cmp.Or(cmp.Compare(boolToInt(in.cold), boolToInt(best.cold)), cmp.Compare(crashedBefore(in), crashedBefore(best)), cmp.Compare(len(in.runs), len(best.runs)), cmp.Compare(in.Boot, best.Boot)) < 0 {
 			best = in
 		}
 	}
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -42,6 +42,11 @@
 	return Resources{n.Processors - o.Processors, n.Memory - o.Memory, n.Accelerators - o.Accelerators}
 }
 
+// Scale returns n times a factor, rounded down.
+func (n Resources) Scale(factor float64) Resources {
+	return Resources{int64(float64(n.Processors) * factor), int64(float64(n.Memory) * factor), int64(float64(n.Accelerators) * factor)}
+}
+
 // Max returns the larger of each resource.
 func (n Resources) Max(other Resources) Resources {
 	return Resources{Processors: max(n.Processors, other.Processors), Memory: max(n.Memory, other.Memory), Accelerators: max(n.Accelerators, other.Accelerators)}
@@ -270,13 +275,27 @@
 	Rack     string        `cbor:"13,keyasint,omitempty"`
 	// LargestCapacity is the largest that the boot has announced, in the committed record. Runs may exist up to that.
 	LargestCapacity Resources `cbor:"14,keyasint,omitempty" json:",omitzero"`
+	// WarmupLeft is the time until the instance has its full speed; it is zero on a warm one.
+	WarmupLeft time.Duration `cbor:"15,keyasint,omitempty" json:",omitzero"`
+}
+
+// WarmupTolerance is how much later than announced before a warm-up may end without being news. Announcements are rounded and delayed.
+const WarmupTolerance = 500 * time.Millisecond
+
+// WarmAt returns when the instance has its full speed, on its own clock, or zero if it had it at the announcement.
+func (i *Instance) WarmAt() time.Duration {
+	if i.WarmupLeft <= 0 {
+		return 0
+	}
+	return i.Clock + i.WarmupLeft
 }
 
 // SaysSame reports whether another announcement of the instance says the same but for its sequence number and clock, which every
-// announcement has anew, and the time left while the instance is draining.
+// announcement has anew, and the time left while the instance is draining or warming up.
 func (i *Instance) SaysSame(other *Instance) bool {
 	return i.ID == other.ID && i.Boot == other.Boot && i.Pool == other.Pool && i.Address == other.Address && i.DataCentre == other.DataCentre &&
-		i.Machine == other.Machine && i.Capacity == other.Capacity && i.Draining == other.Draining && i.Rack == other.Rack && slices.Equal(i.Labels, other.Labels)
+		i.Machine == other.Machine && i.Capacity == other.Capacity && i.Draining == other.Draining && i.Rack == other.Rack && slices.Equal(i.Labels, other.Labels) &&
+		other.WarmAt() <= i.WarmAt()+WarmupTolerance
 }
 
 // Wave is a request to maintain machines within a time limit.
