Pace maintenance waves by their time left, and count only machines that are down

Cause: on a fleet of 100 machines under turns of load, a wave over half of them in 25 s, six at once, left 19 machines (11 with whole racks). Machines that were being evacuated held the wave's places; machines on standby held them for 8 s, because they announce nothing; the next machine was chosen without regard to its pool; a machine that did not answer was left out; a full pool left no room for the service tasks of a machine that was being evacuated.

A place is held only by a machine that is down, or may be because of an order without an answer. Checkpointing tasks are stopped only if the time left requires it. Machines with tasks of one step are emptied one after the other within its budget, and their tasks go to machines that do not await maintenance, where room is reserved for them. A machine is back when a later boot announces itself, or a list of machines that was requested after its maintenance began shows it up; the list is read for that at most every 2 s. A new leader begins at once, and counts the machines that it has not seen up as down for 4 s. Machines that are unreachable with expired leases, leaving and empty, or missing are tried last.

--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -128,6 +128,13 @@
 	return max(minPoolInstances, int(math.Ceil(batch+d.service+reserveInstances)), d.minSpread+d.evacuating)
 }
 
+// unneededInstances returns how many instances of the pool its tasks can do without now, at the recent peak and the present trend. It
+// is negative if the pool has too few.
+func (d *demand) unneededInstances() int {
+	needed := d.service + demandMargin*max(d.batchPeak, d.batch+slopeHorizonSeconds*d.batchSlope)
+	return d.available - int(math.Round(needed))
+}
+
 // evacuatingInstances returns the number of instances of a pool that are being emptied for maintenance.
 func (s *Scheduler) evacuatingInstances(pool fleet.PoolID) int {
 	n := 0
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -57,6 +57,11 @@
 	recentFailures  int
 	throttlePercent int
 	evacuating      bool
+	// awaitsMaintenance is set while a wave has yet to maintain the machine, and reserved while batch tasks are kept off it for a
+	// service task that leaves another machine.
+	awaitsMaintenance, reserved bool
+	// fromCommitted is set for instances that this leader found in the committed state.
+	fromCommitted bool
 	// consolidating is set while the service tasks of a surplus instance are relocated.
 	consolidating bool
 	// cordoned instances get no starts because polls failed; the committed state records it. cordonIndex is the log index
--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -67,7 +68,7 @@
 
 // MachineListDue reports whether the platform's list of machines is to be read now, and starts the next interval if so.
 func (s *Scheduler) MachineListDue() bool {
-	if !s.movesEnabled() || s.now-s.machinesListedAt < machineListInterval {
+	if !s.movesEnabled() || s.now-s.machinesListedAt < machineListInterval && !s.returnListDue() {
 		return false
 	}
 	s.machinesListedAt = s.now
@@ -123,6 +124,8 @@
 	case MachineFenced:
 		s.superseded = true
 		return false
+	case MachineDone:
+		s.platformFencedAt = cmp.Or(s.platformFencedAt, now)
 	case MachineThrottled:
 		s.machineBudget.throttled(now)
 	}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -221,7 +221,9 @@
 
 // accepts reports whether a task of the stage may start on the instance if it has the capacity. Nothing starts beside a suspect on
 // probation, so that a crash has few suspects.
-func (in *instance) accepts(st *stage) bool { return in.suspectRuns == 0 && in.suits(st) }
+func (in *instance) accepts(st *stage) bool {
+	return in.suspectRuns == 0 && (!in.reserved || st.step.Service) && in.suits(st)
+}
 
 // suits reports whether the instance is of the kind that the stage asks for and has fewer tasks of it than the step allows.
 func (in *instance) suits(st *stage) bool {
@@ -240,6 +242,7 @@
 	weightDataRack        = 100.0 // away from its data a task takes two to three times as long
 	weightFailure         = 20.0  // an instance on which tasks failed recently is the last choice
 	weightLastInstance    = 10.0  // a task is retried on another instance after a lost or failed run
+	weightMaintenance     = 6.0   // a machine that a wave has yet to maintain must be emptied again, which costs a service task 1 s
 	weightInterference    = 5.0   // best-effort tasks and latency-sensitive service tasks slow each other down
 	weightServiceInstance = 4.0   // with service tasks on few instances, the others can go to standby when batch work ends
 	weightRackSpread      = 0.5   // the loss of a rack should not stop all tasks of a service step
@@ -257,6 +260,9 @@
 	if t.lastInstance == in.ID {
 		score -= weightLastInstance
 	}
+	if in.awaitsMaintenance {
+		score -= weightMaintenance
+	}
 	load := float64(in.claimed.Processors) / float64(max(1, in.Capacity.Processors))
 	if !step.Service {
 		return score + weightPacking*load
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -163,6 +163,9 @@
 	unansweredMoves int
 	demands         map[fleet.PoolID]*demand
 	refusedMoves    map[refusedMove]bool
+	reservations    []reservation
+	// platformFencedAt is when the platform first answered a machine order of this term, zero before that.
+	platformFencedAt time.Duration
 	// batchWorkSeen is set by the first job with a batch step; until then the demand is unknown.
 	batchWorkSeen    bool
 	probations       []probation
@@ -215,6 +218,7 @@
 		in.committedCapacity = e.Capacity
 		in.clockReadAt = options.LeadingSince
 		in.inherited = true
+		in.fromCommitted = true
 		in.cordonIndex = committed.Cordoned[id]
 		in.cordoned = in.cordonIndex > 0
 		s.unreconciled[id] = true
@@ -224,6 +228,7 @@
 	}
 	for _, r := range committed.Waves {
 		s.AddWave(now, wallMillis, r)
+		s.waves[r.Wave.Number].inherited = true
 	}
 	return s
 }
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -195,12 +195,13 @@
 func (t *term) listMachines() {
 	ctx, cancel := context.WithTimeout(t.ctx, platformTimeout)
 	defer cancel()
+	requestedAt := monotonicNow()
 	list, err := t.options.Machines.ListMachines(ctx)
 	if err != nil {
 		event.MachineListFailed.Warn(t.options.Logger, zap.NamedError("error", err))
 		return
 	}
-	t.post(func() { t.scheduler.SetMachines(list) })
+	t.post(func() { t.scheduler.HandleMachineList(monotonicNow(), requestedAt, list) })
 }
 
 // requestAdvice requests from the policy service which instances may run a step.
