--- a/internal/scheduler/drained.go
+++ b/internal/scheduler/drained.go
@@ -1,10 +1,6 @@
 package scheduler
 
-import (
-	"cmp"
-
-	"github.com/sapphiresail/sapphiresail/internal/fleet"
-)
+import "github.com/sapphiresail/sapphiresail/internal/fleet"
 
 // SetDrainedDataCentres replaces the data centres on whose instances nothing is started. What runs there ends by itself. The caller must
 // not change the map afterwards.
@@ -33,8 +29,3 @@
 		s.machineDataCentres[in.Machine] = in.DataCentre
 	}
 }
-
-// compareDrained orders instances in drained data centres before others.
-func (s *Scheduler) compareDrained(a, b *instance) int {
-	return cmp.Compare(boolToInt(s.drained(b.DataCentre)), boolToInt(s.drained(a.DataCentre)))
-}
