Predict the run times of tasks from finished runs, for the scheduler to ask

The scheduler has only the estimates of callers, which are off by a fifth on some queues and by up to nine tenths on others, while objectives follow from the true times.

Tasks of a step that have finished or report progress refine the forecast for the others. It also derives the speed of each instance. The scheduler feeds it with full runs that this leader has started and that ended by themselves, and answers expectedRunTime, expectedOn, expectedRemainder and expectedChain, cached for each stage and without allocation.

--- a/internal/scheduler/fleet_test.go
+++ b/internal/scheduler/fleet_test.go
@@ -29,11 +29,14 @@
 	machineOrders  []scheduler.MachineOrder
 	// reportedPercent is the progress of every run in status reports.
 	reportedPercent int
-	tailMillis      map[workload.TaskID]int
-	throttleOrders  []scheduler.Order
-	bootMillis      map[string]int64
-	racks           map[fleet.InstanceID]string
-	addresses       map[fleet.InstanceID]string
+	// taskTime, if set, is how long tasks take; their progress follows from it and reportedPercent is not used.
+	taskTime       time.Duration
+	startedAt      map[workload.TaskID]time.Duration
+	tailMillis     map[workload.TaskID]int
+	throttleOrders []scheduler.Order
+	bootMillis     map[string]int64
+	racks          map[fleet.InstanceID]string
+	addresses      map[fleet.InstanceID]string
 }
 
 // newTestFleet returns a fleet without instances. It has queue "q" on pool "p", queue "other" on pool "o" and the standby
@@ -42,7 +45,7 @@
 	f := &testFleet{
 		t: t, now: time.Hour, state: state.New(), runs: map[fleet.InstanceID]map[workload.TaskID]workload.Run{},
 		unackedEnds: map[fleet.InstanceID][]scheduler.ReportedEnd{}, lastEndNumbers: map[fleet.InstanceID]uint64{}, reportedPercent: 100,
-		tailMillis: map[workload.TaskID]int{}, bootMillis: map[string]int64{},
+		startedAt: map[workload.TaskID]time.Duration{}, tailMillis: map[workload.TaskID]int{}, bootMillis: map[string]int64{},
 		racks: map[fleet.InstanceID]string{}, addresses: map[fleet.InstanceID]string{},
 	}
 	f.commit(state.PublishCatalogue{Source: []byte("x"), Catalogue: workload.Catalogue{
@@ -163,6 +166,7 @@
 	switch o.Kind {
 	case scheduler.Start:
 		runs[o.Task] = o.Run
+		f.startedAt[o.Task] = f.now
 		f.startOrders = append(f.startOrders, o)
 	case scheduler.Stop:
 		if runs[o.Task] == o.Run {
@@ -190,13 +194,20 @@
 		}
 		report := scheduler.StatusReport{Clock: time.Minute + f.now, Ended: slices.Clone(f.unackedEnds[id])}
 		for task, run := range runs {
-			report.Running = append(report.Running, scheduler.ReportedRun{Task: task, Run: run, Percent: f.reportedPercent, TailMillis: f.tailMillis[task]})
+			report.Running = append(report.Running, scheduler.ReportedRun{Task: task, Run: run, Percent: f.percentOf(task), TailMillis: f.tailMillis[task]})
 		}
 		f.unackedEnds[id] = slices.DeleteFunc(f.unackedEnds[id], func(e scheduler.ReportedEnd) bool { return e.Number <= request.AckedEnd })
 		f.scheduler.HandleReport(f.now, id, f.now-time.Millisecond, report)
 	}
 }
 
+func (f *testFleet) percentOf(task workload.TaskID) int {
+	if f.taskTime == 0 {
+		return f.reportedPercent
+	}
+	return min(99, int(100*(f.now-f.startedAt[task])/f.taskTime))
+}
+
 // placements returns the running tasks of a job with their instances.
 func (f *testFleet) placements(job workload.JobID) map[workload.TaskID]fleet.InstanceID {
 	placed := map[workload.TaskID]fleet.InstanceID{}
--- /dev/null
+++ b/internal/scheduler/forecast.go
@@ -0,0 +1,213 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/forecaster"
+	"github.com/sapphiresail/sapphiresail/internal/workload"
+)
+
+const (
+	// priorRefreshInterval is how long the forecast for a step of which nothing has run is used again. Computing it costs as much as
+	// placing a task, and a planning run asks for hundreds.
+	priorRefreshInterval = time.Second
+	// heldPollTime is how long a response takes at least if the instance held it until a run ended. Instances answer within milliseconds.
+	heldPollTime = 40 * time.Millisecond
+	// maxTimingDoubt is the part of a run time that may be uncertain. Tasks of one step differ by as much.
+	maxTimingDoubt = 0.3
+	// minShownPercent is the progress from which on the end of a run can be computed from it. Progress is reported in steps of 1 %.
+	minShownPercent = 20
+)
+
+// expectation is the forecast for the tasks of a stage.
+type expectation struct {
+	evidence forecaster.Evidence
+	// prior is the forecast without the evidence. It is kept once there is evidence, which is also learned for later jobs.
+	prior, current forecaster.Forecast
+	refreshAt      time.Duration
+	known, stale   bool
+	hasEvidence    bool
+}
+
+// expectedRunTime returns the forecast for a task of a stage on an instance of usual speed near its data. It does not allocate.
+func (s *Scheduler) expectedRunTime(j *job, st *stage) forecaster.Forecast {
+	e := &st.expectation
+	if !e.known || !e.hasEvidence && s.now >= e.refreshAt {
+		e.prior = s.forecaster.Expect(j.subject(st))
+		e.known, e.stale, e.refreshAt = true, true, s.now+priorRefreshInterval
+	}
+	if e.stale {
+		e.current, e.stale = e.prior.Given(&e.evidence), false
+	}
+	return e.current
+}
+
+// expectedOn returns the forecast for a task of a stage on an instance.
+func (s *Scheduler) expectedOn(in *instance, j *job, st *stage) forecaster.Forecast {
+	f := s.expectedRunTime(j, st).Scaled(1 / s.forecaster.InstanceSpeed(in.ID).Factor)
+	if in.remoteFrom(st.step) {
+		f = f.Scaled(s.forecaster.RemoteFactor())
+	}
+	return f
+}
+
+// expectedRemainder returns the remaining time of a run. A run whose start is not known is taken to start now.
+func (s *Scheduler) expectedRemainder(in *instance, r *run) forecaster.Remainder {
+	elapsed := time.Duration(0)
+	if r.startedAt > 0 {
+		elapsed = s.now - r.startedAt
+	}
+	percent := r.percent
+	if r.reported && r.percent > 0 && elapsed > 0 {
+		// The percentage is as old as the report that showed it first.
+		if shown := in.receivedAt(r.progressedAt) - r.startedAt; shown > 0 {
+			percent = min(99, int(float64(r.percent)*float64(elapsed)/float64(shown)))
+		}
+	}
+	return s.expectedOn(in, r.job, r.job.stage(r.task.Position)).Remaining(elapsed, percent)
+}
+
+// expectedChain returns the typical duration of the longest chain of dependent steps of an occurrence, of which the objective is a multiple.
+func (s *Scheduler) expectedChain(j *job, o *occurrence) time.Duration {
+	return longestChain(&j.Job, func(step int) time.Duration { return s.expectedRunTime(j, o.stages[step]).Typical() })
+}
+
+// ExpectedRunTime returns the forecast for a task; ok is false if its job is not known.
+func (s *Scheduler) ExpectedRunTime(id workload.TaskID) (f forecaster.Forecast, ok bool) {
+	j := s.jobs[id.Job]
+	if j == nil || !j.hasTask(id.Position) {
+		return f, false
+	}
+	return s.expectedRunTime(j, j.stage(id.Position)), true
+}
+
+// ExpectedRemainder returns the remaining time of the run of a task; ok is false if it has none.
+func (s *Scheduler) ExpectedRemainder(id workload.TaskID) (r forecaster.Remainder, ok bool) {
+	j := s.jobs[id.Job]
+	if j == nil || !j.hasTask(id.Position) || j.task(id.Position).run == nil {
+		return r, false
+	}
+	t := j.task(id.Position)
+	return s.expectedRemainder(t.instance, t.run), true
+}
+
+// ExpectedChain returns the typical duration of the longest chain of steps of a job; ok is false if the job is not known.
+func (s *Scheduler) ExpectedChain(id workload.JobID) (d time.Duration, ok bool) {
+	j := s.jobs[id]
+	if j == nil {
+		return 0, false
+	}
+	return s.expectedChain(j, j.occurrences[0]), true
+}
+
+// InstanceSpeed returns the speed of an instance relative to what is usual.
+func (s *Scheduler) InstanceSpeed(id fleet.InstanceID) forecaster.Speed {
+	return s.forecaster.InstanceSpeed(id)
+}
+
+// ForecastAccuracies returns how accurate the forecasts for each queue have been under this leader.
+func (s *Scheduler) ForecastAccuracies() []forecaster.Accuracy { return s.forecaster.Accuracies() }
+
+func (j *job) subject(st *stage) forecaster.Subject {
+	return forecaster.Subject{Queue: j.queue, Customer: j.customer, Image: st.step.Image, Step: forecaster.StepNumber(st.stepIndex), Estimate: st.step.Estimate}
+}
+
+func (in *instance) remoteFrom(step *workload.Step) bool {
+	return step.DataRack != "" && in.Rack != step.DataRack
+}
+
+// receivedAt converts a clock value of the instance from a report to the time at which the report arrived.
+func (in *instance) receivedAt(clock time.Duration) time.Duration {
+	return in.reportReceivedAt - (in.reportedAt - clock)
+}
+
+// markStarted records that the run was started between its order and now.
+func (r *run) markStarted(now time.Duration) {
+	if r.startedAt == 0 {
+		r.startedAt, r.startDoubt = (r.orderedAt+now)/2, (now-r.orderedAt)/2
+	}
+}
+
+// endedAt returns when a run ended that the last report listed as ended, and how far the truth may be from that. A response that the
+// instance held came at the end of a run; else the run ended at some time since the report before.
+func (in *instance) endedAt(r *run) (at, doubt time.Duration) {
+	latest := in.reportReceivedAt
+	if in.reportHeld {
+		return latest, 0
+	}
+	earliest := max(in.previousReportAt, r.startedAt)
+	if r.reported && r.percent >= minShownPercent {
+		shown := r.startedAt + (in.receivedAt(r.progressedAt)-r.startedAt)*100/time.Duration(r.percent)
+		return max(earliest, min(shown, latest)), 0
+	}
+	return (earliest + latest) / 2, (latest - earliest) / 2
+}
+
+// observeEnd learns from an ended run. Only one that ended by itself after a full run teaches how long its kind of task takes.
+func (s *Scheduler) observeEnd(in *instance, r *run, ending workload.Ending) {
+	st := r.job.stage(r.task.Position)
+	if !r.measured || r.startedAt == 0 || st.step.Service || st.step.BestEffort {
+		return
+	}
+	endedAt, doubt := in.endedAt(r)
+	actual := endedAt - r.startedAt
+	if actual <= 0 || float64(doubt+r.startDoubt) > maxTimingDoubt*float64(actual) {
+		return
+	}
+	expected := s.expectedRunTime(r.job, st)
+	s.dropSample(r)
+	observed := forecaster.Run{
+		Subject: r.job.subject(st), Actual: actual, Tasks: st.step.Count, Instance: in.ID, Remote: in.remoteFrom(st.step), Evidence: &st.expectation.evidence,
+	}
+	before := s.forecaster.InstanceSpeed(in.ID)
+	switch {
+	case ending == workload.EndedDone && !r.stopping:
+		s.forecaster.Observe(observed)
+		s.addEvidence(st, forecaster.Sample{}, s.forecaster.Finished(expected, in.ID, observed.Remote, actual))
+	case ending == workload.EndedStopped:
+		s.forecaster.ObserveUnfinished(observed)
+	}
+	s.logSpeed(in, before)
+}
+
+// observeProgress takes the progress of a run into the forecast for its stage.
+func (s *Scheduler) observeProgress(in *instance, r *run) {
+	st := r.job.stage(r.task.Position)
+	if !r.measured || r.startedAt == 0 || st.step.Service || st.step.BestEffort {
+		return
+	}
+	sample := s.forecaster.Progress(s.expectedRunTime(r.job, st), in.ID, in.remoteFrom(st.step), in.reportReceivedAt-r.startedAt, r.percent)
+	if sample.Set() {
+		s.addEvidence(st, r.sample, sample)
+		r.sample = sample
+	}
+}
+
+// dropSample removes what the progress of a run has shown.
+func (s *Scheduler) dropSample(r *run) {
+	if r.sample.Set() {
+		s.addEvidence(r.job.stage(r.task.Position), r.sample, forecaster.Sample{})
+		r.sample = forecaster.Sample{}
+	}
+}
+
+func (s *Scheduler) addEvidence(st *stage, before, after forecaster.Sample) {
+	st.expectation.evidence.Replace(before, after)
+	st.expectation.stale = true
+	st.expectation.hasEvidence = true
+}
+
+// logSpeed records that an instance has become slow or has its usual speed again.
+func (s *Scheduler) logSpeed(in *instance, before forecaster.Speed) {
+	after := s.forecaster.InstanceSpeed(in.ID)
+	if after.Slow == before.Slow {
+		return
+	}
+	what := "instance slow"
+	if before.Slow {
+		what = "instance speed usual"
+	}
+	s.decisions = append(s.decisions, Decision{What: what, Instance: in.ID, Machine: in.Machine, Reason: fmt.Sprintf("speed %.2f in the last %d runs", after.Factor, after.Runs)})
+}
--- /dev/null
+++ b/internal/scheduler/forecast_test.go
@@ -0,0 +1,177 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sapphiresail/sapphiresail/internal/scheduler"
+	"github.com/sapphiresail/sapphiresail/internal/workload"
+)
+
+var secondStep = workload.Step{Count: 1, Resources: workload.Resources{Processors: 1000}, Estimate: time.Second, Image: "image"}
+
+// runFor submits a job with one task and ends it after a time.
+func (f *testFleet) runFor(step workload.Step, duration time.Duration) workload.JobID {
+	job := f.submitJob(step)
+	f.advance(100 * time.Millisecond) // starts the task
+	f.taskTime = duration
+	f.advance(duration)
+	f.endRuns(job, workload.EndedDone)
+	f.advance(300 * time.Millisecond)
+	return job
+}
+
+func (f *testFleet) endRuns(job workload.JobID, ending workload.Ending) {
+	for task, id := range f.placements(job) {
+		f.endRun(id, task, ending)
+	}
+}
+
+// expected returns the typical time that the scheduler expects for a task of a new job.
+func (f *testFleet) expected(step workload.Step) time.Duration {
+	job := f.submitJob(step)
+	defer f.scheduler.CancelJob(f.now, job)
+	forecast, ok := f.scheduler.ExpectedRunTime(workload.TaskID{Job: job})
+	assert.Assert(f.t, ok)
+	return forecast.Typical()
+}
+
+// TestFinishedRunsTeachRunTimes guards against a scheduler that goes on to expect what callers estimate.
+func TestFinishedRunsTeachRunTimes(t *testing.T) {
+	f := newTestFleet(t)
+	f.addInstance("a", "p")
+	assert.Equal(t, f.expected(secondStep), time.Second)
+	for range 8 {
+		f.runFor(secondStep, 2500*time.Millisecond)
+	}
+	got := f.expected(secondStep)
+	assert.Assert(t, got > 2*time.Second && got < 2700*time.Millisecond, "%s", got)
+	accuracies := f.scheduler.ForecastAccuracies()
+	assert.Equal(t, len(accuracies), 1)
+	assert.Assert(t, accuracies[0].Queue == "q" && accuracies[0].Given > accuracies[0].Forecast, "%+v", accuracies)
+}
+
+// TestIncompleteRunsDoNotCount guards against forecasts from runs that are no full run of their task: stopped, failed, lost, resumed from a
+// checkpoint, adopted by a new leader, or with a start that was uncertain.
+func TestIncompleteRunsDoNotCount(t *testing.T) {
+	resumable := secondStep
+	resumable.Checkpointing = true
+	for _, c := range []struct {
+		name string
+		run  func(f *testFleet, job workload.JobID)
+	}{
+		{"stopped", func(f *testFleet, job workload.JobID) {
+			f.advance(3 * time.Second)
+			f.scheduler.CancelJob(f.now, job)
+		}},
+		{"failed", func(f *testFleet, job workload.JobID) {
+			f.advance(3 * time.Second)
+			f.endRuns(job, workload.EndedFailed)
+		}},
+		{"lease expired", func(f *testFleet, job workload.JobID) {
+			f.advance(3 * time.Second)
+			f.endRuns(job, workload.EndedLeaseExpired)
+			f.advance(300 * time.Millisecond)
+			f.scheduler.CancelJob(f.now, job)
+		}},
+		{"lost", func(f *testFleet, _ workload.JobID) {
+			f.advance(3 * time.Second)
+			for id := range f.runs {
+				clear(f.runs[id])
+			}
+		}},
+		{"resumed", func(f *testFleet, job workload.JobID) {
+			f.advance(time.Second)
+			for task, id := range f.placements(job) {
+				f.endRun(id, task, workload.EndedStopped)
+				ends := f.unackedEnds[id]
+				ends[len(ends)-1].Checkpoint = "half"
+			}
+			f.advance(3 * time.Second)
+			f.endRuns(job, workload.EndedDone)
+		}},
+		{"adopted", func(f *testFleet, job workload.JobID) {
+			f.advance(time.Second)
+			f.startLeader()
+			f.advance(3 * time.Second)
+			f.endRuns(job, workload.EndedDone)
+		}},
+		{"finished while it was being stopped", func(f *testFleet, job workload.JobID) {
+			f.advance(3 * time.Second)
+			f.scheduler.CancelJob(f.now, job)
+			f.endRuns(job, workload.EndedDone)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newTestFleet(t)
+			f.taskTime = 4 * time.Second
+			f.addInstance("a", "p")
+			job := f.submitJob(resumable)
+			f.advance(200 * time.Millisecond)
+			assert.Equal(t, len(f.placements(job)), 1)
+			c.run(f, job)
+			f.advance(300 * time.Millisecond)
+			assert.Equal(t, len(f.scheduler.ForecastAccuracies()), 0, "nothing was learned")
+			assert.Equal(t, f.expected(resumable), time.Second)
+		})
+	}
+}
+
+// TestUncertainStartDoesNotCount guards against the run time of a task that was started seconds after its order.
+func TestUncertainStartDoesNotCount(t *testing.T) {
+	f := newTestFleet(t)
+	f.taskTime = 3 * time.Second
+	f.addInstance("a", "p")
+	f.advance(100 * time.Millisecond)
+	job := f.submitJob(secondStep)
+	f.scheduler.Tick(f.now, f.now.Milliseconds())
+	for _, o := range f.scheduler.TakeOrders() {
+		f.runs[o.Instance][o.Task] = o.Run
+		f.startedAt[o.Task] = f.now
+		f.scheduler.HandleOrderOutcome(f.now, o, scheduler.Uncertain)
+	}
+	assert.Equal(t, len(f.placements(job)), 1)
+	f.advance(3 * time.Second)
+	f.endRuns(job, workload.EndedDone)
+	f.advance(300 * time.Millisecond)
+	assert.Equal(t, len(f.scheduler.ForecastAccuracies()), 0)
+}
+
+// TestStepIsExpectedToTakeAlike guards against tasks that wait and are expected to take what their caller estimates, although others of the
+// step have finished or report progress.
+func TestStepIsExpectedToTakeAlike(t *testing.T) {
+	f := newTestFleet(t)
+	f.taskTime = 3200 * time.Millisecond
+	f.addInstance("a", "p")
+	step := secondStep
+	step.Count, step.Resources.Processors = 8, 16000 // four at a time
+	job := f.submitJob(step)
+	f.advance(100 * time.Millisecond)
+	assert.Equal(t, len(f.placements(job)), 4)
+	f.advance(800 * time.Millisecond)
+	last := workload.TaskID{Job: job, Position: workload.NewPosition(0, 0, 7)}
+	forecast, _ := f.scheduler.ExpectedRunTime(last)
+	assert.Assert(t, forecast.Typical() > 2600*time.Millisecond && forecast.Typical() < 3600*time.Millisecond, "by progress: %s", forecast.Typical())
+	for task := range f.placements(job) {
+		left, ok := f.scheduler.ExpectedRemainder(task)
+		assert.Assert(t, ok && left.Typical() > 1800*time.Millisecond && left.Typical() < 2800*time.Millisecond, "%s of the task are left", left.Typical())
+	}
+	f.advance(1200 * time.Millisecond)
+	f.endRuns(job, workload.EndedDone) // earlier than their progress has shown
+	f.advance(100 * time.Millisecond)
+	forecast, _ = f.scheduler.ExpectedRunTime(last)
+	assert.Assert(t, forecast.Typical() > 1700*time.Millisecond && forecast.Typical() < 2300*time.Millisecond, "after four tasks: %s", forecast.Typical())
+}
+
+// TestExpectedChain guards against an objective that is computed from the sum of all steps, or from one.
+func TestExpectedChain(t *testing.T) {
+	f := newTestFleet(t)
+	side, last := secondStep, secondStep
+	side.Estimate, last.After = 300*time.Millisecond, []int{0, 1}
+	job := f.submitJobTo("q", secondStep, side, last)
+	chain, ok := f.scheduler.ExpectedChain(job)
+	assert.Assert(t, ok)
+	assert.Equal(t, chain, 2*time.Second)
+}
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/forecaster"
 	"github.com/sapphiresail/sapphiresail/internal/workload"
 )
 
@@ -36,6 +37,10 @@
 	clock           time.Duration
 	// reportedAt is the clock of the instance in the latest report.
 	reportedAt time.Duration
+	// reportReceivedAt and previousReportAt are when the last two reports arrived. reportHeld is set if the instance held the latest until
+	// it had something to report.
+	reportReceivedAt, previousReportAt time.Duration
+	reportHeld                         bool
 	// maxDeadlineSent is the latest lease deadline in any order or poll sent to the instance.
 	maxDeadlineSent time.Duration
 	failedPolls     int
@@ -127,6 +132,12 @@
 	suspicion suspicion
 	// account includes the run's claim; it is nil for service tasks.
 	account *account
+	// measured is set for a full run of the task that this leader has started.
+	measured bool
+	// startedAt is when the run was started, within startDoubt; zero while it is not known.
+	startedAt, startDoubt time.Duration
+	// sample is what the progress of the run shows about the other tasks of its stage.
+	sample forecaster.Sample
 }
 
 func (s *Scheduler) addInstance(announced workload.Instance) *instance {
@@ -286,6 +297,7 @@
 		return
 	}
 	delete(in.runs, r.task)
+	s.dropSample(r)
 	in.count(r, -1)
 	in.claimed = in.claimed.Sub(r.claim)
 	*r.job.customerUsage = r.job.customerUsage.Sub(r.job.step(r.task.Position).Resources)
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -63,7 +64,8 @@
 	// runCounts is the number of runs on each instance that has some.
 	runCounts map[*instance]int
 	// suspects is the number of suspected tasks; a gang counts as one.
-	suspects int
+	suspects    int
+	expectation expectation
 }
 
 // task is one task of a stage.
@@ -187,6 +189,11 @@
 
 // criticalPath returns the estimated duration of the longest chain of dependent steps.
 func criticalPath(j *workload.Job) time.Duration {
+	return longestChain(j, func(step int) time.Duration { return cmp.Or(j.Steps[step].Estimate, defaultStepEstimate) })
+}
+
+// longestChain returns the duration of the longest chain of dependent steps.
+func longestChain(j *workload.Job, duration func(step int) time.Duration) time.Duration {
 	finishes := make([]time.Duration, len(j.Steps))
 	longest := time.Duration(0)
 	for i, st := range j.Steps {
@@ -194,11 +201,7 @@
 		for _, a := range st.After {
 			start = max(start, finishes[a])
 		}
-		estimate := st.Estimate
-		if estimate == 0 {
-			estimate = defaultStepEstimate
-		}
-		finishes[i] = start + estimate
+		finishes[i] = start + duration(i)
 		longest = max(longest, finishes[i])
 	}
 	return longest
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -34,6 +34,7 @@
 	r.claim = j.step(r.task.Position).Claim()
 	r.orderedAt = s.now
 	r.throttlePercent = 100
+	r.measured = t.checkpoint == ""
 	s.attachRun(in, r)
 	s.orders = append(s.orders, Order{
 		Kind: Start, Instance: in.ID, Address: in.Address, Task: r.task, Run: r.number, Spec: j.Spec, Checkpoint: t.checkpoint,
@@ -76,6 +77,7 @@
 	case Accepted:
 		in.recentFailures = max(0, in.recentFailures-1)
 		r.startOutcomeAt = s.now
+		r.markStarted(s.now)
 		if r.status != statusRunning {
 			r.status = statusRunning
 		}
@@ -102,6 +104,7 @@
 	default:
 		s.logRunDecision("run uncertain", r, in, outcome.String())
 		r.undelivered = outcome == Refused
+		r.measured = false // the order may still be executed, at any time
 		if r.status == statusOrdered {
 			r.status = statusUncertain
 			r.startOutcomeAt = s.now
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -150,6 +150,8 @@
 	}
 	in.reportedAt = report.Clock
 	in.clockReadAt = cmp.Or(report.ReceivedAt, now)
+	in.previousReportAt, in.reportReceivedAt = in.reportReceivedAt, in.clockReadAt
+	in.reportHeld = in.clockReadAt-sentAt >= heldPollTime
 	in.clock = report.Clock
 	in.failedPolls, in.failingSince = 0, 0
 	firstReport := !in.polled
@@ -210,6 +212,7 @@
 		s.decisions = append(s.decisions, Decision{What: "run ended", Task: e.Task, Run: e.Run, Instance: in.ID, Reason: string(e.Ending)})
 	}
 	if r != nil {
+		s.observeEnd(in, r, e.Ending)
 		s.detachRun(in, r)
 		s.endPending(r)
 	}
@@ -300,6 +303,7 @@
 		if r.status != statusRunning {
 			r.status = statusRunning
 			r.startOutcomeAt = s.now
+			r.markStarted(in.reportReceivedAt)
 		}
 		s.updateRun(in, r, reported)
 	}
@@ -312,11 +316,15 @@
 	if !r.reported {
 		r.listedAt = in.reportedAt
 	}
-	if reported.Percent != r.percent || !r.reported {
+	progressed := reported.Percent != r.percent || !r.reported
+	if progressed {
 		r.progressedAt = in.reportedAt
 		r.reported = true
 	}
 	r.percent = reported.Percent
+	if progressed {
+		s.observeProgress(in, r)
+	}
 	r.tailMillis = reported.TailMillis
 	if r.stopping && s.now-r.stopSentAt > orderRetryInterval && s.now-r.stopAckedAt > orderRetryInterval {
 		s.sendStop(in, r)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/forecaster"
 	"github.com/sapphiresail/sapphiresail/internal/namer"
 	"github.com/sapphiresail/sapphiresail/internal/state"
 	"github.com/sapphiresail/sapphiresail/internal/workload"
@@ -168,6 +169,7 @@
 	probations       []probation
 	movesPlannedAt   time.Duration
 	machinesListedAt time.Duration
+	forecaster       *forecaster.Forecaster
 }
 
 // Decision is one decision for the log.
@@ -207,6 +209,7 @@
 		demands:          map[fleet.PoolID]*demand{},
 		refusedMoves:     map[refusedMove]bool{},
 		machinesListedAt: -machineListInterval,
+		forecaster:       forecaster.New(),
 	}
 	for id, e := range committed.Enrolled {
 		in := s.addInstance(e)
