Commit what leaders learn of run times, so that a new leader has it

A new leader knew nothing of the run times and would have to see jobs of each queue first.

A new leader starts from it. A summary that is unreadable, of another version or implausible is ignored and logged (event 428).

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -92,6 +92,7 @@
 	InstanceDraining       = define(424, "instance draining", "instance", "left")
 	TaskWaiting            = define(426, "task waiting", "task", "class", "waited", "inherited", "tasks", "reason", "pool", "free", "total")
 	InstanceChanged        = define(427, "instance changed", "instance", "draining", "capacity")
+	ForecastIgnored        = define(428, "forecast summary ignored", "term", "bytes", "error")
 	CataloguePublished     = define(430, "catalogue published", "version", "sent-version")
 	CatalogueRefused       = define(431, "catalogue refused", "sent-version", "reason")
 	WaveOpened             = define(432, "wave opened", "wave", "machines", "at-once", "within")
--- a/internal/forecaster/speed.go
+++ b/internal/forecaster/speed.go
@@ -35,6 +35,8 @@
 	ratios [speedRuns]ratio
 	next   int
 	count  int
+	// log is the logarithm of factor.
+	log    float32
 	factor float64
 }
 
@@ -98,11 +100,24 @@
 	s.ratios[s.next] = ratio{float32(expected.mean - y), float32(1 / max(variance, minVariance))}
 	s.next = (s.next + 1) % speedRuns
 	s.count = min(s.count+1, speedRuns)
-	s.factor = s.median()
+	s.update()
+}
+
+func (s *speed) meanWeight() float32 {
+	sum := 0.0
+	for _, r := range s.ratios[:s.count] {
+		sum += float64(r.weight)
+	}
+	return float32(sum / float64(max(1, s.count)))
+}
+
+func (s *speed) update() {
+	s.log = s.median()
+	s.factor = math.Exp(float64(s.log))
 }
 
 // median returns the weighted median of the ratios and of the assumption that the instance is as fast as the others.
-func (s *speed) median() float64 {
+func (s *speed) median() float32 {
 	var sorted [speedRuns + 1]ratio
 	n := copy(sorted[:], s.ratios[:s.count])
 	sorted[n] = ratio{0, usualWeight / usualSpread}
@@ -114,8 +129,8 @@
 	}
 	for _, r := range list {
 		if sum += r.weight; sum >= total/2 {
-			return math.Exp(float64(r.log))
+			return r.log
 		}
 	}
-	return 1
+	return 0
 }
--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -107,9 +107,6 @@
 	return s.forecaster.InstanceSpeed(id)
 }
 
-// ForecastAccuracies returns how accurate the forecasts for each queue have been under this leader.
-func (s *Scheduler) ForecastAccuracies() []forecaster.Accuracy { return s.forecaster.Accuracies() }
-
 func (j *job) subject(st *stage) forecaster.Subject {
 	return forecaster.Subject{Queue: j.queue, Customer: j.customer, Image: st.step.Image, Step: forecaster.StepNumber(st.stepIndex), Estimate: st.step.Estimate}
 }
--- a/internal/scheduler/forecast_test.go
+++ b/internal/scheduler/forecast_test.go
@@ -6,7 +6,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sapphiresail/sapphiresail/internal/forecaster"
 	"github.com/sapphiresail/sapphiresail/internal/scheduler"
+	"github.com/sapphiresail/sapphiresail/internal/state"
 	"github.com/sapphiresail/sapphiresail/internal/workload"
 )
 
@@ -175,3 +177,49 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, chain, 2*time.Second)
 }
+
+// commitForecast commits the summary that is due and reports whether there is one.
+func (f *testFleet) commitForecast() bool {
+	if !f.scheduler.ForecastDue() {
+		return false
+	}
+	summary, err := f.scheduler.TakeForecast()
+	assert.NilError(f.t, err)
+	if summary == nil {
+		return false
+	}
+	f.commit(state.RecordForecast{Summary: summary})
+	return true
+}
+
+// TestNewLeaderHasForecasts guards against a new leader that knows nothing of the run times, and against a summary in each planning run or
+// while nothing was learned.
+func TestNewLeaderHasForecasts(t *testing.T) {
+	f := newTestFleet(t)
+	f.addInstance("a", "p")
+	assert.Assert(t, !f.commitForecast(), "before the interval is over")
+	f.advance(6 * time.Second)
+	assert.Assert(t, !f.commitForecast(), "nothing was learned")
+	for range 8 {
+		f.runFor(secondStep, 2500*time.Millisecond)
+	}
+	assert.Assert(t, f.commitForecast())
+	before := f.expected(secondStep)
+	data, err := f.state.Snapshot()
+	assert.NilError(t, err)
+	f.state, err = state.FromSnapshot(data)
+	assert.NilError(t, err)
+	f.startLeader()
+	assert.NilError(t, f.scheduler.ForecastError())
+	after := f.expected(secondStep)
+	assert.Assert(t, after > before-10*time.Millisecond && after < before+10*time.Millisecond, "%s, then %s", before, after)
+}
+
+// TestUnusableForecastIsIgnored guards against a leader that does not start because of a summary of another version.
+func TestUnusableForecastIsIgnored(t *testing.T) {
+	f := newTestFleet(t)
+	f.commit(state.RecordForecast{Summary: []byte("of a later version")})
+	f.startLeader()
+	assert.ErrorIs(t, f.scheduler.ForecastError(), forecaster.KindUnreadable)
+	assert.Equal(t, f.expected(secondStep), time.Second)
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -170,6 +170,10 @@
 	movesPlannedAt   time.Duration
 	machinesListedAt time.Duration
 	forecaster       *forecaster.Forecaster
+	// forecastError is why the committed summary of run times was ignored.
+	forecastError error
+	// forecastTakenAt is when a summary of run times was due last.
+	forecastTakenAt time.Duration
 }
 
 // Decision is one decision for the log.
@@ -210,6 +214,7 @@
 		refusedMoves:     map[refusedMove]bool{},
 		machinesListedAt: -machineListInterval,
 		forecaster:       forecaster.New(),
+		forecastTakenAt:  now,
 	}
 	for id, e := range committed.Enrolled {
 		in := s.addInstance(e)
@@ -222,6 +227,7 @@
 		in.cordoned = in.cordonIndex > 0
 		s.unreconciled[id] = true
 	}
+	s.restoreForecast(committed.Forecast)
 	for _, r := range committed.Jobs {
 		s.AddJob(now, wallMillis, r, true)
 	}
--- a/internal/state/jobs.go
+++ b/internal/state/jobs.go
@@ -68,6 +68,8 @@
 	Waves    map[uint64]*WaveRecord                 `cbor:"5,keyasint,omitempty"`
 	// Cordoned holds the log index since which nothing has been started on an unresponsive instance.
 	Cordoned map[fleet.InstanceID]uint64 `cbor:"6,keyasint,omitempty"`
+	// Forecast is the latest summary of the run times that the leaders have learned. Keepers do not read it.
+	Forecast []byte `cbor:"7,keyasint,omitempty"`
 }
 
 // initMaps creates the maps that a decoded snapshot may lack.
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -237,6 +237,7 @@
 	AssignOwner{}, SetPermit{}, RegisterMember{}, RemoveMember{}, OpenClaim{}, DispatchClaim{}, SettleClaim{}, ExpireClaims{}, Halt{}, Resume{}, SetIsolated{}, Roll{}, SetDeprioritized{},
 	PublishCatalogue{}, SubmitJob{}, CancelJob{}, RecordRunEnds{}, DeleteJobs{}, EnrolInstance{}, DeregisterInstances{}, AddWave{}, RecordMaintenanceStart{},
 	CordonInstances{}, UncordonInstances{}, Barrier{},
+	RecordForecast{},
 )
 
 func newCommandCodec(commands ...any) *codec.Codec {
--- a/internal/supervisor/instruments.go
+++ b/internal/supervisor/instruments.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/forecaster"
 	"github.com/sapphiresail/sapphiresail/internal/scheduler"
 )
 
@@ -21,7 +23,11 @@
 	postDelay      metrics.Timer
 	jobsWaiting    metrics.Gauge
 	mismatches     map[mismatch]metrics.Gauge
-	registry       metrics.Registry
+	slowInstances  metrics.Gauge
+	// forecastErrors are the gauges of the queues that this process has had forecasts for.
+	forecastErrors                       map[fleet.QueueID]forecastGauges
+	forecastsCommitted, forecastsIgnored metrics.Counter
+	registry                             metrics.Registry
 }
 
 func newInstruments(r metrics.Registry) *instruments {
@@ -39,7 +45,10 @@
 		postDelay:      metrics.GetOrRegisterTimer("post-delay", r),
 		jobsWaiting:    metrics.GetOrRegisterGauge("jobs-waiting", r),
 		mismatches:     map[mismatch]metrics.Gauge{},
-		registry:       r,
+		slowInstances:  metrics.GetOrRegisterGauge("instances-slow", r),
+		forecastErrors: map[fleet.QueueID]forecastGauges{}, forecastsCommitted: metrics.GetOrRegisterCounter("forecasts-committed", r),
+		forecastsIgnored: metrics.GetOrRegisterCounter("forecasts-ignored", r),
+		registry:         r,
 	}
 	for kind, name := range map[mismatch]string{
 		mismatchUnknown: "unknown", mismatchFinished: "finished", mismatchCancelled: "cancelled", mismatchOver: "over",
@@ -55,6 +64,36 @@
 	for _, g := range m.mismatches {
 		g.Update(0)
 	}
+	m.updateForecast(nil, 0)
+}
+
+// forecastGauges are the median errors of the forecasts for a queue and of the estimates of its callers.
+type forecastGauges struct{ forecast, estimate metrics.GaugeFloat64 }
+
+// maxForecastGauges bounds the number of queues with gauges, since a process keeps them.
+const maxForecastGauges = 256
+
+// updateForecast sets the gauges of forecasts; those of queues without an accuracy are set to zero.
+func (m *instruments) updateForecast(accuracies []forecaster.Accuracy, slow int) {
+	m.slowInstances.Update(int64(slow))
+	for _, g := range m.forecastErrors {
+		g.forecast.Update(0)
+		g.estimate.Update(0)
+	}
+	for _, a := range accuracies {
+		g, ok := m.forecastErrors[a.Queue]
+		if !ok && len(m.forecastErrors) >= maxForecastGauges {
+			continue
+		}
+		if !ok {
+			g = forecastGauges{
+				metrics.GetOrRegisterGaugeFloat64("forecast-error."+string(a.Queue), m.registry), metrics.GetOrRegisterGaugeFloat64("estimate-error."+string(a.Queue), m.registry),
+			}
+			m.forecastErrors[a.Queue] = g
+		}
+		g.forecast.Update(a.Forecast)
+		g.estimate.Update(a.Given)
+	}
 }
 
 // countDecision counts a scheduling decision by its kind.
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -50,6 +50,7 @@
 	lastRelease          time.Duration
 	logLimiter           logLimiter
 	mismatched           map[workload.JobID]mismatch
+	committingForecast   bool
 	planPacer            planPacer
 	pollPacer            pollPacer
 
@@ -143,15 +144,16 @@
 // start builds the scheduler from the committed state and runs it once.
 func (t *term) start() {
 	now := monotonicNow()
-	jobs, instances := 0, 0
+	jobs, instances, forecastBytes := 0, 0, 0
 	t.options.Replica.View(func(s *state.State) {
 		t.scheduler = scheduler.New(now, wallMillis(), scheduler.Options{
 			Fence: t.number, LeaseDuration: t.options.Lease, LeadingSince: now, MachineOrderRate: t.options.MachineOrderRate,
 		}, &s.Workload)
 		t.ready.Store(s.Workload.Catalogue.Version > 0)
-		jobs, instances = len(s.Workload.Jobs), len(s.Workload.Enrolled)
+		jobs, instances, forecastBytes = len(s.Workload.Jobs), len(s.Workload.Enrolled), len(s.Workload.Forecast)
 	})
 	event.LeadershipAcquired.Info(t.options.Logger, zap.Uint64("term", t.number), zap.Int("jobs", jobs), zap.Int("instances", instances))
+	t.logForecastError(forecastBytes)
 	t.load.reset(time.Now())
 	t.plan()
 }
@@ -267,6 +269,7 @@
 	}
 	t.commitEnds()
 	t.commitInstanceChanges()
+	t.commitForecast()
 	t.logDecisions(now)
 	t.releaseJobs(now)
 	if !t.settledLogged && t.scheduler.Reconciled() {
