--- a/internal/scheduler/fleet_test.go
+++ b/internal/scheduler/fleet_test.go
@@ -30,7 +30,10 @@
 	// reportedPercent is the progress of every run in status reports.
 	reportedPercent int
 	// percentOf replaces reportedPercent if it is set.
-	percentOf      func(task workload.TaskID) int
+	percentOf func(task workload.TaskID) int
+	// taskTime, if set, is how long tasks take; their progress follows from it and reportedPercent is not used.
+	taskTime       time.Duration
+	startedAt      map[workload.TaskID]time.Duration
 	tailMillis     map[workload.TaskID]int
 	throttleOrders []scheduler.Order
 	bootMillis     map[string]int64
@@ -44,7 +47,7 @@
 	f := &testFleet{
 		t: t, now: time.Hour, state: state.New(), runs: map[fleet.InstanceID]map[workload.TaskID]workload.Run{},
 		unackedEnds: map[fleet.InstanceID][]scheduler.ReportedEnd{}, lastEndNumbers: map[fleet.InstanceID]uint64{}, reportedPercent: 100,
-		tailMillis: map[workload.TaskID]int{}, bootMillis: map[string]int64{},
+		startedAt: map[workload.TaskID]time.Duration{}, tailMillis: map[workload.TaskID]int{}, bootMillis: map[string]int64{},
 		racks: map[fleet.InstanceID]string{}, addresses: map[fleet.InstanceID]string{},
 	}
 	f.commit(state.PublishCatalogue{Source: []byte("x"), Catalogue: workload.Catalogue{
@@ -169,6 +172,7 @@
 	switch o.Kind {
 	case scheduler.Start:
 		runs[o.Task] = o.Run
+		f.startedAt[o.Task] = f.now
 		f.startOrders = append(f.startOrders, o)
 	case scheduler.Stop:
 		if runs[o.Task] == o.Run {
@@ -196,17 +200,23 @@
 		}
 		report := scheduler.StatusReport{Clock: time.Minute + f.now, Ended: slices.Clone(f.unackedEnds[id])}
 		for task, run := range runs {
-			percent := f.reportedPercent
-			if f.percentOf != nil {
-				percent = f.percentOf(task)
-			}
-			report.Running = append(report.Running, scheduler.ReportedRun{Task: task, Run: run, Percent: percent, TailMillis: f.tailMillis[task]})
+			report.Running = append(report.Running, scheduler.ReportedRun{Task: task, Run: run, Percent: f.progressOf(task), TailMillis: f.tailMillis[task]})
 		}
 		f.unackedEnds[id] = slices.DeleteFunc(f.unackedEnds[id], func(e scheduler.ReportedEnd) bool { return e.Number <= request.AckedEnd })
 		f.scheduler.HandleReport(f.now, id, f.now-time.Millisecond, report)
 	}
 }
 
+func (f *testFleet) progressOf(task workload.TaskID) int {
+	if f.percentOf != nil {
+		return f.percentOf(task)
+	}
+	if f.taskTime == 0 {
+		return f.reportedPercent
+	}
+	return min(99, int(100*(f.now-f.startedAt[task])/f.taskTime))
+}
+
 // placements returns the running tasks of a job with their instances.
 func (f *testFleet) placements(job workload.JobID) map[workload.TaskID]fleet.InstanceID {
 	placed := map[workload.TaskID]fleet.InstanceID{}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/forecaster"
 	"github.com/sapphiresail/sapphiresail/internal/namer"
 	"github.com/sapphiresail/sapphiresail/internal/state"
 	"github.com/sapphiresail/sapphiresail/internal/workload"
@@ -181,6 +182,11 @@
 	machineDataCentres map[string]fleet.DataCentreID
 	movesPlannedAt     time.Duration
 	machinesListedAt   time.Duration
+	forecaster         *forecaster.Forecaster
+	// forecastError is why the committed summary of run times was ignored.
+	forecastError error
+	// forecastTakenAt is when a summary of run times was due last.
+	forecastTakenAt time.Duration
 }
 
 // Decision is one decision for the log.
@@ -223,6 +229,8 @@
 
 		drainedDataCentres: options.DrainedDataCentres,
 		machineDataCentres: map[string]fleet.DataCentreID{},
+		forecaster:         forecaster.New(),
+		forecastTakenAt:    now,
 	}
 	maps.Copy(s.machineDataCentres, committed.MachineDataCentres)
 	for id, e := range committed.Enrolled {
@@ -238,6 +246,7 @@
 		in.cordoned = in.cordonIndex > 0
 		s.unreconciled[id] = true
 	}
+	s.restoreForecast(committed.Forecast)
 	for _, r := range committed.Jobs {
 		s.AddJob(now, wallMillis, r, true)
 	}
--- a/internal/state/jobs.go
+++ b/internal/state/jobs.go
@@ -70,6 +70,8 @@
 	Cordoned map[fleet.InstanceID]uint64 `cbor:"6,keyasint,omitempty"`
 	// MachineDataCentres holds where each machine was when an instance of it was last enrolled. A machine on standby has no instance.
 	MachineDataCentres map[string]fleet.DataCentreID `cbor:"7,keyasint,omitempty"`
+	// Forecast is the latest summary of the run times that the leaders have learned. Keepers do not read it.
+	Forecast []byte `cbor:"8,keyasint,omitempty"`
 }
 
 // initMaps creates the maps that a decoded snapshot may lack.
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -51,6 +51,7 @@
 	drainsRestatedAt     time.Duration
 	logLimiter           logLimiter
 	mismatched           map[workload.JobID]mismatch
+	committingForecast   bool
 	planPacer            planPacer
 	pollPacer            pollPacer
 
@@ -147,16 +148,17 @@
 // start builds the scheduler from the committed state and runs it once.
 func (t *term) start() {
 	now := monotonicNow()
-	jobs, instances := 0, 0
+	jobs, instances, forecastBytes := 0, 0, 0
 	t.options.Replica.View(func(s *state.State) {
 		drained := t.readDrains(s)
 		t.scheduler = scheduler.New(now, wallMillis(), scheduler.Options{
 			Fence: t.number, LeaseDuration: t.options.Lease, LeadingSince: now, MachineOrderRate: t.options.MachineOrderRate, DrainedDataCentres: drained,
 		}, &s.Workload)
 		t.ready.Store(s.Workload.Catalogue.Version > 0)
-		jobs, instances = len(s.Workload.Jobs), len(s.Workload.Enrolled)
+		jobs, instances, forecastBytes = len(s.Workload.Jobs), len(s.Workload.Enrolled), len(s.Workload.Forecast)
 	})
 	event.LeadershipAcquired.Info(t.options.Logger, zap.Uint64("term", t.number), zap.Int("jobs", jobs), zap.Int("instances", instances))
+	t.logForecastError(forecastBytes)
 	t.load.reset(time.Now())
 	t.plan()
 }
@@ -272,6 +274,7 @@
 	}
 	t.commitEnds()
 	t.commitInstanceChanges()
+	t.commitForecast()
 	t.logDecisions(now)
 	t.releaseJobs(now)
 	if !t.settledLogged && t.scheduler.Reconciled() {
