Commit new jobs together, at most two commits at a time, and let the others wait

What callers see: in a burst of jobs the leader loses its lease, another is elected, and all that is under way waits or is uncertain (TestOverloadedLeaderKeepsItsLease, listed as red).

Cause: every job was committed by itself and at once, and heartbeats and other commits wait behind the goroutines of all jobs that came before.

Change: jobs wait in a queue for one of two commits of up to 32 jobs each. Nothing is refused. A job that is handed in again joins the one that waits; one that is cancelled or looked up is waited for; one whose caller has been gone for a second is dropped before it is proposed; and if the leadership ends, jobs that were not proposed are answered as not run. Event 404 has jobs-held.

TestTurnOfManyInstancesDoesNotHoldUpControl, which is about polls, keeps a commit for each job, or its load would no longer occupy an unpaced leader.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -75,7 +75,7 @@
 	RunsReconciled     = define(403, "inherited runs reconciled", "term")
 	LeaderLoad         = define(404, "leader load", "term", "over", "processor", "plans", "planning", "plan-max", "plan-gap", "posts", "posted",
 		"post-delay", "inbox", "polls", "polls-in-flight", "reports", "report-age", "report-age-max", "orders", "calls", "orders-in-flight", "orders-waiting", "commits",
-		"commits-in-flight", "commit", "jobs", "instances", "waiting", "lease-left")
+		"commits-in-flight", "commit", "jobs-held", "jobs", "instances", "waiting", "lease-left")
 	LeadershipGivenUp      = define(406, "leadership given up", "term")
 	LeadershipResumed      = define(405, "leadership resumed", "term", "paused")
 	JobAccepted            = define(410, "job accepted", "job", "queue", "customer", "tasks", "version")
--- a/internal/supervisor/load.go
+++ b/internal/supervisor/load.go
@@ -144,7 +144,7 @@
 		zap.Int64("polls-in-flight", l.pollsInFlight.Load()), zap.Int("reports", l.reports), zap.Duration("report-age", l.reportAge/time.Duration(max(1, l.reports))),
 		zap.Duration("report-age-max", l.reportAgeMax), zap.Int64("orders", l.orders.Load()), zap.Object("calls", l), zap.Int64("orders-in-flight", l.ordersInFlight.Load()), zap.Int64("orders-waiting", l.ordersWaiting.Load()),
 		zap.Int64("commits", l.commits.Load()), zap.Int64("commits-in-flight", l.commitsInFlight.Load()),
-		zap.Duration("commit", time.Duration(l.commitNanos.Load()/max(1, l.commits.Load()))), zap.Int("jobs", jobs), zap.Int("instances", instances),
+		zap.Duration("commit", time.Duration(l.commitNanos.Load()/max(1, l.commits.Load()))), zap.Int("jobs-held", t.jobQueue.held()), zap.Int("jobs", jobs), zap.Int("instances", instances),
 		zap.Int("waiting", waiting), zap.Duration("lease-left", l.leaseLeft))
 	l.reset(now)
 }
--- a/internal/supervisor/poll_pacer_simulation_test.go
+++ b/internal/supervisor/poll_pacer_simulation_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"container/heap"
+	"math"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphiresail/sapphiresail/internal/scheduler"
+	"github.com/sapphiresail/sapphiresail/internal/state"
+	"github.com/sapphiresail/sapphiresail/internal/workload"
 )
 
 // Costs of the simulated leader in processor time. A processor runs one goroutine at a time, in the order in which they became ready;
@@ -25,6 +29,8 @@
 	roundTrip      = 3 * time.Millisecond
 	electionBound  = 700 * time.Millisecond
 	simulatedSlots = 8
+	jobWidth       = 8
+	jobHops        = 2 // per job besides its commit: the call and the response
 )
 
 // simulation is a leader with one processor and the instances that it polls, on a virtual clock.
@@ -43,6 +49,8 @@
 	commits   bool
 	reported  bool
 
+	jobs *jobQueue // the version of a job stands for its pool
+
 	polls          int
 	longestControl time.Duration
 	// overload is the load in [overloadFrom, overloadUntil), as a multiple of the usual one.
@@ -288,15 +296,40 @@
 
 // arrive submits jobs of eight tasks to a pool at a rate in tasks a second, times the load.
 func (s *simulation) arrive(pool int, rate float64) {
-	const width = 8
-	arrival := s.now
-	s.commit(func() {
-		for range width {
-			s.waiting[pool] = append(s.waiting[pool], arrival)
-		}
-		s.planSoon()
+	s.sequence++
+	command := state.SubmitJob{Job: workload.Job{ID: workload.JobID(strconv.Itoa(s.sequence))}, At: state.Timestamp(s.now)}
+	s.hops(jobHops/2, func() {
+		s.jobs.add(command, uint64(pool))
+		s.commitJobs()
 	})
-	s.after(time.Duration(width/(rate*s.load())*float64(time.Second)*2*s.random.Float64()), func() { s.arrive(pool, rate) })
+	s.after(time.Duration(jobWidth/(rate*s.load())*float64(time.Second)*2*s.random.Float64()), func() { s.arrive(pool, rate) })
+}
+
+// commitJobs commits waiting jobs together, as many as may be under way.
+func (s *simulation) commitJobs() {
+	for {
+		batch := s.jobs.take(s.now)
+		if len(batch) == 0 {
+			return
+		}
+		s.commit(func() {
+			s.jobs.finish(batch)
+			for _, p := range batch {
+				s.accept(p)
+			}
+			s.planSoon()
+			s.commitJobs()
+		})
+	}
+}
+
+// accept makes the tasks of a committed job wait for slots and answers its caller.
+func (s *simulation) accept(p *pendingJob) {
+	pool, arrival := int(p.version), time.Duration(p.command.At)
+	for range jobWidth {
+		s.waiting[pool] = append(s.waiting[pool], arrival)
+	}
+	s.hops(jobHops/2, func() {})
 }
 
 const (
@@ -313,9 +346,9 @@
 }
 
 // simulateTurn simulates a leader of 349 instances in five pools in a turn: one pool has four times the demand of the others.
-func simulateTurn(limits pollLimits, overload float64) *simulation {
+func simulateTurn(limits pollLimits, jobs jobLimits, overload float64) *simulation {
 	const instances, pools, duration = 349, 5, 10 * time.Second
-	s := &simulation{random: rand.New(rand.NewPCG(1, 2)), pacer: pollPacer{limits: limits}, waiting: map[int][]time.Duration{}, overload: overload}
+	s := &simulation{random: rand.New(rand.NewPCG(1, 2)), pacer: pollPacer{limits: limits}, waiting: map[int][]time.Duration{}, overload: overload, jobs: newJobQueue(jobs)}
 	for i := range instances {
 		in := &simulatedInstance{pool: i % pools, freeSince: make([]time.Duration, simulatedSlots)}
 		s.instances = append(s.instances, in)
@@ -342,12 +375,23 @@
 	return total / time.Duration(len(s.startWaits))
 }
 
+// oneCommitForEach is the acceptance of jobs without limits, so that the polls alone decide about the outcome of a test.
+var oneCommitForEach = jobLimits{commits: math.MaxInt, jobsPerCommit: 1}
+
+// TestJobsThatShareCommitsWaitLess guards against limits on the jobs being committed that make callers wait at the usual demand, or that hold
+// up heartbeats.
+func TestJobsThatShareCommitsWaitLess(t *testing.T) {
+	alone, shared := simulateTurn(defaultPollLimits, oneCommitForEach, 1), simulateTurn(defaultPollLimits, defaultJobLimits, 1)
+	assert.Assert(t, shared.meanStartWait() < alone.meanStartWait(), "%v and %v", shared.meanStartWait(), alone.meanStartWait())
+	assert.Assert(t, shared.longestControl < alone.longestControl, "%v and %v", shared.longestControl, alone.longestControl)
+}
+
 // TestTurnOfManyInstancesDoesNotHoldUpControl guards against a leader whose heartbeats and commits wait behind poll responses
 // until its lease ends. Load pattern: 349 instances in a turn, 890 tasks of one second and 111 jobs a second, on a leader with a quarter of
 // a processor.
 func TestTurnOfManyInstancesDoesNotHoldUpControl(t *testing.T) {
-	unpaced := simulateTurn(pollLimits{minInterval: 80 * time.Millisecond, maxInterval: 80 * time.Millisecond}, 1)
-	paced := simulateTurn(defaultPollLimits, 1)
+	unpaced := simulateTurn(pollLimits{minInterval: 80 * time.Millisecond, maxInterval: 80 * time.Millisecond}, oneCommitForEach, 1)
+	paced := simulateTurn(defaultPollLimits, oneCommitForEach, 1)
 	for name, s := range map[string]*simulation{"unpaced": unpaced, "paced": paced} {
 		t.Logf("%s: %d polls, control waits %v at most, %d starts wait %v on average, loop delay %v", name, s.polls, s.longestControl, len(s.startWaits), s.meanStartWait(), s.pacer.loopDelay.value)
 	}
@@ -361,7 +405,7 @@
 // as before.
 func TestOverloadedLeaderKeepsItsLease(t *testing.T) {
 	for _, overload := range []float64{2, 4} {
-		s := simulateTurn(defaultPollLimits, overload)
+		s := simulateTurn(defaultPollLimits, defaultJobLimits, overload)
 		t.Logf("%g times the demand: %d polls, control waits %v at most, %d starts wait %v on average", overload, s.polls, s.longestControl, len(s.startWaits), s.meanStartWait())
 		assert.Check(t, s.longestControl < electionBound, "%g times the demand: heartbeats and commits wait %v", overload, s.longestControl)
 	}
--- a/internal/supervisor/requests.go
+++ b/internal/supervisor/requests.go
@@ -133,20 +133,7 @@
 		return forwarder.Response{Outcome: forwarder.Done}
 	}
 	command := state.SubmitJob{Job: *request.Job, Queue: queue.Name, Customer: customer.Name, At: state.Timestamp(wallMillis())}
-	replied, err := t.commitAndWait(ctx, command, func() {
-		t.viewJob(request.Job.ID, func(r *state.JobRecord) {
-			if r != nil {
-				t.scheduler.AddJob(monotonicNow(), wallMillis(), r, false)
-			}
-		})
-	})
-	if err != nil || !replied {
-		return forwarder.Response{Outcome: forwarder.Uncertain}
-	}
-	t.instruments.jobsAccepted.Inc(1)
-	event.JobAccepted.Info(t.options.Logger, zap.String("job", string(request.Job.ID)), zap.String("queue", string(queue.Name)),
-		zap.String("customer", string(customer.Name)), zap.Int("tasks", request.Job.TaskCount()), zap.Uint64("version", version))
-	return forwarder.Response{Outcome: forwarder.Done}
+	return t.acceptJob(ctx, command, version)
 }
 
 // commitAndWait commits a command, runs onCommit in the loop once it is committed, and waits for both until ctx or the term ends.
@@ -174,6 +161,9 @@
 		return refusal
 	}
 	id := workload.JobID(rest)
+	if !t.awaitAcceptance(ctx, id) {
+		return forwarder.Response{Outcome: forwarder.Uncertain}
+	}
 	if !t.jobExists(id) {
 		return forwarder.Response{Outcome: forwarder.UnknownJob}
 	}
@@ -192,6 +182,9 @@
 		return refusal
 	}
 	id := workload.JobID(rest)
+	if !t.awaitAcceptance(ctx, id) {
+		return forwarder.Response{Outcome: forwarder.NotLeading}
+	}
 	response := forwarder.Response{Outcome: forwarder.UnknownJob}
 	active := false
 	t.viewJob(id, func(r *state.JobRecord) {
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -41,6 +41,7 @@
 	closed      bool
 	// firstPolls has a slot for each instance that is polled for the first time.
 	firstPolls chan struct{}
+	jobQueue   *jobQueue
 
 	// The fields below are accessed only by the loop.
 	scheduler            *scheduler.Scheduler
@@ -68,7 +69,7 @@
 }
 
 func newTerm(ctx context.Context, o *Options, m *instruments, number uint64) *term {
-	t := &term{options: o, instruments: m, number: number, inbox: make(chan func(), inboxCapacity), firstPolls: make(chan struct{}, maxFirstPolls), dispatchers: map[fleet.InstanceID]*dispatcher{}, pollPacer: pollPacer{limits: defaultPollLimits}}
+	t := &term{options: o, instruments: m, number: number, inbox: make(chan func(), inboxCapacity), firstPolls: make(chan struct{}, maxFirstPolls), jobQueue: newJobQueue(defaultJobLimits), dispatchers: map[fleet.InstanceID]*dispatcher{}, pollPacer: pollPacer{limits: defaultPollLimits}}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	return t
 }
