--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -61,6 +61,8 @@
 	DrainDataCentre
 	ResumeDataCentre
 	InspectDataCentre
+	// AnnounceBatch passes announcements on that a keeper has collected and acknowledged. A leader of an earlier version answers Invalid.
+	AnnounceBatch
 	// OperationCount is one more than the highest operation.
 	OperationCount
 )
@@ -68,7 +70,7 @@
 // String returns the name that logs use.
 func (o Operation) String() string {
 	return namer.Name(o, "none", "submit", "cancel", "inspect", "count", "announce", "depart", "publish", "fetch", "open-wave", "inspect-wave",
-		"drain-data-centre", "resume-data-centre", "inspect-data-centre")
+		"drain-data-centre", "resume-data-centre", "inspect-data-centre", "announce-batch")
 }
 
 // Outcome is the outcome of a call.
--- a/internal/supervisor/instruments.go
+++ b/internal/supervisor/instruments.go
@@ -22,9 +22,11 @@
 	planDuration   metrics.Timer
 	postDelay      metrics.Timer
 	jobsWaiting    metrics.Gauge
-	drained        metrics.Gauge
-	mismatches     map[mismatch]metrics.Gauge
-	slowInstances  metrics.Gauge
+	// announcementsBatched counts the announcements that arrived in batches.
+	announcementsBatched metrics.Counter
+	drained              metrics.Gauge
+	mismatches           map[mismatch]metrics.Gauge
+	slowInstances        metrics.Gauge
 	// forecastErrors are the gauges of the queues that this process has had forecasts for.
 	forecastErrors                       map[fleet.QueueID]forecastGauges
 	forecastsCommitted, forecastsIgnored metrics.Counter
@@ -49,8 +51,9 @@
 		mismatches:     map[mismatch]metrics.Gauge{},
 		slowInstances:  metrics.GetOrRegisterGauge("instances-slow", r),
 		forecastErrors: map[fleet.QueueID]forecastGauges{}, forecastsCommitted: metrics.GetOrRegisterCounter("forecasts-committed", r),
-		forecastsIgnored: metrics.GetOrRegisterCounter("forecasts-ignored", r),
-		registry:         r,
+		forecastsIgnored:     metrics.GetOrRegisterCounter("forecasts-ignored", r),
+		announcementsBatched: metrics.GetOrRegisterCounter("announcements-batched", r),
+		registry:             r,
 	}
 	for kind, name := range map[mismatch]string{
 		mismatchUnknown: "unknown", mismatchFinished: "finished", mismatchCancelled: "cancelled", mismatchOver: "over",
