Expect later steps of a job to be misestimated like the earlier ones

Callers that are wrong are wrong by one factor for a whole job, as far as known, so that the first step that finishes shows how long the others take.

The forecaster learns for each queue how well the ratio of actual to estimated time in other steps of a job predicts a step, and the scheduler takes the ratio into the forecast of steps of which nothing has run, as far as it is better than the forecast alone.

--- a/internal/forecaster/evidence.go
+++ b/internal/forecaster/evidence.go
@@ -33,7 +33,11 @@
 // Set reports whether the sample says anything.
 func (s Sample) Set() bool { return s.weight > 0 }
 
-func (s Sample) size() float64 { return float64(s.weight) / fixedOne }
+// Weight returns how far the sample counts: 1 for a finished ordinary run.
+func (s Sample) Weight() float64 { return float64(s.weight) / fixedOne }
+
+// Time returns the run time that the sample shows, near the data and on an instance of usual speed.
+func (s Sample) Time() time.Duration { return timeOf(s.mean()) }
 
 func (s Sample) mean() float64 { return float64(s.moment) / float64(max(1, s.weight)) }
 
--- a/internal/forecaster/forecast.go
+++ b/internal/forecaster/forecast.go
@@ -13,6 +13,8 @@
 	within float64
 	// tailShare is the part of runs that take exp(tailShift) times as long.
 	tailShare, tailShift float64
+	// sibling is the variance around what other steps of the job let expect.
+	sibling float64
 	// ignorance is the part of the forecast that rests on assumptions instead of observations.
 	ignorance float64
 }
@@ -69,17 +71,31 @@
 	if !s.Set() {
 		return f
 	}
-	between := max(f.variance-f.within, minVariance)
-	within := max(f.within, minWithin)
 	// The tasks of a step share its image and input, so that very many of them still leave some doubt about the next one.
-	weight := min(s.size(), maxEvidence)
-	doubt := 1 / (1/between + weight/within)
-	f.mean = doubt * (f.mean/between + s.mean()*weight/within)
-	f.variance = doubt + within
+	return f.measured(s.mean(), max(f.within, minWithin)/min(s.Weight(), maxEvidence))
+}
+
+// measured returns the forecast after a measurement of the centre of the step, which has a variance itself.
+func (f Forecast) measured(y, variance float64) Forecast {
+	between := max(f.variance-f.within, minVariance)
+	doubt := 1 / (1/between + 1/variance)
+	f.mean = doubt * (f.mean/between + y/variance)
+	f.variance = doubt + max(f.within, minWithin)
 	f.ignorance *= doubt / between
 	return f
 }
 
+// Alongside returns the forecast after other steps of the job have finished: d is the estimate times the ratio of their actual to their
+// estimated times. Callers that are wrong by one factor for a whole job make this as good as evidence from the step itself.
+func (f Forecast) Alongside(d time.Duration) Forecast {
+	// Both rest on the estimate of the step, so that their errors are not independent: the weaker of them adds little.
+	advantage := 1 - f.sibling/f.variance
+	if d <= 0 || advantage <= 0 {
+		return f
+	}
+	return f.measured(logOf(d), max(f.sibling-f.within, minVariance)/advantage)
+}
+
 // maxEvidence bounds the weight of the other tasks of a step.
 const maxEvidence = 32
 
--- a/internal/forecaster/forecaster.go
+++ b/internal/forecaster/forecaster.go
@@ -37,6 +37,8 @@
 	Remote bool
 	// Evidence is what the other tasks of the step show; it may be nil.
 	Evidence *Evidence
+	// Sibling is the estimate times the ratio of actual to estimated time in other steps of the job; zero if none has finished.
+	Sibling time.Duration
 }
 
 // Limits on the memory of a forecaster. The least recently observed entry is removed first.
@@ -113,7 +115,7 @@
 	}
 	return Forecast{
 		mean: b.intercept + b.slope*x, variance: b.variance, within: min(f.within.value, b.variance),
-		tailShare: b.tailShare, tailShift: b.tailShift, ignorance: b.ignorance,
+		tailShare: b.tailShare, tailShift: b.tailShift, sibling: b.sibling, ignorance: b.ignorance,
 	}
 }
 
@@ -174,6 +176,9 @@
 		} else {
 			w *= l.classify(nextPlain, y-nextPlain.at(0), w)
 		}
+		if d := y - logOf(r.Sibling); r.Sibling > 0 {
+			l.sibling.add(min(d*d, maxSibling), w)
+		}
 		l.plain.observe(0, y, w, nextPlain, windowOf(depth), l.change.settling > 0)
 		given, plain = nextGiven, nextPlain
 	}
@@ -182,7 +187,7 @@
 // observeWithin learns how far the tasks of one step differ.
 func (f *Forecaster) observeWithin(y float64, e *Evidence, weight float64) {
 	others := e.all()
-	n := others.size()
+	n := others.Weight()
 	if n < 0.5 {
 		return
 	}
@@ -203,8 +208,8 @@
 	if remote {
 		y -= f.remote.value
 	}
-	if s, ok := f.speeds.get(id); ok && s.factor < slowFactor {
-		y += math.Log(s.factor)
+	if s, ok := f.speeds.get(id); ok && s.slow() {
+		y += float64(s.log)
 	}
 	return y
 }
--- a/internal/forecaster/level.go
+++ b/internal/forecaster/level.go
@@ -63,6 +63,8 @@
 	priorRemoteWeight  = 5
 	remoteWindow       = 100
 	maxRemote          = 3
+	priorSibling       = 1.0 // the steps of a job may be estimated each by itself
+	maxSibling         = 4
 )
 
 // Strengths, in samples, with which a level is shrunk towards the one before, and variance of the logarithm of estimates
@@ -87,6 +89,8 @@
 	intercept, slope     float64
 	variance             float64
 	tailShare, tailShift float64
+	// sibling is the variance of the logarithm of the run time around what other steps of the job let expect.
+	sibling float64
 	// ignorance is the part of the belief that rests on assumptions instead of observations.
 	ignorance float64
 }
@@ -94,7 +98,7 @@
 func (b belief) at(x float64) float64 { return b.intercept + b.slope*x }
 
 func priorBelief(hasEstimate bool) belief {
-	b := belief{variance: priorGivenVariance, slope: 1, tailShare: priorTailShare, tailShift: priorTailShift, ignorance: 1}
+	b := belief{variance: priorGivenVariance, slope: 1, tailShare: priorTailShare, tailShift: priorTailShift, sibling: priorSibling, ignorance: 1}
 	if !hasEstimate {
 		b.variance, b.slope, b.intercept = priorPlainVariance, 0, math.Log(unestimatedTime.Seconds())
 	}
@@ -106,6 +110,8 @@
 	// given is the line for tasks with an estimate; plain is that of all tasks, without regard to estimates.
 	given, plain line
 	tail         tail
+	// sibling is the mean square of the errors of what other steps of the job let expect.
+	sibling average
 	// shares are the weights of the customers in the level; nil in a level of one customer.
 	shares   *shares
 	change   change
@@ -118,7 +124,7 @@
 	if shared {
 		reach = sharedReach
 	}
-	l := &level{given: line{reach: reach}, plain: line{reach: reach}}
+	l := &level{given: line{reach: reach}, plain: line{reach: reach}, sibling: average{window: windowOf(depth)}}
 	if shared {
 		l.shares = &shares{}
 	}
@@ -136,6 +142,7 @@
 		strength = changedStrength
 	}
 	b = n.refine(b, strength)
+	b.sibling = (l.sibling.weight*l.sibling.value + varianceStrength*b.sibling) / (l.sibling.weight + varianceStrength)
 	return l.tail.refine(b)
 }
 
--- a/internal/forecaster/plausible.go
+++ b/internal/forecaster/plausible.go
@@ -49,6 +49,9 @@
 	if err := l.plain.check(); err != nil {
 		return fmt.Errorf("without estimate: %w", err)
 	}
+	if !between(l.sibling.value, 0, maxSibling) || !between(l.sibling.weight, 0, maxSavedWeight) {
+		return fmt.Errorf("variance between steps %g of %g", l.sibling.value, l.sibling.weight)
+	}
 	t := l.tail
 	if !between(t.weight, 0, maxSavedWeight) || !between(t.hits, 0, t.weight+1) || !between(t.excess, 0, maxSavedLog*(t.hits+1)) {
 		return fmt.Errorf("%g long runs of %g, %g times as long", t.hits, t.weight, t.excess)
--- a/internal/forecaster/summary.go
+++ b/internal/forecaster/summary.go
@@ -206,7 +206,7 @@
 }
 
 // levelNumbers is the number of numbers in the summary of a level.
-const levelNumbers = 15
+const levelNumbers = 17
 
 // numbers returns pointers to the numbers of a level that are saved.
 func (l *level) numbers() [levelNumbers - 1]*float64 {
@@ -214,7 +214,7 @@
 	return [...]*float64{
 		&g.weight, &g.x, &g.y, &g.xx, &g.xy, &g.variance, &g.errors,
 		&p.weight, &p.y, &p.variance, &p.errors,
-		&t.weight, &t.hits, &t.excess,
+		&t.weight, &t.hits, &t.excess, &l.sibling.value, &l.sibling.weight,
 	}
 }
 
--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
@@ -27,16 +28,50 @@
 	// prior is the forecast without the evidence. It is kept once there is evidence, which is also learned for later jobs.
 	prior, current forecaster.Forecast
 	refreshAt      time.Duration
-	known, stale   bool
-	hasEvidence    bool
+	// own is what the stage adds to the ratios of its job, and others is the weight of those of other stages in the prior.
+	own          estimateRatio
+	others       float64
+	known, stale bool
+	hasEvidence  bool
+}
+
+// estimateRatio is the sum of the logarithms of actual over estimated time of finished runs.
+type estimateRatio struct{ sum, weight float64 }
+
+func (r estimateRatio) without(o estimateRatio) estimateRatio {
+	return estimateRatio{r.sum - o.sum, r.weight - o.weight}
+}
+
+func (r *estimateRatio) add(actual, estimate time.Duration, weight float64) {
+	ratio := max(actual, time.Microsecond).Seconds() / estimate.Seconds()
+	r.sum += weight * math.Log(max(1/maxEstimateRatio, min(maxEstimateRatio, ratio)))
+	r.weight += weight
+}
+
+// maxEstimateRatio bounds the ratio of one run, so that an absurd estimate does not hide the others.
+const maxEstimateRatio = 1000
+
+// minRatioWeight is the number of finished steps from which on the ratio says something about the others: half of the tasks of one.
+const minRatioWeight = 0.5
+
+// maxSiblingTime is more than any task takes, and far from overflow.
+const maxSiblingTime = 24 * time.Hour
+
+// scale returns an estimate times the mean ratio, or zero if either is not known.
+func (r estimateRatio) scale(estimate time.Duration) time.Duration {
+	if r.weight < minRatioWeight {
+		return 0
+	}
+	return time.Duration(min(float64(estimate)*math.Exp(r.sum/r.weight), float64(maxSiblingTime)))
 }
 
 // expectedRunTime returns the forecast for a task of a stage on an instance of usual speed near its data. It does not allocate.
 func (s *Scheduler) expectedRunTime(j *job, st *stage) forecaster.Forecast {
 	e := &st.expectation
-	if !e.known || !e.hasEvidence && s.now >= e.refreshAt {
-		e.prior = s.forecaster.Expect(j.subject(st))
-		e.known, e.stale, e.refreshAt = true, true, s.now+priorRefreshInterval
+	others := j.estimateRatio.without(e.own)
+	if !e.known || !e.hasEvidence && (s.now >= e.refreshAt || others.weight != e.others) {
+		e.prior = s.forecaster.Expect(j.subject(st)).Alongside(others.scale(st.step.Estimate))
+		e.known, e.stale, e.refreshAt, e.others = true, true, s.now+priorRefreshInterval, others.weight
 	}
 	if e.stale {
 		e.current, e.stale = e.prior.Given(&e.evidence), false
@@ -157,18 +192,30 @@
 	s.dropSample(r)
 	observed := forecaster.Run{
 		Subject: r.job.subject(st), Actual: actual, Tasks: st.step.Count, Instance: in.ID, Remote: in.remoteFrom(st.step), Evidence: &st.expectation.evidence,
+		Sibling: r.job.estimateRatio.without(st.expectation.own).scale(st.step.Estimate),
 	}
 	before := s.forecaster.InstanceSpeed(in.ID)
 	switch {
 	case ending == workload.EndedDone && !r.stopping:
 		s.forecaster.Observe(observed)
-		s.addEvidence(st, forecaster.Sample{}, s.forecaster.Finished(expected, in.ID, observed.Remote, actual))
+		sample := s.forecaster.Finished(expected, in.ID, observed.Remote, actual)
+		s.addEvidence(st, forecaster.Sample{}, sample)
+		r.job.addEstimateRatio(st, sample)
 	case ending == workload.EndedStopped:
 		s.forecaster.ObserveUnfinished(observed)
 	}
 	s.logSpeed(in, before)
 }
 
+// addEstimateRatio adds a finished run to what the stage shows about the estimates for its job.
+func (j *job) addEstimateRatio(st *stage, sample forecaster.Sample) {
+	if st.step.Estimate > 0 && sample.Set() {
+		weight := sample.Weight() / float64(st.step.Count)
+		j.estimateRatio.add(sample.Time(), st.step.Estimate, weight)
+		st.expectation.own.add(sample.Time(), st.step.Estimate, weight)
+	}
+}
+
 // observeProgress takes the progress of a run into the forecast for its stage.
 func (s *Scheduler) observeProgress(in *instance, r *run) {
 	st := r.job.stage(r.task.Position)
--- a/internal/scheduler/forecast_test.go
+++ b/internal/scheduler/forecast_test.go
@@ -223,3 +223,34 @@
 	assert.ErrorIs(t, f.scheduler.ForecastError(), forecaster.KindUnreadable)
 	assert.Equal(t, f.expected(secondStep), time.Second)
 }
+
+// TestLaterStepsFollowEarlierOnes guards against a step that is expected to take what its caller estimates although the callers were wrong by
+// one factor for all steps of each job so far.
+func TestLaterStepsFollowEarlierOnes(t *testing.T) {
+	f := newTestFleet(t)
+	f.addInstance("a", "p")
+	first, second := secondStep, secondStep
+	second.After = []int{0}
+	expect := func(factor float64) (before, after time.Duration) {
+		job := f.submitJobTo("q", first, second)
+		later := workload.TaskID{Job: job, Position: workload.NewPosition(0, 1, 0)}
+		forecast, _ := f.scheduler.ExpectedRunTime(later)
+		before = forecast.Typical()
+		f.advance(100 * time.Millisecond)
+		f.taskTime = time.Duration(factor * float64(time.Second))
+		f.advance(f.taskTime)
+		f.endRuns(job, workload.EndedDone)
+		f.advance(100 * time.Millisecond)
+		forecast, _ = f.scheduler.ExpectedRunTime(later)
+		after = forecast.Typical()
+		f.advance(f.taskTime)
+		f.endRuns(job, workload.EndedDone)
+		f.advance(300 * time.Millisecond)
+		return before, after
+	}
+	for i := range 20 {
+		expect([]float64{0.6, 2, 1, 1.4, 3}[i%5])
+	}
+	before, after := expect(3)
+	assert.Assert(t, before < 1800*time.Millisecond && after > 2200*time.Millisecond, "%s, then %s", before, after)
+}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -40,6 +40,8 @@
 	runCount    int
 	tasksLeft   int
 	occurrences []*occurrence
+	// estimateRatio is that of all stages.
+	estimateRatio estimateRatio
 	// advice holds the responses of the policy service for each step, by the position of its first task.
 	advice map[workload.Position]*advice
 	// explainedAt is when ExplainWaiting explained the wait of a task of the job last.
