Start only what can be in time, and divide machines between pools by what they can still serve

Cause: earliest due first makes every job of an overloaded pool just late, and a pool with a backlog of late jobs kept all machines: of 349 machines 260 stood in the pool whose burst was over while the next burst waited. Change: a job is timely only while its remaining chain of steps, by the forecasts of run times, fits before its due time; its objective follows the forecasts too. Machines are divided in proportion to timely work beyond what service tasks need; late work gets what is left, at the rate that it needs before it is worth nothing. Instances of pools with more than their part get no more starts and are moved once empty. Surplus machines go to standby after 1 s in place of 2.5 s. A waiting service task asks for as many machines as tasks wait, not for one more in each planning run. The digests of decisions are recorded anew, since decisions are meant to change.

--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/sapphiresail/sapphiresail/internal/triager"
 )
 
 // class is the rank of a kind of work when a pool is full; lower values are placed first.
@@ -73,10 +75,10 @@
 
 // batchClassOf returns the class of the batch stages of a job.
 func (s *Scheduler) batchClassOf(j *job) class {
-	switch {
-	case s.now < j.dueAt:
+	switch s.timelinessOf(j).rank {
+	case triager.Timely:
 		return classOnTime
-	case s.now < j.dueAt+(lateFactor-1)*j.objective:
+	case triager.Late:
 		return classLate
 	default:
 		return classExpired
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -23,7 +23,8 @@
 // demand is the estimated demand of one pool, in instances of mean capacity.
 type demand struct {
 	service       float64 // claimed by service tasks
-	batch         float64 // claimed by batch tasks that could run now
+	batch         float64 // claimed by batch tasks of timely jobs that could run now
+	late          float64 // claimed by the batch tasks of late jobs that have to run at a time
 	batchPeak     float64
 	batchSlope    float64
 	sampledBatch  float64
@@ -36,8 +37,13 @@
 	// number of instances that are being emptied for maintenance.
 	minSpread  int
 	evacuating int
-	// unplacedAt is when a service task last found no capacity.
+	// floor is the number of instances that the pool needs whatever other pools want.
+	floor int
+	// desiredLate is the number of instances that late batch tasks could use beside desired.
+	desiredLate int
+	// unplacedAt is when a service task last found no capacity, and unplaced the number of tasks of its step that waited.
 	unplacedAt   time.Duration
+	unplaced     int
 	surplusSince time.Duration
 }
 
@@ -46,7 +52,7 @@
 // updateDemand computes the desired and available instances of each pool.
 func (s *Scheduler) updateDemand(elapsed time.Duration) {
 	for _, d := range s.demands {
-		*d = demand{batchPeak: d.batchPeak, sampledBatch: d.sampledBatch, sampledAt: d.sampledAt, batchSlope: d.batchSlope, surplusSince: d.surplusSince, loggedDesired: d.loggedDesired, unplacedAt: d.unplacedAt}
+		*d = demand{batchPeak: d.batchPeak, sampledBatch: d.sampledBatch, sampledAt: d.sampledAt, batchSlope: d.batchSlope, surplusSince: d.surplusSince, loggedDesired: d.loggedDesired, unplacedAt: d.unplacedAt, unplaced: d.unplaced}
 	}
 	for _, q := range s.catalogue.Queues {
 		s.demandOf(q.Pool).queueCount++
@@ -58,20 +64,26 @@
 	decay := math.Exp(-float64(elapsed) / float64(peakDecayTime))
 	for pool, d := range s.demands {
 		d.updateTrend(s.now, decay)
-		d.available = s.availableInstances(pool)
+		arriving := s.arrivingMachines(pool)
+		d.available = s.availableInstances(pool) + arriving
 		d.evacuating = s.evacuatingInstances(pool)
 		d.desired = d.desiredInstances()
+		d.desiredLate = int(math.Ceil(d.late))
 		if s.now-d.unplacedAt < unplacedWindow && d.unplacedAt > 0 {
-			d.desired = max(d.desired, d.available+1)
+			d.desired = max(d.desired, d.available-arriving+d.unplaced)
 		}
+		d.floor = min(d.desired, d.neededInstances())
+	}
+	s.allocate()
+	for pool, d := range s.demands {
 		if d.available <= d.desired || !s.batchWorkSeen {
 			d.surplusSince = s.now
 		}
 		if d.desired != d.loggedDesired {
 			d.loggedDesired = d.desired
 			s.decisions = append(s.decisions, Decision{What: "pool planned", Reason: fmt.Sprintf(
-				"pool %s has %d instances, wants %d: %.1f for service tasks, %.1f for batch tasks now, %.1f at their peak, rising %.1f/s",
-				pool, d.available, d.desired, d.service, d.batch, d.batchPeak, d.batchSlope)})
+				"pool %s has %d instances, gets %d: %.1f for service tasks, %.1f for batch tasks now, %.1f at their peak, rising %.1f/s, %.1f late",
+				pool, d.available, d.desired, d.service, d.batch, d.batchPeak, d.batchSlope, d.late)})
 		}
 	}
 }
@@ -90,6 +102,7 @@
 		return
 	}
 	d := s.demandOf(j.pool)
+	timely := s.batchClassOf(j) == classOnTime
 	for _, o := range j.occurrences {
 		if o.dueMillis > s.wallMillis {
 			continue
@@ -103,13 +116,24 @@
 				if step.MaxPerInstance > 0 {
 					d.minSpread = max(d.minSpread, (len(st.tasks)+step.MaxPerInstance-1)/step.MaxPerInstance)
 				}
-			case unfinished > 0 && o.ready(j, st.stepIndex):
+			case unfinished > 0 && o.ready(j, st.stepIndex) && timely:
 				d.batch += unfinished * capacity.DominantShare(step.Claim())
+			case unfinished > 0 && o.ready(j, st.stepIndex):
+				d.late += unfinished * capacity.DominantShare(step.Claim()) * s.lateRate(j, st)
 			}
 		}
 	}
 }
 
+// lateRate returns the part of the tasks of a late stage that has to run at a time, so that all have run before they are worth nothing.
+func (s *Scheduler) lateRate(j *job, st *stage) float64 {
+	left := s.timelinessOf(j).state.TimeLeft()
+	if left == 0 {
+		return 0
+	}
+	return min(1, float64(s.expectedRunTime(j, st).Typical())/float64(left))
+}
+
 // updateTrend updates the slope and the decaying peak of the batch demand.
 func (d *demand) updateTrend(now time.Duration, decay float64) {
 	if now-d.sampledAt >= slopeWindow {
@@ -128,6 +152,14 @@
 	return max(minPoolInstances, int(math.Ceil(batch+d.service+reserveInstances)), d.minSpread+d.evacuating)
 }
 
+// neededInstances returns what the pool needs for its service tasks.
+func (d *demand) neededInstances() int {
+	if d.service == 0 {
+		return 0
+	}
+	return max(int(math.Ceil(d.service+reserveInstances)), d.minSpread+d.evacuating)
+}
+
 // unneededInstances returns how many instances of the pool its tasks can do without now, at the recent peak and the present trend. It
 // is negative if the pool has too few.
 func (d *demand) unneededInstances() int {
@@ -159,8 +191,7 @@
 	return workload.Resources{Processors: total.Processors / n, Memory: total.Memory / n}
 }
 
-// availableInstances returns the number of instances of a pool that can run tasks, plus the machines being moved to it. In a drained data
-// centre none counts.
+// availableInstances returns the number of instances of a pool that can run tasks. In a drained data centre none counts.
 func (s *Scheduler) availableInstances(pool fleet.PoolID) int {
 	n := 0
 	for _, in := range s.instances.sorted {
@@ -168,6 +199,12 @@
 			n++
 		}
 	}
+	return n
+}
+
+// arrivingMachines returns the number of machines that are being moved to a pool.
+func (s *Scheduler) arrivingMachines(pool fleet.PoolID) int {
+	n := 0
 	for name, m := range s.moves {
 		if m.pool == pool && !s.machineDrained(name) {
 			n++
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -76,6 +76,8 @@
 	fromCommitted bool
 	// consolidating is set while the service tasks of a surplus instance are relocated.
 	consolidating bool
+	// reclaimed is set while the instance gets no starts because another pool is to have its machine.
+	reclaimed bool
 	// cordoned instances get no starts because polls failed; the committed state records it. cordonIndex is the log index
 	// of a cordon by an earlier leader. uncordoning is set while the removal of the cordon is being committed.
 	cordoned    bool
@@ -354,7 +356,7 @@
 
 // schedulable reports whether tasks may be started on the instance.
 func (s *Scheduler) schedulable(in *instance) bool {
-	return in.enrolled && !in.bootUncommitted && in.polled && !in.Draining && !in.departed && !in.evacuating && !in.consolidating && !in.cordoned && !in.hasOrphans && in.failedPolls < unschedulableFailedPolls && s.now >= in.backoffUntil && !s.drained(in.DataCentre)
+	return in.enrolled && !in.bootUncommitted && in.polled && !in.Draining && !in.departed && !in.evacuating && !in.consolidating && !in.reclaimed && !in.cordoned && !in.hasOrphans && in.failedPolls < unschedulableFailedPolls && s.now >= in.backoffUntil && !s.drained(in.DataCentre)
 }
 
 // endsCommitted reports whether all ends that the instance has reported are committed. Until then the instance holds the only
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -27,6 +27,11 @@
 	acceptedAt time.Duration
 	dueAt      time.Duration
 	objective  time.Duration
+	// stretch and baseObjective are those of the queue. objectiveDue is when the objective is computed from the run times again.
+	stretch       float64
+	baseObjective time.Duration
+	objectiveDue  time.Duration
+	timeliness    timeliness
 	// adviceConfig is that of the queue, and limit that of the customer.
 	adviceConfig *workload.Advice
 	limit        workload.Resources
@@ -63,6 +68,8 @@
 	doneCount int
 	// waiting is the number of tasks that are not done and have no run.
 	waiting int
+	// startedAt is when a task was started last.
+	startedAt time.Duration
 	// runCounts is the number of runs on each instance that has some.
 	runCounts map[*instance]int
 	// suspects is the number of suspected tasks; a gang counts as one.
@@ -186,7 +193,9 @@
 	}
 	j.priority = q.Priority
 	j.maxAttempts = max(1, q.MaxAttempts)
+	j.stretch, j.baseObjective = q.Stretch, q.Objective
 	j.objective = time.Duration(q.Stretch*float64(criticalPath(&j.Job))) + q.Objective
+	j.objectiveDue, j.timeliness.rank = 0, 0
 }
 
 // criticalPath returns the estimated duration of the longest chain of dependent steps.
--- a/internal/scheduler/large_fleet_decisions_test.go
+++ b/internal/scheduler/large_fleet_decisions_test.go
@@ -22,9 +22,9 @@
 		newLeaders []time.Duration
 		want       string
 	}{
-		{1, false, nil, "c5e3806994bf2105b407b280a17f3f251547d4c376fc5a5268de457e46b5ae7e"},
-		{2, false, []time.Duration{2 * time.Second, 7 * time.Second}, "6398b3052f731f5c635fee5df4d0a8aaeebfa22381494755079ddc5fc107ab87"},
-		{3, true, []time.Duration{5 * time.Second}, "119665e4844c6d8ad89cb1a1e79ec7103c363c1d8dec59359895ebb9c3d4c5ef"},
+		{1, false, nil, "b707ad3324fadfd3599fd49eb6256e877866fd6a6196694db15938c51d3afbba"},
+		{2, false, []time.Duration{2 * time.Second, 7 * time.Second}, "f5ba6f6d7647d4b2a3d095dd60ea87f99dea10fc917b4ec5370bdc0d06c4bb15"},
+		{3, true, []time.Duration{5 * time.Second}, "9049881e9e1574134ac1f69ff2e0401081e2e72849875e1a08f299e9b966ca84"},
 	}
 	for _, day := range days {
 		f := newLargeFleet(day.seed, 0)
--- a/internal/scheduler/large_fleet_test.go
+++ b/internal/scheduler/large_fleet_test.go
@@ -30,6 +30,12 @@
 	instances []*simulatedInstance
 	byID      map[fleet.InstanceID]*simulatedInstance
 	arrivals  []arrival
+	// workload, if set, submits the jobs of a step in place of the site's, and runLength returns how long a run takes.
+	workload  func(elapsed time.Duration)
+	runLength func(o scheduler.Order, step workload.Step) time.Duration
+	// completed, if set, is called for jobs that are complete once their ends are committed.
+	completed        func(jobs []scheduler.CompletedJob)
+	machineOrderRate float64
 	// varied adds the kinds of work that the site lacks: see vary.
 	varied bool
 	jobs   []workload.JobID
@@ -48,6 +54,7 @@
 	lastEnd  uint64
 	polledAt time.Duration
 	pollDue  time.Duration
+	nextEnd  time.Duration
 	cut      bool
 	gone     bool
 }
@@ -73,7 +80,7 @@
 		for i := range p.size {
 			f.addInstance(workload.Instance{
 				ID: fleet.InstanceID(fmt.Sprintf("i-%04d", number)), Boot: 1, Pool: p.name, Address: fmt.Sprint("a-", number), Machine: fmt.Sprintf("m-%04d", number),
-				Sequence: 1, Capacity: workload.Resources{Processors: 32000, Memory: 65536}, Clock: time.Minute, Rack: fmt.Sprint(p.name, "-", i/12), Labels: []string{fmt.Sprint("n", number), "label"}[:1+number%2],
+				Sequence: 1, Capacity: workload.Resources{Processors: 32000, Memory: f.memory()}, Clock: time.Minute, Rack: fmt.Sprint(p.name, "-", i/12), Labels: []string{fmt.Sprint("n", number), "label"}[:1+number%2],
 			})
 			number++
 		}
@@ -84,7 +91,7 @@
 
 // startLeader replaces the scheduler by one that starts from the committed state.
 func (f *largeFleet) startLeader() {
-	f.scheduler = scheduler.New(f.now, f.now.Milliseconds(), scheduler.Options{Fence: f.index + 1, LeaseDuration: 3 * time.Second, LeadingSince: f.now}, &f.state.Workload)
+	f.scheduler = scheduler.New(f.now, f.now.Milliseconds(), scheduler.Options{Fence: f.index + 1, LeaseDuration: 3 * time.Second, LeadingSince: f.now, MachineOrderRate: f.machineOrderRate}, &f.state.Workload)
 	f.listMachines()
 }
 
@@ -116,14 +123,19 @@
 func (f *largeFleet) advance() {
 	f.now += largeFleetStep
 	elapsed := f.now - f.start
-	f.submitDue(elapsed)
+	if f.workload != nil {
+		f.workload(elapsed)
+	} else {
+		f.submitDue(elapsed)
+	}
 	if f.varied {
 		f.vary(elapsed)
 	}
-	switch elapsed {
-	case 3500 * time.Millisecond:
+	switch {
+	case f.workload != nil:
+	case elapsed == 3500*time.Millisecond:
 		f.addWave()
-	case 6 * time.Second, 9 * time.Second:
+	case elapsed == 6*time.Second, elapsed == 9*time.Second:
 		for i := 0; i < len(f.instances); i += 16 {
 			f.instances[i].cut = elapsed == 6*time.Second
 		}
@@ -185,6 +197,10 @@
 }
 
 func (f *largeFleet) submit(queue fleet.QueueID, customer fleet.CustomerID, steps ...workload.Step) {
+	f.submitID(queue, customer, steps...)
+}
+
+func (f *largeFleet) submitID(queue fleet.QueueID, customer fleet.CustomerID, steps ...workload.Step) workload.JobID {
 	id := workload.JobID(fmt.Sprintf("%016x", f.index))
 	f.commit(state.SubmitJob{Job: workload.Job{ID: id, Steps: steps}, Queue: queue, Customer: customer, At: state.Timestamp(f.now.Milliseconds())})
 	f.jobs = append(f.jobs, id)
@@ -192,6 +208,7 @@
 	f.scheduler.AddJob(f.now, f.now.Milliseconds(), f.state.Workload.Jobs[id], false)
 	f.add += time.Since(start)
 	f.addings++
+	return id
 }
 
 // addWave adds a maintenance wave over 150 machines, 56 at a time.
@@ -209,6 +226,15 @@
 // endDueRuns ends the runs that are done, and lets their instances answer the poll.
 func (f *largeFleet) endDueRuns() {
 	for _, in := range f.instances {
+		if f.workload != nil && f.now < in.nextEnd {
+			continue
+		}
+		in.nextEnd = f.now + time.Hour
+		for _, r := range in.runs {
+			if !r.service && f.now < r.start+r.length {
+				in.nextEnd = min(in.nextEnd, r.start+r.length)
+			}
+		}
 		for _, task := range simulatedTasks(in.runs) {
 			if r := in.runs[task]; !r.service && f.now >= r.start+r.length {
 				f.end(in, task, workload.EndedDone)
@@ -300,7 +326,13 @@
 	case o.Kind == scheduler.Start:
 		step := f.state.Workload.Jobs[o.Task.Job].Job.Steps[o.Task.Position.Step()]
 		length := time.Duration(float64(step.Estimate) * (0.5 + f.random.Float64()))
+		if f.runLength != nil {
+			length = f.runLength(o, step)
+		}
 		in.runs[o.Task] = &simulatedRun{number: o.Run, start: f.now, length: length, service: step.Service}
+		if !step.Service {
+			in.nextEnd = min(in.nextEnd, f.now+length)
+		}
 		in.pollDue = min(in.pollDue, f.now+700*time.Millisecond)
 	case o.Kind == scheduler.Stop:
 		if r := in.runs[o.Task]; r != nil && r.number == o.Run {
@@ -348,7 +380,9 @@
 		f.commit(state.RecordRunEnds{Ends: ends, Failed: failed, Crashes: f.scheduler.TakeCrashes(), At: state.Timestamp(f.now.Milliseconds())})
 		f.scheduler.ConfirmEnds(batch)
 	}
-	f.scheduler.TakeCompleted()
+	if completed := f.scheduler.TakeCompleted(); f.completed != nil {
+		f.completed(completed)
+	}
 	f.scheduler.TakeDecisions()
 	if list := f.scheduler.TakeCordons(); len(list) > 0 {
 		f.commit(state.CordonInstances{Instances: list})
@@ -368,3 +402,12 @@
 		}
 	}
 }
+
+func (f *largeFleet) memory() int64 {
+	if heavyMemory > 0 {
+		return heavyMemory
+	}
+	return 65536
+}
+
+var heavyMemory int64
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -13,10 +13,10 @@
 const (
 	moveStartDelay     = 300 * time.Millisecond // by then a new leader has polled all instances that answer
 	moveInterval       = 50 * time.Millisecond
-	moveRetryInterval  = 700 * time.Millisecond  // the platform may be slow, and calls to it are metered
-	moveArrivalTimeout = 8 * time.Second         // a moved machine announces itself within 3 s
-	refusedMoveBackoff = 3 * time.Second         // a busy machine is down or in maintenance
-	scaleInDelay       = 2500 * time.Millisecond // two moves cost as much as an idle instance in 3 s
+	moveRetryInterval  = 700 * time.Millisecond // the platform may be slow, and calls to it are metered
+	moveArrivalTimeout = 8 * time.Second        // a moved machine announces itself within 3 s
+	refusedMoveBackoff = 3 * time.Second        // a busy machine is down or in maintenance
+	scaleInDelay       = time.Second            // a queue's demand falls steadily at the end of its burst
 )
 
 // move is a machine move in progress.
@@ -45,6 +45,7 @@
 	s.movesPlannedAt = s.now
 	s.advanceMoves()
 	s.updateDemand(elapsed)
+	s.reclaim()
 	pools := slices.SortedFunc(maps.Keys(s.demands), func(a, b fleet.PoolID) int {
 		return cmp.Or(cmp.Compare(s.demands[b].deficit(), s.demands[a].deficit()), cmp.Compare(a, b))
 	})
@@ -116,7 +117,7 @@
 func (s *Scheduler) idleInstance(eligible func(in *instance) bool) *instance {
 	var best *instance
 	for _, in := range s.instances.sorted {
-		if len(in.runs) > 0 || in.Machine == "" || !s.schedulable(in) && !in.consolidating || s.moves[in.Machine] != nil || s.now < s.machineOf(in.Machine).backoffUntil || !eligible(in) || !s.endsCommitted(in) {
+		if len(in.runs) > 0 || in.Machine == "" || !s.schedulable(in) && !in.consolidating && !in.reclaimed || s.moves[in.Machine] != nil || s.now < s.machineOf(in.Machine).backoffUntil || !eligible(in) || !s.endsCommitted(in) {
 			continue
 		}
 		if best == nil || cmp.Or(cmp.Compare(s.demands[in.Pool].deficit(), s.demands[best.Pool].deficit()), cmp.Compare(in.ID, best.ID)) < 0 {
@@ -165,7 +166,7 @@
 func (s *Scheduler) beginMove(name string, pool fleet.PoolID, in *instance) {
 	m := &move{pool: pool, startedAt: s.now, instance: in, endedBoot: s.latestBoot(name)}
 	if in != nil {
-		in.consolidating = false
+		in.consolidating, in.reclaimed = false, false
 		s.deregisterEvacuated(in)
 	}
 	s.moves[name] = m
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -108,7 +108,8 @@
 			s.placeGang(c, s.advisedInstances(c, pool.instances))
 		}
 	} else if !s.placeTasks(c, pool) && c.class == classService {
-		s.demandOf(c.job.pool).unplacedAt = s.now
+		d := s.demandOf(c.job.pool)
+		d.unplacedAt, d.unplaced = s.now, c.stage.waiting
 		pool.instances = withoutReserved(c, pool.instances)
 	}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -96,7 +96,6 @@
 	finishedJobRetention     = 15 * time.Second        // an order may be executed 12 s late
 	defaultStepEstimate      = 500 * time.Millisecond  // for a step without an estimate
 	defaultAttempts          = 3                       // for a queue that is no longer configured
-	lateFactor               = 3                       // beyond three times its latency objective a job has no value
 	unschedulableFailedPolls = 1                       // consecutive failed polls that make an instance unschedulable
 	runsPerFence             = 1_000_000_000           // run numbers of one term: 11 days at 1,000 starts a second
 	shortPollWait            = 700 * time.Millisecond  // detects a stalled task within two polls
--- a/internal/scheduler/waiting.go
+++ b/internal/scheduler/waiting.go
@@ -306,6 +306,8 @@
 		return "not enrolled"
 	case in.consolidating:
 		return "consolidating"
+	case in.reclaimed:
+		return "reclaimed for another pool"
 	case in.failedPolls > 0:
 		return "failing polls"
 	case in.uncordoning:
--- a/internal/scheduler/waiting_test.go
+++ b/internal/scheduler/waiting_test.go
@@ -103,6 +103,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newTestFleet(t)
+			f.taskTime = 500 * time.Millisecond // as long as a step without an estimate is expected to take
 			c.prepare(f)
 			list := f.explainWithin5s()
 			assert.Equal(t, len(list), 1)
