Start nothing in drained data centres of the own interface

The planner and the dispatcher knew nothing of the committed drains. The dispatcher places nothing there, computes shares without that capacity, stops no task there for urgent work, and says so when it refuses. The planner counts those instances as missing for demand, does not move them, and plans their maintenance first.

--- a/internal/dispatcher/customer.go
+++ b/internal/dispatcher/customer.go
@@ -235,7 +235,7 @@
 }
 
 func (d *Dispatcher) refuse(q Request, cause Cause, waited time.Duration) {
-	d.emit(Decision{Kind: Refused, Request: q, Cause: cause, Reason: cause.String(), Waited: waited})
+	d.emit(Decision{Kind: Refused, Request: q, Cause: cause, Reason: cause.String() + d.describeDrain(), Waited: waited})
 }
 
 // Cancel removes a waiting request; it returns false if the request isn't waiting.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -102,6 +102,8 @@
 	Schedulable bool
 	// Deprioritized makes placement prefer other instances, because this one is the next to be stopped.
 	Deprioritized bool
+	// Drained is set for an instance in a drained data centre: it takes no new work, and its capacity does not count for shares.
+	Drained bool
 	// LastSeen is the clock value at the latest announcement.
 	LastSeen time.Duration
 }
@@ -145,7 +147,9 @@
 	deadlines     deadlineHeap
 	entryLastSeen map[fleet.EntryID]time.Duration
 	estimates     map[fleet.QueueID]*estimate
-	totalCapacity fleet.Resources
+	// totalCapacity is that of all instances outside drained data centres, and drainedInstances the number of those inside.
+	totalCapacity    fleet.Resources
+	drainedInstances int
 	// readyCapacity is the part of totalCapacity on instances that may take new work.
 	readyCapacity fleet.Resources
 	busySlots     int
@@ -224,7 +228,7 @@
 func (d *Dispatcher) UpdateInstance(now time.Duration, view InstanceView) {
 	r, ok := d.instances.Get(view.Instance.ID)
 	if ok && r.view.LastSeen == view.LastSeen && r.view.Schedulable == view.Schedulable &&
-		r.view.Deprioritized == view.Deprioritized && r.view.Instance.Sequence == view.Instance.Sequence {
+		r.view.Deprioritized == view.Deprioritized && r.view.Drained == view.Drained && r.view.Instance.Sequence == view.Instance.Sequence {
 		return
 	}
 	if !ok {
@@ -232,7 +236,8 @@
 		d.instances.Put(view.Instance.ID, r)
 		d.countTasksOn(view.Instance, r)
 	}
-	d.setTotalCapacity(d.totalCapacity.Sub(r.view.Instance.Capacity).Add(view.Instance.Capacity))
+	d.setTotalCapacity(d.totalCapacity.Sub(r.view.shared()).Add(view.shared()))
+	d.drainedInstances += countDrained(view) - countDrained(r.view)
 	newer := view.LastSeen > r.view.LastSeen
 	r.view = view
 	if view.LastSeen > d.started || !d.recovering {
@@ -272,7 +277,8 @@
 		return
 	}
 	d.tasksByDomain[r.view.Instance.FailureDomain()] -= r.tasks
-	d.setTotalCapacity(d.totalCapacity.Sub(r.view.Instance.Capacity))
+	d.setTotalCapacity(d.totalCapacity.Sub(r.view.shared()))
+	d.drainedInstances -= countDrained(r.view)
 	d.instances.Delete(id)
 }
 
--- a/internal/dispatcher/place.go
+++ b/internal/dispatcher/place.go
@@ -189,7 +189,7 @@
 // eligible reports whether an instance may take new work.
 func (d *Dispatcher) eligible(now time.Duration, r *instanceRecord, repeatable bool) bool {
 	view := r.view
-	if !view.Schedulable || !r.observed || view.Instance.Condition != fleet.Ready || now-view.LastSeen > MaxObservationAge {
+	if !view.Schedulable || view.Drained || !r.observed || view.Instance.Condition != fleet.Ready || now-view.LastSeen > MaxObservationAge {
 		return false
 	}
 	if r.health.isolated {
--- a/internal/dispatcher/preempt.go
+++ b/internal/dispatcher/preempt.go
@@ -112,7 +112,7 @@
 func (d *Dispatcher) preemptible(now time.Duration, x *task, perShare float64) bool {
 	q := d.queues[x.request.Queue]
 	c := d.customer(x.request.Customer)
-	return !q.Urgent && q.Repeatable && now >= x.nextPreemption && c.dominantUse > c.share*perShare
+	return !q.Urgent && q.Repeatable && now >= x.nextPreemption && c.dominantUse > c.share*perShare && !d.runsInDrain(x)
 }
 
 func (d *Dispatcher) isBetterVictim(x, other *task) bool {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -249,7 +249,8 @@
 		}
 		present[id] = true
 		serving := a.Phase == state.Serving && !a.Lost
-		p.dispatcher.UpdateInstance(now, dispatcher.InstanceView{Instance: observation.Instance, Schedulable: serving, Deprioritized: a.Deprioritized, LastSeen: observation.LastSeen})
+		_, drained := s.DrainedDataCentres[a.DataCentre]
+		p.dispatcher.UpdateInstance(now, dispatcher.InstanceView{Instance: observation.Instance, Schedulable: serving, Deprioritized: a.Deprioritized, Drained: drained, LastSeen: observation.LastSeen})
 	}
 	for _, id := range p.dispatcher.InstanceIDs() {
 		if !present[id] {
--- a/internal/planner/demand.go
+++ b/internal/planner/demand.go
@@ -64,7 +64,7 @@
 	peaks := peakFactors(c, v.Now)
 	for _, pool := range c.Pools {
 		ps := p.poolStateOf(pool.Name)
-		ps.countInstances(p.members[pool.Name])
+		ps.countInstances(v, p.members[pool.Name])
 		ps.smoothDemand(v.Now, demandedSlots(v, pool.Name))
 		ps.peakFactor = max(peaks[pool.Name], 1)
 		ps.updateSizes(v.Now, pool)
@@ -89,12 +89,13 @@
 	return factors
 }
 
-// countInstances computes the number of available instances of the pool, their mean slots and the size of the largest rack.
-func (ps *poolState) countInstances(members []poolMember) {
+// countInstances computes the number of available instances of the pool outside drained data centres, their mean slots and the size of the
+// largest rack.
+func (ps *poolState) countInstances(v *View, members []poolMember) {
 	racks := map[string]int{}
 	ps.available, ps.largestRack, ps.slotsPerInstance = 0, 0, 0
 	for _, x := range members {
-		if !x.assignment.Available() {
+		if !x.assignment.Available() || v.drained(x.assignment) {
 			continue
 		}
 		ps.available++
--- a/internal/planner/maintenance.go
+++ b/internal/planner/maintenance.go
@@ -46,7 +46,9 @@
 			Command: state.Disrupt{Instance: a.Instance, Reason: state.ReasonMaintenance, Boot: o.Instance.BootID, At: state.TimestampOf(v.Now)},
 			Reason:  fmt.Sprintf("last maintained %s", a.MaintainedAt.Time().Format(time.RFC3339)),
 		})
-		p.countRemoved(a.Pool)
+		if !v.drained(a) {
+			p.countRemoved(a.Pool)
+		}
 		stopping = append(stopping, a)
 		allowed--
 	}
@@ -208,7 +210,7 @@
 	return best
 }
 
-// dueInstances returns the instances whose maintenance may start now: pools that need the most rounds first; within a pool, the data
+// dueInstances returns the instances whose maintenance may start now: those in drained data centres first, then pools that need the most rounds first; within a pool, the data
 // centre in which stops have begun first, then by data centre, rack and time of the last maintenance.
 func (p *Planner) dueInstances(v *View, c *configuration.Configuration, stopping []state.Assignment) []state.Assignment {
 	begun := map[poolDataCentre]bool{}
@@ -235,7 +237,7 @@
 		return 1
 	}
 	slices.SortStableFunc(list, func(a, b state.Assignment) int {
-		return cmp.Or(cmp.Compare(rounds[b.Pool], rounds[a.Pool]), cmp.Compare(a.Pool, b.Pool), cmp.Compare(rank(a), rank(b)),
+		return cmp.Or(v.compareDrained(a, b), cmp.Compare(rounds[b.Pool], rounds[a.Pool]), cmp.Compare(a.Pool, b.Pool), cmp.Compare(rank(a), rank(b)),
 			cmp.Compare(a.DataCentre, b.DataCentre), cmp.Compare(a.Rack, b.Rack), cmp.Compare(a.MaintainedAt, b.MaintainedAt))
 	})
 	return list
@@ -275,6 +277,9 @@
 	if !observed || o.Age > maxObservationAge || o.Instance.Condition != fleet.Ready {
 		return false
 	}
+	if v.drained(a) {
+		return v.State.AvailableInstances(a.Pool) > pool.MinimumAvailable // the state counts it as available while its tasks run
+	}
 	if ps.available-1 < max(pool.MinimumAvailable, min(ps.required, ps.available-1)) {
 		return false
 	}
@@ -285,6 +290,6 @@
 		return true
 	}
 	return !slices.ContainsFunc(stopping, func(b state.Assignment) bool {
-		return b.Pool == a.Pool && b.DataCentre != a.DataCentre && b.Phase != state.Verifying
+		return b.Pool == a.Pool && b.DataCentre != a.DataCentre && !v.drained(b) && b.Phase != state.Verifying
 	})
 }
--- a/internal/planner/moves.go
+++ b/internal/planner/moves.go
@@ -123,11 +123,11 @@
 // countRemoved counts an instance as removed from its pool for the rest of the tick.
 func (p *Planner) countRemoved(pool fleet.PoolID) { p.poolStateOf(pool).available-- }
 
-// canLeave reports whether an instance can be moved out of its pool now: it is available and ready, has not been moved within
-// moveCooldown, and its pool keeps enough instances. The spare pool keeps its minimum. Any other pool keeps its minimum and one more
+// canLeave reports whether an instance can be moved out of its pool now: it is available and ready, is not in a drained data
+// centre, has not been moved within moveCooldown, and its pool keeps enough instances. The spare pool keeps its minimum. Any other pool keeps its minimum and one more
 // than its demand requires, and gives up only instances with at most maxTasksToMove tasks.
 func (p *Planner) canLeave(v *View, c *configuration.Configuration, a state.Assignment, o Observation) bool {
-	if !a.Available() || a.Isolated || o.Age > maxObservationAge || o.Instance.Condition != fleet.Ready {
+	if !a.Available() || v.drained(a) || a.Isolated || o.Age > maxObservationAge || o.Instance.Condition != fleet.Ready {
 		return false
 	}
 	if moved, ok := p.movedAt[a.Instance]; ok && v.Now.Sub(moved) < moveCooldown {
--- a/internal/replayer/replayer.go
+++ b/internal/replayer/replayer.go
@@ -290,7 +290,8 @@
 			continue
 		}
 		present[id] = true
-		d.UpdateInstance(r.now, dispatcher.InstanceView{Instance: t.announced, Schedulable: assignment.Phase == state.Serving && !assignment.Lost, Deprioritized: assignment.Deprioritized, LastSeen: t.lastSeen})
+		_, drained := r.state.DrainedDataCentres[assignment.DataCentre]
+		d.UpdateInstance(r.now, dispatcher.InstanceView{Instance: t.announced, Schedulable: assignment.Phase == state.Serving && !assignment.Lost, Deprioritized: assignment.Deprioritized, Drained: drained, LastSeen: t.lastSeen})
 	}
 	for _, id := range d.InstanceIDs() {
 		if !present[id] {
