Let operators drain data centres in the own interface

PUT and DELETE /v1/data-centres/NAME/drain commit a request once this entry has applied all that was acknowledged before, so that its revision is the latest. GET /v1/data-centres lists them, the client and the command line have the same, and explain shows a drain under the data centre and its pools. The handling of commits moves to a file of its own.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -80,7 +80,7 @@
 	flags.StringVar(&c.entryURL, "entry", "http://127.0.0.1:8080", "URL of an entry")
 	flags.StringVar(&c.operatorKeyFile, "operator-key-file", "", "file with the operators' key")
 	flags.StringVarP(&c.outputFormat, "output", "o", "table", "output format: table, yaml or json")
-	root.AddCommand(c.serveCommand(), c.roleCommand("entry", "Run an entry process of a deployment, which serves callers."), c.roleCommand("keeper", "Run a keeper process of a deployment, which stores the state and makes decisions."), c.demoCommand(), c.validateCommand(), c.applyCommand(), c.getCommand(), c.keyCommand(), c.instanceCommand(), c.maintenanceCommand(), c.memberCommand(), c.statusCommand(), c.explainCommand(), c.replayCommand(), c.traceCommand(), c.standInCommand(), c.loadCommand())
+	root.AddCommand(c.serveCommand(), c.roleCommand("entry", "Run an entry process of a deployment, which serves callers."), c.roleCommand("keeper", "Run a keeper process of a deployment, which stores the state and makes decisions."), c.demoCommand(), c.validateCommand(), c.applyCommand(), c.getCommand(), c.keyCommand(), c.instanceCommand(), c.dataCentreCommand(), c.maintenanceCommand(), c.memberCommand(), c.statusCommand(), c.explainCommand(), c.replayCommand(), c.traceCommand(), c.standInCommand(), c.loadCommand())
 	for _, sub := range root.Commands() {
 		wrapArgsErrors(sub)
 	}
--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -29,6 +31,7 @@
 		{"unknown flag", []string{"status", "--colour"}, ExitUsage, "colour"},
 		{"operator key missing", []string{"status"}, ExitUsage, "--operator-key-file is needed"},
 		{"entry unreachable", []string{"status", "--operator-key-file", key, "--entry", "http://127.0.0.1:1"}, ExitUnreachable, "cannot be reached"},
+		{"data centre missing", []string{"data-centre", "drain"}, ExitUsage, "arg"},
 		{"unknown scenario", []string{"trace", "nothing"}, ExitUsage, "full-fleet"},
 	}
 	for _, c := range cases {
@@ -53,3 +56,23 @@
 		assert.Equal(t, out.String(), want)
 	}
 }
+
+// TestDataCentreCommands guards against a command that sends another request than it names, or a name that is not escaped.
+func TestDataCentreCommands(t *testing.T) {
+	key := filepath.Join(t.TempDir(), "key")
+	assert.NilError(t, os.WriteFile(key, []byte("secret"), 0o600))
+	var got string
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got = r.Method + " " + r.URL.EscapedPath()
+		_, _ = w.Write([]byte("[]"))
+	}))
+	t.Cleanup(server.Close)
+	for command, want := range map[string]string{
+		"drain a/b": "PUT /v1/data-centres/a%2Fb/drain", "resume a": "DELETE /v1/data-centres/a/drain", "status": "GET /v1/data-centres",
+	} {
+		args := append([]string{"data-centre", "--operator-key-file", key, "--entry", server.URL}, strings.Fields(command)...)
+		var out, errs bytes.Buffer
+		assert.Equal(t, Run(args, &out, &errs), ExitOK, "%s", errs.String())
+		assert.Equal(t, got, want)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,6 +45,8 @@
 	ReadIndex(ctx context.Context) (uint64, error)
 	Decisions(subject string) []Decision
 	Reports() []planner.PoolReport
+	// RecordDrain logs a change of a data centre and keeps it for Decisions.
+	RecordDrain(name fleet.DataCentreID, drained bool, by string, index uint64)
 }
 
 // Decision is a decision about a task, request or instance, with its reason.
@@ -178,6 +180,9 @@
 		"POST /v1/instances/{instance}/move":   g.moveInstance,
 		"POST /v1/instances/{instance}/resume": g.resumeInstance,
 		"GET /v1/pools":                        g.getPools,
+		"GET /v1/data-centres":                 g.getDataCentres,
+		"PUT /v1/data-centres/{name}/drain":    g.putDrain,
+		"DELETE /v1/data-centres/{name}/drain": g.deleteDrain,
 		"GET /v1/maintenance":                  g.getMaintenance,
 		"POST /v1/maintenance/{action}":        g.postMaintenance,
 		"GET /v1/members":                      g.getMembers,
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -5,7 +5,6 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -35,33 +34,6 @@
 	}
 }
 
-// Committed is the response to a committed command.
-type Committed struct {
-	Version uint64 `json:"version,omitempty"`
-	Digest  string `json:"digest,omitempty"`
-	Index   uint64 `json:"index"`
-	InForce bool   `json:"in-force"`
-}
-
-// commitCommand commits a command; with ?wait it responds when the command is in force on all processes, or after inForceTimeout.
-func (g *Gateway) commitCommand(w http.ResponseWriter, r *http.Request, c state.Command) {
-	ctx, cancel := context.WithTimeout(r.Context(), commitTimeout)
-	defer cancel()
-	reply, err := g.options.Replica.Commit(ctx, c)
-	if err != nil {
-		event.CommandRefused.Info(g.options.Logger, zap.String("command", fmt.Sprintf("%T", c)), zap.String("reason", err.Error()))
-		commitProblem(err).write(w)
-		return
-	}
-	committed := Committed{Version: reply.Version, Digest: reply.Digest, Index: reply.Index}
-	if r.URL.Query().Has("wait") {
-		waitCtx, cancelWait := context.WithTimeout(r.Context(), inForceTimeout)
-		defer cancelWait()
-		committed.InForce = g.options.Leader.WaitApplied(waitCtx, reply.Index) == nil
-	}
-	writeJSON(w, http.StatusOK, committed)
-}
-
 func (g *Gateway) putConfig(w http.ResponseWriter, r *http.Request) {
 	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, configuration.MaxBytes))
 	if err != nil {
--- a/internal/leader/explain.go
+++ b/internal/leader/explain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -140,6 +141,34 @@
 	l.history.add(gateway.Decision{At: time.Now(), Event: names[d.Kind], Subject: subject, Reason: d.Reason})
 }
 
+// RecordDrain adds the drain or the resumption of a data centre to the history for explain, under its name and the pools with instances
+// there, and logs it.
+func (l *Leader) RecordDrain(name fleet.DataCentreID, drained bool, by string, index uint64) {
+	e := event.DataCentreResumed
+	if drained {
+		e = event.DataCentreDrained
+	}
+	e.Info(l.options.Logger, zap.String("data-centre", string(name)), zap.String("by", by), zap.Uint64("index", index))
+	subject := string(name)
+	for _, pool := range l.poolsIn(name) {
+		subject += " " + string(pool)
+	}
+	l.history.add(gateway.Decision{At: time.Now(), Event: e.Name, Subject: subject, Reason: fmt.Sprintf("data centre %s, requested by %s", name, by)})
+}
+
+// poolsIn returns the pools with instances in a data centre, in order of their names.
+func (l *Leader) poolsIn(name fleet.DataCentreID) []fleet.PoolID {
+	pools := map[fleet.PoolID]bool{}
+	l.options.Replica.View(func(s *state.State) {
+		for _, a := range s.Instances {
+			if a.DataCentre == name {
+				pools[a.Pool] = true
+			}
+		}
+	})
+	return slices.Sorted(maps.Keys(pools))
+}
+
 // Decisions returns the decisions of all processes whose subject contains the given text, oldest first. Processes that do not
 // respond within explainTimeout are left out.
 func (l *Leader) Decisions(subject string) []gateway.Decision {
--- a/internal/state/drains.go
+++ b/internal/state/drains.go
@@ -15,7 +15,8 @@
 	Index uint64 `json:"index"`
 }
 
-// DrainDataCentre drains a data centre; a drained one stays unchanged.
+// DrainDataCentre drains a data centre; a drained one stays unchanged. The version of the reply is the revision of the data centre, which is
+// the index of the command if it has changed anything.
 type DrainDataCentre struct {
 	DataCentre fleet.DataCentreID
 	By         string
@@ -27,9 +28,17 @@
 	Index uint64
 }
 
+// WithRecord returns the command with the record of the drain if it is committed already, so that a replica without it gets the same.
+func (c DrainDataCentre) WithRecord(s *State) DrainDataCentre {
+	if record, drained := s.DrainedDataCentres[c.DataCentre]; drained {
+		c.By, c.At, c.Index = record.By, record.At, record.Index
+	}
+	return c
+}
+
 func (c DrainDataCentre) apply(s *State) (Reply, error) {
 	if _, drained := s.DrainedDataCentres[c.DataCentre]; drained {
-		return Reply{}, nil
+		return Reply{Version: s.DrainRevisions[c.DataCentre]}, nil
 	}
 	if err := s.checkDrainChange("drain data centre", c.DataCentre, c.Revision); err != nil {
 		return Reply{}, err
@@ -37,10 +46,10 @@
 	record := DataCentreDrain{By: c.By, At: c.At, Index: cmp.Or(c.Index, s.AppliedIndex)}
 	s.DrainedDataCentres[c.DataCentre] = record
 	s.DrainRevisions[c.DataCentre] = record.Index
-	return Reply{}, nil
+	return Reply{Version: record.Index}, nil
 }
 
-// ResumeDataCentre ends the drain of a data centre; one that is not drained stays unchanged.
+// ResumeDataCentre ends the drain of a data centre; one that is not drained stays unchanged. The reply is as for DrainDataCentre.
 type ResumeDataCentre struct {
 	DataCentre fleet.DataCentreID
 	By         string
@@ -53,7 +62,7 @@
 	revision, accepted := s.DrainRevisions[c.DataCentre]
 	_, drained := s.DrainedDataCentres[c.DataCentre]
 	if !drained && accepted && c.Revision <= revision {
-		return Reply{}, nil
+		return Reply{Version: revision}, nil
 	}
 	if err := s.checkDrainChange("resume data centre", c.DataCentre, c.Revision); err != nil {
 		return Reply{}, err
@@ -63,7 +72,7 @@
 		revision = s.AppliedIndex // a replica with an earlier revision lacks the drain
 	}
 	s.DrainRevisions[c.DataCentre] = revision
-	return Reply{}, nil
+	return Reply{Version: revision}, nil
 }
 
 // checkDrainChange refuses a change of a data centre without a name, and one that was requested before the latest change.
--- a/internal/supervisor/drains.go
+++ b/internal/supervisor/drains.go
@@ -64,11 +64,7 @@
 		return state.ResumeDataCentre{DataCentre: request.DataCentre, By: request.By, At: at, Revision: request.Revision}
 	}
 	command := state.DrainDataCentre{DataCentre: request.DataCentre, By: request.By, At: at, Revision: request.Revision}
-	t.options.Replica.View(func(s *state.State) {
-		if record, drained := s.DrainedDataCentres[request.DataCentre]; drained {
-			command.By, command.At, command.Index = record.By, record.At, record.Index
-		}
-	})
+	t.options.Replica.View(func(s *state.State) { command = command.WithRecord(s) })
 	return command
 }
 
@@ -81,8 +77,8 @@
 	t.drainsRestatedAt = now
 	var commands []state.Command
 	t.options.Replica.View(func(s *state.State) {
-		for name, record := range s.DrainedDataCentres {
-			commands = append(commands, state.DrainDataCentre{DataCentre: name, By: record.By, At: record.At, Index: record.Index, Revision: s.DrainRevisions[name]})
+		for name := range s.DrainedDataCentres {
+			commands = append(commands, state.DrainDataCentre{DataCentre: name, Revision: s.DrainRevisions[name]}.WithRecord(s))
 		}
 	})
 	for _, c := range commands {
