Read the revision of a data centre in every process

A process without a member of the group sent drains without a revision, so that the leader refused them once a data centre had been changed.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -183,14 +183,18 @@
 
 // Call handles a request in this process if it leads, and forwards it to the leader otherwise.
 func (p *Process) Call(ctx context.Context, request forwarder.Request) (forwarder.Response, error) {
+	if o := request.Operation; o == forwarder.DrainDataCentre || o == forwarder.ResumeDataCentre {
+		return drainer.New(p.callLeader).Change(ctx, request)
+	}
+	return p.callLeader(ctx, request)
+}
+
+// callLeader sends one request of this process's servers to the leader.
+func (p *Process) callLeader(ctx context.Context, request forwarder.Request) (forwarder.Response, error) {
 	if p.supervisor == nil {
 		return p.forwarder.Call(ctx, request)
 	}
-	switch request.Operation {
-	case forwarder.DrainDataCentre, forwarder.ResumeDataCentre:
-		return drainer.New(p.callAsKeeper).Change(ctx, request)
-	case forwarder.Announce:
-	default:
+	if request.Operation != forwarder.Announce {
 		return p.callAsKeeper(ctx, request)
 	}
 	if response, ok := p.acknowledgeAnnouncement(request.Instance); ok {
--- a/internal/supervisor/drains_test.go
+++ b/internal/supervisor/drains_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sapphiresail/sapphiresail/internal/drainer"
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
 	"github.com/sapphiresail/sapphiresail/internal/forwarder"
 	"github.com/sapphiresail/sapphiresail/internal/scheduler"
@@ -96,6 +98,31 @@
 	s.changeDrain(forwarder.ResumeDataCentre, "configured")
 }
 
+// TestConcurrentOperators guards against requests of two operators that cross and are refused, or leave the scheduler with another state than
+// the committed one.
+func TestConcurrentOperators(t *testing.T) {
+	s := startResumption(t)
+	d := drainer.New(func(ctx context.Context, r forwarder.Request) (forwarder.Response, error) {
+		return s.HandleRequest(ctx, r), nil
+	})
+	var operators sync.WaitGroup
+	for i := range 8 {
+		operators.Go(func() {
+			o := []forwarder.Operation{forwarder.DrainDataCentre, forwarder.ResumeDataCentre}[i%2]
+			for range 20 {
+				response, err := d.Change(t.Context(), drainRequest(o, "a", 0))
+				assert.Check(t, err)
+				assert.Check(t, response.Outcome == forwarder.Done, "%s: outcome %d", o, response.Outcome)
+			}
+		})
+	}
+	operators.Wait()
+	s.replica.View(func(committed *state.State) {
+		_, drained := committed.DrainedDataCentres["a"]
+		assert.Equal(t, s.term.Load().isDrained("a"), drained)
+	})
+}
+
 // TestDelayedDrainIsSuperseded guards against a copy of a drain that the leader receives after the resumption that was sent later.
 func TestDelayedDrainIsSuperseded(t *testing.T) {
 	s := startResumption(t)
