Describe forecasts of run times, and expect the rest of adopted runs from their pace

A new leader expected a run that it adopted to take its full time again, because it does not know the start. Its start now follows from the pace of its progress, or from the expected time while there is no pace; a percentage counts from the time at which it was reported first. The forecast of a stage is kept apart from it, so that jobs with many occurrences do not take more memory.

--- a/internal/forecaster/remainder.go
+++ b/internal/forecaster/remainder.go
@@ -30,12 +30,17 @@
 // Remaining returns the distribution of the remaining time of a task that has run for elapsed and reports to have done percent. A task that
 // reports nothing has percent 0.
 func (f Forecast) Remaining(elapsed time.Duration, percent int) Remainder {
+	return f.RemainingSince(elapsed, elapsed, percent)
+}
+
+// RemainingSince is Remaining for a task that reported percent when it had run for reported, and may have progressed since.
+func (f Forecast) RemainingSince(elapsed, reported time.Duration, percent int) Remainder {
 	r := Remainder{mixture: *f.mixture(), elapsed: max(0, elapsed), confidence: f.Confidence(), left: 1}
 	if elapsed <= 0 {
 		return r
 	}
-	if percent > 0 {
-		r.refine(f, percent)
+	if percent > 0 && reported > 0 {
+		r.refine(f, reported, percent)
 	}
 	r.left = r.mixture.above(math.Log(elapsed.Seconds()))
 	if r.left < minLeft {
@@ -45,9 +50,9 @@
 }
 
 // refine takes the total time that the percentage shows for an uncertain measurement of the run time.
-func (r *Remainder) refine(f Forecast, percent int) {
+func (r *Remainder) refine(f Forecast, reported time.Duration, percent int) {
 	done := float64(min(percent, 100)) / 100
-	shown := math.Log(r.elapsed.Seconds() / done)
+	shown := math.Log(reported.Seconds() / done)
 	doubt := percentVariance(done)
 	sum := 0.0
 	for i := range r.mixture {
--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -65,9 +65,17 @@
 	return time.Duration(min(float64(estimate)*math.Exp(r.sum/r.weight), float64(maxSiblingTime)))
 }
 
-// expectedRunTime returns the forecast for a task of a stage on an instance of usual speed near its data. It does not allocate.
+func (st *stage) expect() *expectation {
+	if st.expectation == nil {
+		st.expectation = &expectation{}
+	}
+	return st.expectation
+}
+
+// expectedRunTime returns the forecast for a task of a stage on an instance of usual speed near its data. It allocates
+// at the first call for a stage only.
 func (s *Scheduler) expectedRunTime(j *job, st *stage) forecaster.Forecast {
-	e := &st.expectation
+	e := st.expect()
 	others := j.estimateRatio.without(e.own)
 	if !e.known || !e.hasEvidence && (s.now >= e.refreshAt || others.weight != e.others) {
 		e.prior = s.forecaster.Expect(j.subject(st)).Alongside(others.scale(st.step.Estimate))
@@ -88,20 +96,30 @@
 	return f
 }
 
-// expectedRemainder returns the remaining time of a run. A run whose start is not known is taken to start now.
+// expectedRemainder returns the remaining time of a run.
 func (s *Scheduler) expectedRemainder(in *instance, r *run) forecaster.Remainder {
-	elapsed := time.Duration(0)
-	if r.startedAt > 0 {
-		elapsed = s.now - r.startedAt
+	f := s.expectedOn(in, r.job, r.job.stage(r.task.Position))
+	startedAt := in.startOf(r, f.Typical())
+	if startedAt == 0 {
+		return f.Remaining(0, 0)
+	}
+	if !r.reported {
+		return f.Remaining(s.now-startedAt, 0)
+	}
+	return f.RemainingSince(s.now-startedAt, in.receivedAt(r.progressedAt)-startedAt, r.percent)
+}
+
+// startOf returns when a run was started, zero if it is not known at all. An adopted run is taken to have progressed at its present pace
+// since its start, or as expected if no pace is known yet.
+func (in *instance) startOf(r *run, typical time.Duration) time.Duration {
+	if r.startedAt > 0 || !r.reported {
+		return r.startedAt
 	}
-	percent := r.percent
-	if r.reported && r.percent > 0 && elapsed > 0 {
-		// The percentage is as old as the report that showed it first.
-		if shown := in.receivedAt(r.progressedAt) - r.startedAt; shown > 0 {
-			percent = min(99, int(float64(r.percent)*float64(elapsed)/float64(shown)))
-		}
+	full := typical
+	if r.percent > r.listedPercent {
+		full = (r.progressedAt - r.listedAt) * 100 / time.Duration(r.percent-r.listedPercent)
 	}
-	return s.expectedOn(in, r.job, r.job.stage(r.task.Position)).Remaining(elapsed, percent)
+	return in.receivedAt(r.progressedAt) - full*time.Duration(r.percent)/100
 }
 
 // expectedChain returns the typical duration of the longest chain of dependent steps of an occurrence, of which the objective is a multiple.
@@ -191,8 +209,8 @@
 	expected := s.expectedRunTime(r.job, st)
 	s.dropSample(r)
 	observed := forecaster.Run{
-		Subject: r.job.subject(st), Actual: actual, Tasks: st.step.Count, Instance: in.ID, Remote: in.remoteFrom(st.step), Evidence: &st.expectation.evidence,
-		Sibling: r.job.estimateRatio.without(st.expectation.own).scale(st.step.Estimate),
+		Subject: r.job.subject(st), Actual: actual, Tasks: st.step.Count, Instance: in.ID, Remote: in.remoteFrom(st.step), Evidence: &st.expect().evidence,
+		Sibling: r.job.estimateRatio.without(st.expect().own).scale(st.step.Estimate),
 	}
 	before := s.forecaster.InstanceSpeed(in.ID)
 	switch {
@@ -212,7 +230,7 @@
 	if st.step.Estimate > 0 && sample.Set() {
 		weight := sample.Weight() / float64(st.step.Count)
 		j.estimateRatio.add(sample.Time(), st.step.Estimate, weight)
-		st.expectation.own.add(sample.Time(), st.step.Estimate, weight)
+		st.expect().own.add(sample.Time(), st.step.Estimate, weight)
 	}
 }
 
@@ -238,9 +256,9 @@
 }
 
 func (s *Scheduler) addEvidence(st *stage, before, after forecaster.Sample) {
-	st.expectation.evidence.Replace(before, after)
-	st.expectation.stale = true
-	st.expectation.hasEvidence = true
+	e := st.expect()
+	e.evidence.Replace(before, after)
+	e.stale, e.hasEvidence = true, true
 }
 
 // logSpeed records that an instance has become slow or has its usual speed again.
--- a/internal/scheduler/forecast_test.go
+++ b/internal/scheduler/forecast_test.go
@@ -254,3 +254,22 @@
 	before, after := expect(3)
 	assert.Assert(t, before < 1800*time.Millisecond && after > 2200*time.Millisecond, "%s, then %s", before, after)
 }
+
+// TestRemainderOfAdoptedRun guards against a new leader that expects a run to take its full time again.
+func TestRemainderOfAdoptedRun(t *testing.T) {
+	f := newTestFleet(t)
+	f.taskTime = 4 * time.Second
+	f.addInstance("a", "p")
+	step := secondStep
+	step.Estimate = 4 * time.Second
+	job := f.submitJob(step)
+	f.advance(2 * time.Second)
+	f.startLeader()
+	f.advance(100 * time.Millisecond) // lists the run
+	for _, passed := range []time.Duration{0, 400 * time.Millisecond} {
+		f.advance(passed)
+		left, ok := f.scheduler.ExpectedRemainder(workload.TaskID{Job: job})
+		want := 2*time.Second - passed
+		assert.Assert(t, ok && left.Typical() > want-400*time.Millisecond && left.Typical() < want+400*time.Millisecond, "%s, want about %s", left.Typical(), want)
+	}
+}
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -124,8 +124,9 @@
 	throttlePercent int
 	// reported is set once the instance has listed the run.
 	reported bool
-	// listedAt is the clock of the instance in the first report that listed the run.
-	listedAt time.Duration
+	// listedAt is the clock of the instance in the first report that listed the run, and listedPercent the progress in it.
+	listedAt      time.Duration
+	listedPercent int
 	// undelivered is set if the instance refused the connection of the start order.
 	undelivered bool
 	// suspicion is that of the task while the run is on probation.
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -66,8 +66,9 @@
 	// runCounts is the number of runs on each instance that has some.
 	runCounts map[*instance]int
 	// suspects is the number of suspected tasks; a gang counts as one.
-	suspects    int
-	expectation expectation
+	suspects int
+	// expectation is nil until it is asked for: a job with many occurrences has far more stages than run.
+	expectation *expectation
 }
 
 // task is one task of a stage.
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -314,7 +314,7 @@
 		r.checkpoint = reported.Checkpoint
 	}
 	if !r.reported {
-		r.listedAt = in.reportedAt
+		r.listedAt, r.listedPercent = in.reportedAt, reported.Percent
 	}
 	progressed := reported.Percent != r.percent || !r.reported
 	if progressed {
