--- a/internal/forecaster/bench_test.go
+++ b/internal/forecaster/bench_test.go
@@ -24,6 +24,7 @@
 		{"given", func() { expected.Given(evidence) }},
 		{"typical", func() { expected.Typical() }},
 		{"within", func() { expected.Within(time.Second) }},
+		{"within-all", func() { expected.WithinAll(12, time.Second) }},
 		{"quantile", func() { expected.Quantile(0.9) }},
 		{"remaining", func() { expected.Remaining(400*time.Millisecond, 30) }},
 		{"remaining-within", func() { left.Within(time.Second) }},
--- a/internal/forecaster/forecast.go
+++ b/internal/forecaster/forecast.go
@@ -35,11 +35,6 @@
 // Quantile returns the time within which a task is complete with probability p.
 func (f Forecast) Quantile(p float64) time.Duration { return timeOf(f.mixture().quantile(p)) }
 
-// QuantileOfAll returns the time within which n tasks of a step are all complete with probability p if they start together.
-func (f Forecast) QuantileOfAll(n int, p float64) time.Duration {
-	return f.Quantile(math.Pow(p, 1/float64(max(1, n))))
-}
-
 // Within returns the probability that a task is complete within d of its start.
 func (f Forecast) Within(d time.Duration) float64 {
 	if d <= 0 {
--- a/internal/forecaster/forecast_test.go
+++ b/internal/forecaster/forecast_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -111,10 +112,28 @@
 	assert.Assert(t, f.Progress(f.Expect(secondTask), "i", false, 100*time.Millisecond, 10).Set())
 }
 
-// TestAllTasksOfStep guards against a probability for one task that is taken for all of a step.
+// TestAllTasksOfStep guards against a probability for one task that is taken for all of a step, and against tasks that are taken for
+// independent although they share the uncertain centre of their step.
 func TestAllTasksOfStep(t *testing.T) {
-	expected := learned().Expect(secondTask)
-	all := expected.QuantileOfAll(20, 0.5)
-	assert.Assert(t, math.Abs(math.Pow(expected.Within(all), 20)-0.5) < 0.02, "%s", all)
-	assert.Equal(t, expected.QuantileOfAll(1, 0.9), expected.Quantile(0.9))
+	f := forecaster.New()
+	g := newGenerator(3, "q", 0.9)
+	for range 300 {
+		g.observe(f, g.step())
+	}
+	for _, p := range []float64{0.25, 0.5, 0.9} {
+		covered, predicted := 0, 0.0
+		const steps = 2000
+		for range steps {
+			s := g.step()
+			expected := f.Expect(s.subject)
+			limit := expected.QuantileOfAll(len(s.tasks), p)
+			predicted += expected.WithinAll(len(s.tasks), limit) / steps
+			if slices.Max(s.tasks) <= limit {
+				covered++
+			}
+		}
+		share := float64(covered) / steps
+		assert.Assert(t, math.Abs(share-p) < 0.12, "quantile %.2f covers %.3f", p, share)
+		assert.Assert(t, math.Abs(predicted-p) < 0.01, "quantile %.2f has the probability %.3f", p, predicted)
+	}
 }
--- a/internal/forecaster/forecaster.go
+++ b/internal/forecaster/forecaster.go
@@ -125,7 +125,7 @@
 		return
 	}
 	p := f.pathOf(&r.Subject)
-	before := f.forecast(p, r.Estimate)
+	before := f.forecast(&p, r.Estimate)
 	weight := 1 / float64(max(1, r.Tasks))
 	y := f.normal(logOf(r.Actual), r.Instance, r.Remote)
 	if r.Evidence != nil {
@@ -139,7 +139,7 @@
 		queue.accuracy = &accuracy{}
 	}
 	p[depthQueue].accuracy.record(math.Abs(y-before.mean), math.Abs(y-logOf(estimateOr(r.Estimate))), weight)
-	f.learn(p, &r, y, weight)
+	f.learn(&p, &r, y, weight)
 	f.unsaved += weight
 }
 
@@ -149,8 +149,8 @@
 }
 
 // pathOf returns the levels of a subject and creates those that do not exist.
-func (f *Forecaster) pathOf(s *Subject) *path {
-	p := &path{f.root}
+func (f *Forecaster) pathOf(s *Subject) path {
+	p := path{f.root}
 	for i, k := range keysOf(s) {
 		l, ok := f.levels[i].touch(k)
 		if !ok {
--- a/internal/forecaster/speed.go
+++ b/internal/forecaster/speed.go
@@ -20,6 +20,9 @@
 
 const (
 	speedRuns = 24
+	// speedUpdateRuns is the number of runs after which the speed is computed anew once speedRuns are known. It costs as much as the rest
+	// of an observation.
+	speedUpdateRuns = 4
 	// usualWeight is the weight of the assumption that an instance is as fast as the others, in runs whose
 	// time is known within a quarter.
 	usualWeight = 1
@@ -70,7 +73,7 @@
 // about the tasks of its kind.
 func (f *Forecaster) ObserveUnfinished(r Run) {
 	p := f.pathOf(&r.Subject)
-	before := f.forecast(p, r.Estimate)
+	before := f.forecast(&p, r.Estimate)
 	if r.Actual > before.Quantile(0.9) {
 		f.observeInstance(&r, before, 1/float64(max(1, r.Tasks)))
 	}
@@ -100,7 +103,9 @@
 	s.ratios[s.next] = ratio{float32(expected.mean - y), float32(1 / max(variance, minVariance))}
 	s.next = (s.next + 1) % speedRuns
 	s.count = min(s.count+1, speedRuns)
-	s.update()
+	if s.count < speedRuns || s.next%speedUpdateRuns == 0 {
+		s.update()
+	}
 }
 
 func (s *speed) meanWeight() float32 {
--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -18,6 +18,8 @@
 	heldPollTime = 40 * time.Millisecond
 	// maxTimingDoubt is the part of a run time that may be uncertain. Tasks of one step differ by as much.
 	maxTimingDoubt = 0.3
+	// sampleInterval is the progress, in percent, after which a run is taken into the forecast for its stage again.
+	sampleInterval = 8
 	// minShownPercent is the progress from which on the end of a run can be computed from it. Progress is reported in steps of 1 %.
 	minShownPercent = 20
 )
@@ -237,13 +239,13 @@
 // observeProgress takes the progress of a run into the forecast for its stage.
 func (s *Scheduler) observeProgress(in *instance, r *run) {
 	st := r.job.stage(r.task.Position)
-	if !r.measured || r.startedAt == 0 || st.step.Service || st.step.BestEffort {
+	if !r.measured || r.startedAt == 0 || st.step.Service || st.step.BestEffort || r.percent < r.sampledPercent+sampleInterval {
 		return
 	}
 	sample := s.forecaster.Progress(s.expectedRunTime(r.job, st), in.ID, in.remoteFrom(st.step), in.reportReceivedAt-r.startedAt, r.percent)
 	if sample.Set() {
 		s.addEvidence(st, r.sample, sample)
-		r.sample = sample
+		r.sample, r.sampledPercent = sample, r.percent
 	}
 }
 
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -139,6 +139,8 @@
 	startedAt, startDoubt time.Duration
 	// sample is what the progress of the run shows about the other tasks of its stage.
 	sample forecaster.Sample
+	// sampledPercent is the progress at that time.
+	sampledPercent int
 }
 
 func (s *Scheduler) addInstance(announced workload.Instance) *instance {
