Probe few keepers for the leader, with growing pauses and jitter

What operators see: while no keeper leads, 290 entries send 10,400 probes a second, 1,160 to each of nine keepers, which need their time for the election; and while one leads, idle entries send it 580.

Change: an entry that finds no leader probes two keepers and the leaders that they name, with pauses of 250 and then 500 ms, a quarter of it jitter. An idle entry asks one other keeper for a change of leader and the leader itself only every 1.5 s. A call that has no answer while the leader answers others stays with it: leaving it meant a search by each entry that waited for a slow leader.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -118,9 +118,14 @@
 	retryInterval  = 40 * time.Millisecond  // doubled with each attempt; short against an election, which takes up to two seconds
 	maxRetryPause  = 500 * time.Millisecond // a leader that is found ends the pause
 	probeInterval  = 500 * time.Millisecond // an entry whose calls are answered sends no probes
-	searchInterval = 250 * time.Millisecond // while no leader is known
-	probeTimeout   = 400 * time.Millisecond // a hundred round trips
-	maxContactAge  = 3 * time.Second        // an entry that has had no contact with a leader for longer is not ready for callers
+	searchInterval = 250 * time.Millisecond // while no leader is known, doubled with each search in vain
+	maxSearchPause = 500 * time.Millisecond // 290 entries send 130 probes a second to each of nine keepers; a contact is soon enough for Ready
+	searchWidth    = 2                      // keepers probed at a time: one of them may be down, and each knows the leader
+	jitterShare    = 0.25                   // of an interval, so that entries that lost their leader together do not probe together
+	// maxLeaderSilence is how long an entry relies on a leader without an answer: half of maxContactAge.
+	maxLeaderSilence = 1500 * time.Millisecond
+	probeTimeout     = 400 * time.Millisecond // a hundred round trips
+	maxContactAge    = 3 * time.Second        // an entry that has had no contact with a leader for longer is not ready for callers
 )
 
 // transport calls other processes; the messenger implements it.
@@ -146,6 +151,8 @@
 	leader      fleet.EntryID
 	lastContact time.Time
 	ready       bool
+	// home is the keeper that is probed for a change of leader, so that idle entries do not all probe the leader.
+	home fleet.EntryID
 }
 
 // Start starts a forwarder, which probes the keepers for the leader until Close.
@@ -195,12 +202,17 @@
 		keeper = f.nextKeeper("")
 	}
 	for attempts := 1; ; attempts++ {
+		startedAt, previous := time.Now(), keeper
 		response, err := f.callOnce(ctx, keeper, request)
 		switch {
 		case errors.Is(err, messenger.KindUnsent):
 		case err != nil:
 			kind = KindUncertain
-			f.clearLeader(keeper)
+			if f.answeredSince(keeper, startedAt) {
+				previous = "" // it is only slow: leaving it would add the calls of a search to its load
+			} else {
+				f.clearLeader(keeper)
+			}
 		case response.Outcome == Uncertain, response.Outcome == Refused && kind == KindUncertain:
 			kind = KindUncertain // what was refused now may have been executed before
 		case response.Outcome != NotLeading:
@@ -222,7 +234,7 @@
 		if err := f.pause(ctx, attempts); err != nil {
 			return Response{}, &Error{Op: "call", Kind: kind, Err: err}
 		}
-		keeper = f.nextKeeper(keeper)
+		keeper = f.nextKeeper(previous)
 	}
 }
 
--- a/internal/forwarder/search.go
+++ b/internal/forwarder/search.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -27,27 +28,50 @@
 }
 
 func (f *Forwarder) probeLoop() {
+	searches := 0 // in vain, in a row
 	for {
-		if !f.recentContact() {
-			f.findLeader()
-		}
-		interval := probeInterval
-		if f.Leader() == "" {
-			interval = searchInterval
+		switch {
+		case f.contactWithin(probeInterval):
+			searches = 0
+		case f.checkLeader():
+			searches = 0
+		case f.search():
+			searches = 0
+		default:
+			searches++
 		}
 		select {
 		case <-f.ctx.Done():
 			return
-		case <-time.After(interval):
+		case <-time.After(jittered(f.probePause(searches))):
 		}
 	}
 }
 
-// recentContact reports whether the leader has answered a call within probeInterval, so that there is no need for a probe.
-func (f *Forwarder) recentContact() bool {
+// probePause returns the pause before the next probe after a number of searches in vain, in a row.
+func (f *Forwarder) probePause(searches int) time.Duration {
+	if searches == 0 {
+		return probeInterval
+	}
+	return min(searchInterval<<min(searches-1, 10), maxSearchPause)
+}
+
+func jittered(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 - jitterShare + 2*jitterShare*rand.Float64()))
+}
+
+// contactWithin reports whether the leader has answered a call or probe within d, so that there is no need for a probe.
+func (f *Forwarder) contactWithin(d time.Duration) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.ready && f.leader != "" && time.Since(f.lastContact) < d
+}
+
+// answeredSince reports whether a keeper is the leader and has answered a call or probe since a time.
+func (f *Forwarder) answeredSince(keeper fleet.EntryID, since time.Time) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.ready && f.leader != "" && time.Since(f.lastContact) < probeInterval
+	return f.leader == keeper && f.lastContact.After(since)
 }
 
 // recordContact records an answer of the leader.
@@ -69,33 +93,101 @@
 	f.leader = leader
 }
 
-// findLeader probes the known leader, and all keepers if that one does not respond or no longer leads.
-func (f *Forwarder) findLeader() {
-	if leader := f.Leader(); leader != "" && f.probe(leader) {
-		return
+// checkLeader checks that the known leader leads: by a probe of another keeper, or of the leader itself if it has been silent for
+// maxLeaderSilence. It returns false if a leader must be searched.
+func (f *Forwarder) checkLeader() bool {
+	leader := f.Leader()
+	if leader == "" {
+		return false
+	}
+	if !f.contactWithin(maxLeaderSilence) {
+		_, leads := f.probe(leader)
+		return leads
+	}
+	home := f.homeKeeper()
+	if home == "" {
+		return true
+	}
+	hint, leads := f.probe(home)
+	if hint == "" && !leads {
+		f.leaveHome()
+	}
+	if hint != "" && hint != leader {
+		f.probe(hint)
+	}
+	return true
+}
+
+// homeKeeper returns the keeper that is probed in place of the leader, or an empty id if there is no other one.
+func (f *Forwarder) homeKeeper() fleet.EntryID {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.home == "" || f.home == f.leader || !slices.Contains(f.keepers, f.home) {
+		f.home = ""
+		if others := f.othersLocked(f.leader); len(others) > 0 {
+			f.home = others[0]
+		}
 	}
+	return f.home
+}
+
+// leaveHome chooses another keeper next time.
+func (f *Forwarder) leaveHome() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.home = ""
+}
+
+// othersLocked returns the other keepers but one, in random order.
+func (f *Forwarder) othersLocked(except fleet.EntryID) []fleet.EntryID {
+	list := slices.DeleteFunc(slices.Clone(f.keepers), func(k fleet.EntryID) bool { return k == f.self || k == except })
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list
+}
+
+// search probes searchWidth keepers, and the leaders that they name. Every keeper of the group knows the leader within a heartbeat of its election.
+// It reports whether one of them leads.
+func (f *Forwarder) search() (found bool) {
 	f.mutex.Lock()
-	keepers := slices.Clone(f.keepers)
+	keepers := f.othersLocked("")
 	f.mutex.Unlock()
-	var calls sync.WaitGroup
-	for _, k := range keepers {
-		if k != f.self {
-			calls.Go(func() { f.probe(k) })
+	answers := make(chan fleet.EntryID, searchWidth)
+	var probes sync.WaitGroup
+	for _, k := range keepers[:min(searchWidth, len(keepers))] {
+		probes.Go(func() {
+			hint, leads := f.probe(k)
+			if leads {
+				hint = f.self // no other keeper is to be asked
+			}
+			answers <- hint
+		})
+	}
+	probes.Wait()
+	close(answers)
+	asked := map[fleet.EntryID]bool{"": true}
+	for hint := range answers {
+		if hint == f.self {
+			found = true
+		} else if !asked[hint] {
+			asked[hint] = true
+			_, leads := f.probe(hint)
+			found = found || leads
 		}
 	}
-	calls.Wait()
+	return found
 }
 
-func (f *Forwarder) probe(keeper fleet.EntryID) bool {
+// probe asks a keeper whether it leads, and returns the leader that it names.
+func (f *Forwarder) probe(keeper fleet.EntryID) (hint fleet.EntryID, leads bool) {
 	ctx, cancel := context.WithTimeout(f.ctx, probeTimeout)
 	defer cancel()
 	var status LeadershipStatus
 	if err := f.transport.Call(ctx, keeper, TopicLeadership, true, &status); err != nil {
-		return false
+		return "", false
 	}
 	f.AddKeepers(status.Keepers)
 	if !status.Leading {
-		return false
+		return status.Leader, false
 	}
 	f.mutex.Lock()
 	changed := f.leader != keeper
@@ -106,7 +198,7 @@
 	if changed {
 		event.LeaderFound.Info(f.logger, zap.String("leader", string(keeper)))
 	}
-	return true
+	return keeper, true
 }
 
 // nextKeeper returns the keeper to call after previous: the leader unless that was previous, else the next keeper in turn.
