Look at an idle fleet once in a planning run

Cause: a planning run went over all instances five times, and the supervisor looked up each of them after it.

Change: one pass finds the instances that leave, drain, do not answer or have reported; lists of schedulable instances get the length of the run before; the supervisor polls the instances whose enrolment was confirmed since, and checks the others once a second. Decisions are the same (digests of large_fleet_decisions_test.go).

--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -40,8 +40,8 @@
 
 // evacuateDraining stops runs on draining instances: service tasks within the availability budgets of their steps while
 // time is left, and checkpointing tasks shortly before the shutdown if they would not be done by then.
-func (s *Scheduler) evacuateDraining() {
-	for _, in := range s.instances.sorted {
+func (s *Scheduler) evacuateDraining(draining []*instance) {
+	for _, in := range draining {
 		if !in.Draining || in.departed || in.failedPolls > 0 || !in.polled {
 			continue
 		}
--- a/internal/scheduler/enrolment.go
+++ b/internal/scheduler/enrolment.go
@@ -47,9 +47,22 @@
 		in.enrolled = true
 		in.enrolling = false
 		in.bootUncommitted = false
+		s.newlyEnrolled = append(s.newlyEnrolled, in)
 	}
 }
 
+// TakeEnrolled returns the instances whose enrolment was confirmed since the last call and that are enrolled still.
+func (s *Scheduler) TakeEnrolled() []fleet.InstanceID {
+	var list []fleet.InstanceID
+	for _, in := range s.newlyEnrolled {
+		if in.enrolled && s.instances.byID[in.ID] == in {
+			list = append(list, in.ID)
+		}
+	}
+	s.newlyEnrolled = nil
+	return list
+}
+
 // TakeEnrolments returns the instances that must be enrolled again before tasks are started on them.
 func (s *Scheduler) TakeEnrolments() []workload.Instance {
 	var list []workload.Instance
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -331,8 +331,8 @@
 // expireInstances drops the runs of unreachable instances whose leases have expired, and removes instances that are gone.
 //
 // Empty instances that are draining or have departed are deregistered, so that a later leader does not wait for them.
-func (s *Scheduler) expireInstances() {
-	for _, in := range s.instances.sorted {
+func (s *Scheduler) expireInstances(unsettled []*instance) {
+	for _, in := range unsettled {
 		if (in.Draining || in.departed) && in.polled && len(in.runs) == 0 && !in.hasOrphans && s.endsCommitted(in) {
 			s.deregister(in)
 		}
--- a/internal/scheduler/instance_table.go
+++ b/internal/scheduler/instance_table.go
@@ -86,3 +86,31 @@
 	}
 	index[key] = rest
 }
+
+// dueInstances are the instances that a planning run has to look at before it places tasks, in the order of their IDs.
+type dueInstances struct {
+	// unsettled instances leave, or have not answered the last poll; draining ones shut down; of reported ones there is a report that no
+	// planning run has seen.
+	unsettled, draining, reported []*instance
+}
+
+// dueInstances finds all of them in one pass, which reads the memory of thousands of instances once. Nothing that a planning run does before
+// it uses the lists makes another instance due.
+func (s *Scheduler) dueInstances() (due dueInstances) {
+	for _, in := range s.instances.sorted {
+		if in.Draining {
+			due.draining = append(due.draining, in)
+		}
+		if in.Draining || in.departed || in.failedPolls > 0 || !in.polled {
+			due.unsettled = append(due.unsettled, in)
+		}
+		if in.stallsCheckedAt != in.clockReadAt {
+			if len(in.runs) == 0 && in.polled && in.failedPolls == 0 {
+				in.stallsCheckedAt = in.clockReadAt
+				continue
+			}
+			due.reported = append(due.reported, in)
+		}
+	}
+	return due
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -41,11 +41,12 @@
 func (s *Scheduler) Tick(now time.Duration, wallMillis int64) {
 	s.now = now
 	s.wallMillis = wallMillis
-	s.expireInstances()
+	due := s.dueInstances()
+	s.expireInstances(due.unsettled)
 	s.forgetFinishedJobs()
 	s.retryStops()
-	s.stopStalledRuns()
-	s.evacuateDraining()
+	s.stopStalledRuns(due.reported)
+	s.evacuateDraining(due.draining)
 	s.tickWaves()
 	s.placeWaiting()
 	s.planMoves()
@@ -139,14 +140,23 @@
 	return in.Capacity.DominantShare(claim.Add(in.claimed)) - 1
 }
 
+// schedulableInstances returns the capacity of each pool for one planning run. The lists get the lengths of the run before, since growing them
+// takes most of the time with thousands of instances.
 func (s *Scheduler) schedulableInstances() poolCapacities {
 	pools := poolCapacities{}
+	var pool *poolCapacity
+	var poolID fleet.PoolID
 	for _, in := range s.instances.sorted {
-		in.capacity = nil
 		if !s.schedulable(in) {
+			in.capacity = nil
 			continue
 		}
-		pool := pools.of(in.Pool)
+		if pool == nil || in.Pool != poolID {
+			pool, poolID = pools.of(in.Pool), in.Pool
+		}
+		if pool.instances == nil {
+			pool.instances = make([]*instance, 0, s.poolSizes[poolID]+1)
+		}
 		in.capacity = pool
 		pool.instances = append(pool.instances, in)
 		if in.suspectRuns > 0 {
@@ -154,6 +164,9 @@
 		}
 		pool.total = pool.total.Add(in.Capacity)
 	}
+	for id, p := range pools {
+		s.poolSizes[id] = len(p.instances)
+	}
 	return pools
 }
 
@@ -294,8 +307,8 @@
 }
 
 // stopStalledRuns stops runs that make no progress, so that their tasks run elsewhere. Only a later report can show that a run stands still.
-func (s *Scheduler) stopStalledRuns() {
-	for _, in := range s.instances.sorted {
+func (s *Scheduler) stopStalledRuns(reported []*instance) {
+	for _, in := range reported {
 		if in.failedPolls > 0 || !in.polled || in.stallsCheckedAt == in.clockReadAt {
 			continue
 		}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -124,7 +124,11 @@
 	// finishedJobs are the finished jobs that are still known, the first finished first.
 	finishedJobs []*job
 	// candidateLists is kept to use its memory again.
-	candidateLists  candidateLists
+	candidateLists candidateLists
+	// poolSizes are the numbers of schedulable instances in the planning run before.
+	poolSizes map[fleet.PoolID]int
+	// newlyEnrolled are the instances whose enrolment was confirmed since TakeEnrolled.
+	newlyEnrolled   []*instance
 	customerUsage   map[fleet.CustomerID]*workload.Resources
 	accounts        map[poolCustomer]*account
 	placementRound  uint64
@@ -204,6 +208,7 @@
 		machines:         map[string]*machine{},
 		moves:            map[string]*move{},
 		machineBudget:    newMachineBudget(now, options.MachineOrderRate),
+		poolSizes:        map[fleet.PoolID]int{},
 		demands:          map[fleet.PoolID]*demand{},
 		refusedMoves:     map[refusedMove]bool{},
 		machinesListedAt: -machineListInterval,
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -20,6 +20,18 @@
 	adviceTimeout     = 5 * time.Second        // the policy service handles one request at a time
 )
 
+// startPolls polls the instances that were enrolled since the last call, and at times all that are enrolled and not polled.
+func (t *term) startPolls(now time.Duration) {
+	list := t.scheduler.TakeEnrolled()
+	if now-t.lastPollCheck >= pollCheckInterval {
+		t.lastPollCheck = now
+		list = t.scheduler.EnrolledInstances()
+	}
+	for _, id := range list {
+		t.startPolling(id)
+	}
+}
+
 // startPolling polls an enrolled instance until it is deregistered.
 func (t *term) startPolling(id fleet.InstanceID) {
 	if t.dispatchers[id] != nil {
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -21,6 +21,7 @@
 	maxPostsPerBatch   = 256
 	planDelay          = 4 * time.Millisecond   // batches events that arrive together; a commit takes longer
 	idlePlanInterval   = 50 * time.Millisecond  // due times, leases and retries are checked at this interval
+	pollCheckInterval  = time.Second            // a loop over all instances; those that are enrolled meanwhile are polled at once
 	jobReleaseInterval = 2 * time.Second        // a job past its retention only costs memory
 	maxFirstPolls      = 128                    // first polls in flight: those of a whole fleet would hold up the loop for seconds
 	maxOrdersInFlight  = 3                      // concurrent orders to one instance, to limit the connections opened
@@ -52,6 +53,7 @@
 	settledLogged        bool
 	pausedAt             time.Duration // zero while the lease is held
 	lastRelease          time.Duration
+	lastPollCheck        time.Duration
 	logLimiter           logLimiter
 	mismatched           map[workload.JobID]mismatch
 	planPacer            planPacer
@@ -254,9 +256,7 @@
 func (t *term) runScheduler() {
 	now := monotonicNow()
 	t.scheduler.Tick(now, wallMillis())
-	for _, id := range t.scheduler.EnrolledInstances() {
-		t.startPolling(id)
-	}
+	t.startPolls(now)
 	for _, o := range t.scheduler.TakeOrders() {
 		t.dispatch(o)
 	}
