Run the scheduler only after reports that say something

Cause: each report of an instance without work had the scheduler run, up to a fifth of the time of the loop; 3,000 idle instances are polled 1,500 times a second.

Change: a poll that only renews the clock of an idle instance is not followed by a planning run; what is due by time is found every 50 ms as before.

Result: with 300 idle instances that answer within 20 ms, at most 30 runs a second (TestIdleFleetIsNotPlannedAtEachPoll).

--- a/internal/supervisor/announce_test.go
+++ b/internal/supervisor/announce_test.go
@@ -138,3 +138,38 @@
 	time.Sleep(200 * time.Millisecond) // a late deregistration would come with the next run of the scheduler
 	assert.Assert(t, check())
 }
+
+// TestIdleFleetIsNotPlannedAtEachPoll guards against a leader that runs the scheduler for each report of an instance without work. Load: 300 idle instances
+// that answer long polls after 20 ms, as many as 3,000 that wait; the scheduler runs every 50 ms for what is due.
+func TestIdleFleetIsNotPlannedAtEachPoll(t *testing.T) {
+	const instances = 300
+	r, f, registry := &singleReplica{state: state.New()}, &idleFleet{}, metrics.NewRegistry()
+	s := Start(Options{
+		Entry: "k", Replica: r, Instances: f, Machines: unresponsiveFleet{}, Lease: 5 * time.Second, JobRetention: time.Minute,
+		Logger: zap.NewNop(), Metrics: registry,
+	})
+	t.Cleanup(func() { assert.NilError(t, s.Close()) })
+	for first := 0; first < instances; first += 100 {
+		handleWhenLeading(t, s, forwarder.Request{Operation: forwarder.AnnounceBatch, Instances: batchOf(first, 100)})
+	}
+	for end := time.Now().Add(30 * time.Second); f.polled.Load() < 5*instances && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	plans, polls := metrics.GetOrRegisterTimer("plan", registry), f.polled.Load()
+	before := plans.Count()
+	time.Sleep(time.Second)
+	assert.Assert(t, f.polled.Load()-polls > 300, "%d polls", f.polled.Load()-polls)
+	assert.Assert(t, plans.Count()-before <= 30, "%d plans", plans.Count()-before)
+}
+
+// idleFleet answers all polls after 20 ms.
+type idleFleet struct {
+	unresponsiveFleet
+	polled atomic.Int64
+}
+
+func (f *idleFleet) Poll(context.Context, scheduler.PollRequest) (scheduler.StatusReport, scheduler.Outcome, error) {
+	time.Sleep(20 * time.Millisecond)
+	f.polled.Add(1)
+	return scheduler.StatusReport{Clock: monotonicNow(), Boot: 1}, scheduler.Accepted, nil
+}
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -90,6 +90,7 @@
 	ask := func() {
 		now := monotonicNow()
 		t.pollPacer.loopDelay.observe(now, now-dueAt)
+		t.skipPlan()
 		request, enrolled = t.scheduler.NextPoll(now, id, wait)
 	}
 	if !t.postAndWait(ctx, ask) || !enrolled || !t.leads() {
@@ -112,8 +113,12 @@
 		handle := func() {
 			now := monotonicNow()
 			t.countReport(now - report.ReceivedAt)
+			wasIdle := t.scheduler.PollNeed(id) == scheduler.PollWhenIdle
 			t.scheduler.HandleReport(now, id, sentAt, report)
 			following.need = t.scheduler.PollNeed(id)
+			if wasIdle && following.need == scheduler.PollWhenIdle && len(report.Running)+len(report.Ended) == 0 {
+				t.skipPlan() // only the clock of the instance is new
+			}
 			following.pause = t.pollPacer.pause(following.need, now-dueAt)
 		}
 		if !t.postAndWait(ctx, handle) {
--- a/internal/supervisor/load.go
+++ b/internal/supervisor/load.go
@@ -81,13 +81,15 @@
 	}
 }
 
-// runBatch runs a posted function and those queued behind it.
-func (t *term) runBatch(f func()) {
+// runBatch runs a posted function and those queued behind it, and reports whether the scheduler must run after them.
+func (t *term) runBatch(f func()) (planWanted bool) {
 	start := time.Now()
 	t.load.inboxMax = max(t.load.inboxMax, len(t.inbox)+1)
+	t.postsWithoutPlan = 0
 	f()
-	t.drainInbox()
+	posts := 1 + t.drainInbox()
 	t.load.batchTime += time.Since(start)
+	return posts > t.postsWithoutPlan
 }
 
 // plan runs the scheduler and measures it.
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -54,10 +54,12 @@
 	pausedAt             time.Duration // zero while the lease is held
 	lastRelease          time.Duration
 	lastPollCheck        time.Duration
-	logLimiter           logLimiter
-	mismatched           map[workload.JobID]mismatch
-	planPacer            planPacer
-	pollPacer            pollPacer
+	// postsWithoutPlan counts the functions of a batch after which the scheduler need not run.
+	postsWithoutPlan int
+	logLimiter       logLimiter
+	mismatched       map[workload.JobID]mismatch
+	planPacer        planPacer
+	pollPacer        pollPacer
 
 	load load
 }
@@ -172,8 +174,7 @@
 		case <-t.ctx.Done():
 			return "stopped"
 		case f := <-t.inbox:
-			t.runBatch(f)
-			if planTimer == nil {
+			if planWanted := t.runBatch(f); planWanted && planTimer == nil {
 				planTimer = time.After(t.planPacer.delay(monotonicNow(), planDelay))
 			}
 			continue
@@ -215,18 +216,23 @@
 	return false
 }
 
-// drainInbox runs the functions already posted, up to maxPostsPerBatch.
-func (t *term) drainInbox() {
-	for range maxPostsPerBatch {
+// drainInbox runs the functions already posted, up to maxPostsPerBatch, and returns their number.
+func (t *term) drainInbox() int {
+	for n := range maxPostsPerBatch {
 		select {
 		case f := <-t.inbox:
 			f()
 		default:
-			return
+			return n
 		}
 	}
+	return maxPostsPerBatch
 }
 
+// skipPlan says that the function that the loop runs changes nothing on which a decision depends but the time. Thousands of idle instances
+// would otherwise have the scheduler run all the time.
+func (t *term) skipPlan() { t.postsWithoutPlan++ }
+
 // post queues f for the loop; it returns false if the term ended first.
 func (t *term) post(f func()) bool {
 	select {
