--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -20,6 +20,18 @@
 	adviceTimeout     = 5 * time.Second        // the policy service handles one request at a time
 )
 
+// startPolls polls the instances that were enrolled since the last call, and at times all that are enrolled and not polled.
+func (t *term) startPolls(now time.Duration) {
+	list := t.scheduler.TakeEnrolled()
+	if now-t.lastPollCheck >= pollCheckInterval {
+		t.lastPollCheck = now
+		list = t.scheduler.EnrolledInstances()
+	}
+	for _, id := range list {
+		t.startPolling(id)
+	}
+}
+
 // startPolling polls an enrolled instance until it is deregistered.
 func (t *term) startPolling(id fleet.InstanceID) {
 	if t.dispatchers[id] != nil {
@@ -78,6 +90,7 @@
 	ask := func() {
 		now := monotonicNow()
 		t.pollPacer.loopDelay.observe(now, now-dueAt)
+		t.skipPlan()
 		request, enrolled = t.scheduler.NextPoll(now, id, wait)
 	}
 	if !t.postAndWait(ctx, ask) || !enrolled || !t.leads() {
@@ -100,8 +113,12 @@
 		handle := func() {
 			now := monotonicNow()
 			t.countReport(now - report.ReceivedAt)
+			wasIdle := t.scheduler.PollNeed(id) == scheduler.PollWhenIdle
 			t.scheduler.HandleReport(now, id, sentAt, report)
 			following.need = t.scheduler.PollNeed(id)
+			if wasIdle && following.need == scheduler.PollWhenIdle && len(report.Running)+len(report.Ended) == 0 {
+				t.skipPlan() // only the clock of the instance is new
+			}
 			following.pause = t.pollPacer.pause(following.need, now-dueAt)
 		}
 		if !t.postAndWait(ctx, handle) {
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -21,6 +21,7 @@
 	maxPostsPerBatch   = 256
 	planDelay          = 4 * time.Millisecond   // batches events that arrive together; a commit takes longer
 	idlePlanInterval   = 50 * time.Millisecond  // due times, leases and retries are checked at this interval
+	pollCheckInterval  = time.Second            // a loop over all instances; those that are enrolled meanwhile are polled at once
 	jobReleaseInterval = 2 * time.Second        // a job past its retention only costs memory
 	maxFirstPolls      = 128                    // first polls in flight: those of a whole fleet would hold up the loop for seconds
 	maxOrdersInFlight  = 3                      // concurrent orders to one instance, to limit the connections opened
@@ -53,11 +54,14 @@
 	pausedAt             time.Duration // zero while the lease is held
 	lastRelease          time.Duration
 	drainsRestatedAt     time.Duration
-	logLimiter           logLimiter
-	mismatched           map[workload.JobID]mismatch
-	committingForecast   bool
-	planPacer            planPacer
-	pollPacer            pollPacer
+	lastPollCheck        time.Duration
+	// postsWithoutPlan counts the functions of a batch after which the scheduler need not run.
+	postsWithoutPlan   int
+	logLimiter         logLimiter
+	mismatched         map[workload.JobID]mismatch
+	committingForecast bool
+	planPacer          planPacer
+	pollPacer          pollPacer
 
 	// drained holds the data centres in which nothing may be started. The loop replaces the map; senders of orders read it.
 	drained atomic.Pointer[map[fleet.DataCentreID]bool]
@@ -177,8 +181,7 @@
 		case <-t.ctx.Done():
 			return "stopped"
 		case f := <-t.inbox:
-			t.runBatch(f)
-			if planTimer == nil {
+			if planWanted := t.runBatch(f); planWanted && planTimer == nil {
 				planTimer = time.After(t.planPacer.delay(monotonicNow(), planDelay))
 			}
 			continue
@@ -220,18 +223,23 @@
 	return false
 }
 
-// drainInbox runs the functions already posted, up to maxPostsPerBatch.
-func (t *term) drainInbox() {
-	for range maxPostsPerBatch {
+// drainInbox runs the functions already posted, up to maxPostsPerBatch, and returns their number.
+func (t *term) drainInbox() int {
+	for n := range maxPostsPerBatch {
 		select {
 		case f := <-t.inbox:
 			f()
 		default:
-			return
+			return n
 		}
 	}
+	return maxPostsPerBatch
 }
 
+// skipPlan says that the function that the loop runs changes nothing on which a decision depends but the time. Thousands of idle instances
+// would otherwise have the scheduler run all the time.
+func (t *term) skipPlan() { t.postsWithoutPlan++ }
+
 // post queues f for the loop; it returns false if the term ended first.
 func (t *term) post(f func()) bool {
 	select {
@@ -261,9 +269,7 @@
 func (t *term) runScheduler() {
 	now := monotonicNow()
 	t.scheduler.Tick(now, wallMillis())
-	for _, id := range t.scheduler.EnrolledInstances() {
-		t.startPolling(id)
-	}
+	t.startPolls(now)
 	for _, o := range t.scheduler.TakeOrders() {
 		t.dispatch(o)
 	}
