Report waves, reserve room for their service tasks, and test their failures

Nothing told operators how far a wave is or what holds it up. The pace of 0.7 of the limit left too little time for tasks that take longer than expected.

Change: a service task that leaves a machine reserves an instance that has the capacity once its batch tasks have ended; after 1 s an instance that awaits maintenance will do; in a hurry the budget alone decides. The pace is even over 0.6 of the limit. Events 450 to 452, the gauges wave-machines-left and wave-machines-down, and the counters waves-completed and wave-machines-late say how waves go. A machine that another wave has is left to it.

--- a/internal/maintainer/candidate.go
+++ b/internal/maintainer/candidate.go
@@ -29,11 +29,15 @@
 	Missing
 	// Refused machines were busy when their maintenance was ordered.
 	Refused
+	// LongTasks are batch tasks that are expected to end after the time limit.
+	LongTasks
+	// Relocating machines have service tasks whose availability budgets let them leave only after the time limit.
+	Relocating
 )
 
 // String returns the name that logs and metrics use.
 func (o Obstacle) String() string {
-	return namer.Name(o, "none", "moving", "unsettled", "unreachable", "leaving", "missing", "refused")
+	return namer.Name(o, "none", "moving", "unsettled", "unreachable", "leaving", "missing", "refused", "long tasks", "relocating")
 }
 
 // Candidate is a machine of a wave whose maintenance has not begun and has no order in flight.
--- a/internal/maintainer/maintainer.go
+++ b/internal/maintainer/maintainer.go
@@ -13,7 +13,7 @@
 
 // Timing of waves.
 const (
-	paceShare      = 0.7                     // part of the time limit in which all machines are to be begun; the rest is for repeated orders
+	paceShare      = 0.6                     // part of the time limit in which all machines are to be begun; the rest is for repeated orders
 	finalMargin    = 1500 * time.Millisecond // an order, its answer, a commit and the next read of the wave's state
 	relocationTime = 1200 * time.Millisecond // a service task starts in about 1 s; a stop and its report take the rest
 	leadFactor     = 1.25                    // expected evacuations are estimates, and the longest of several tasks decides
@@ -64,8 +64,9 @@
 type Plan struct {
 	// Maintain are the machines to maintain, Evacuate those to evacuate from now on.
 	Maintain, Evacuate []int
-	// Stop are the machines on which checkpointing batch tasks are to be stopped.
-	Stop []int
+	// Hurry are machines being evacuated that will not be empty in time. Their checkpointing batch tasks are to be stopped, and their
+	// service tasks as far as the budgets allow, also if nothing has room for them yet.
+	Hurry []int
 }
 
 // Plan decides what to do now.
@@ -85,8 +86,8 @@
 			plan.Maintain = append(plan.Maintain, c.index)
 			places--
 		case c.Evacuating:
-			if c.BatchLeft > 0 && v.Now+c.BatchLeft+leadMargin > m.latest(ahead, v.left()) {
-				plan.Stop = append(plan.Stop, c.index)
+			if v.Now+c.left+leadMargin > m.latest(ahead, v.left()) {
+				plan.Hurry = append(plan.Hurry, c.index)
 			}
 		case c.Empty || c.Doubtful:
 		case due <= v.Now+m.lead(c, steps) && (steps.take(c.Candidate) || v.Now+m.lead(c, steps) > m.Deadline()-finalMargin):
@@ -104,14 +105,14 @@
 	return time.Duration(leadFactor*float64(max(c.left, steps.chain(c.Candidate)))) + leadMargin
 }
 
-// due returns when the machine behind ahead others is to be begun: at an even pace over the wave, and at no more than catchUpFactor
-// times the pace that is needed from now on. The places bound that pace.
+// due returns when the machine behind ahead others is to be begun: at an even pace over the wave, at no more than catchUpFactor times
+// the pace that is needed from now on, and no faster than the places allow.
 func (m *Maintainer) due(v View, ahead int) time.Duration {
 	window := time.Duration(paceShare * float64(m.limit))
 	even := m.startedAt + window*time.Duration(v.Begun+ahead)/time.Duration(max(1, v.Total))
-	left := time.Duration(v.left())
-	span := max(m.startedAt+window-v.Now, left*m.round/time.Duration(m.maxConcurrent))
-	return max(even, v.Now+span*time.Duration(ahead)/(catchUpFactor*left))
+	catchUp := (m.startedAt + window - v.Now) / time.Duration(catchUpFactor*v.left())
+	gap := max(catchUp, m.round/time.Duration(m.maxConcurrent))
+	return max(even, v.Now+gap*time.Duration(ahead))
 }
 
 // latest returns when the machine behind ahead others must be begun so that the machines after it find places before the
--- a/internal/scheduler/fleet_test.go
+++ b/internal/scheduler/fleet_test.go
@@ -30,7 +30,9 @@
 	// reportedPercent is the progress of every run in status reports.
 	reportedPercent int
 	// percentOf replaces reportedPercent if it is set.
-	percentOf      func(task workload.TaskID) int
+	percentOf func(task workload.TaskID) int
+	// cut, if set, reports whether an instance is cut off from the leader.
+	cut            func(id fleet.InstanceID) bool
 	tailMillis     map[workload.TaskID]int
 	throttleOrders []scheduler.Order
 	bootMillis     map[string]int64
@@ -162,6 +164,10 @@
 
 func (f *testFleet) executeOrder(o scheduler.Order) {
 	runs := f.runs[o.Instance]
+	if f.cut != nil && f.cut(o.Instance) {
+		f.scheduler.HandleOrderOutcome(f.now, o, scheduler.Uncertain)
+		return
+	}
 	if runs == nil {
 		f.scheduler.HandleOrderOutcome(f.now, o, scheduler.Refused)
 		return
@@ -194,6 +200,10 @@
 		if !ok {
 			continue
 		}
+		if f.cut != nil && f.cut(id) {
+			f.scheduler.HandlePollFailure(f.now, id, scheduler.Uncertain)
+			continue
+		}
 		report := scheduler.StatusReport{Clock: time.Minute + f.now, Ended: slices.Clone(f.unackedEnds[id])}
 		for task, run := range runs {
 			percent := f.reportedPercent
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -43,7 +43,9 @@
 	failingSince time.Duration
 	runs         map[workload.TaskID]*run
 	serviceRuns  int
-	claimed      workload.Resources
+	// serviceClaimed is the part of claimed that service tasks claim.
+	serviceClaimed workload.Resources
+	claimed        workload.Resources
 	// capacity is that of the pool if the instance is schedulable in the current planning run, else nil.
 	capacity *poolCapacity
 	// lastEndNumber is the highest end number that was processed, ackedEnd the highest that is acknowledged.
@@ -57,9 +59,12 @@
 	recentFailures  int
 	throttlePercent int
 	evacuating      bool
-	// awaitsMaintenance is set while a wave has yet to maintain the machine, and reserved while batch tasks are kept off it for a
-	// service task that leaves another machine.
-	awaitsMaintenance, reserved bool
+	// awaitsMaintenance is set while a wave has yet to maintain the machine.
+	awaitsMaintenance bool
+	// reservedUntil is until when batch tasks are kept off the instance for service tasks that leave other machines, zero if they are
+	// not, and reservedClaim what those claim in the current decision.
+	reservedUntil time.Duration
+	reservedClaim workload.Resources
 	// fromCommitted is set for instances that this leader found in the committed state.
 	fromCommitted bool
 	// consolidating is set while the service tasks of a surplus instance are relocated.
@@ -318,8 +323,14 @@
 	if st.runCounts[in] == 0 {
 		delete(st.runCounts, in)
 	}
-	if st.step.Service {
-		in.serviceRuns += n
+	if !st.step.Service {
+		return
+	}
+	in.serviceRuns += n
+	if n > 0 {
+		in.serviceClaimed = in.serviceClaimed.Add(r.claim)
+	} else {
+		in.serviceClaimed = in.serviceClaimed.Sub(r.claim)
 	}
 }
 
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -222,7 +222,7 @@
 // accepts reports whether a task of the stage may start on the instance if it has the capacity. Nothing starts beside a suspect on
 // probation, so that a crash has few suspects.
 func (in *instance) accepts(st *stage) bool {
-	return in.suspectRuns == 0 && (!in.reserved || st.step.Service) && in.suits(st)
+	return in.suspectRuns == 0 && (in.reservedUntil == 0 || st.step.Service && !st.step.BestEffort) && in.suits(st)
 }
 
 // suits reports whether the instance is of the kind that the stage asks for and has fewer tasks of it than the step allows.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -163,7 +163,9 @@
 	unansweredMoves int
 	demands         map[fleet.PoolID]*demand
 	refusedMoves    map[refusedMove]bool
-	reservations    []reservation
+	// reserved are the instances with reservations for service tasks.
+	reserved    []*instance
+	waveReports []WaveReport
 	// platformFencedAt is when the platform first answered a machine order of this term, zero before that.
 	platformFencedAt time.Duration
 	// batchWorkSeen is set by the first job with a batch step; until then the demand is unknown.
--- a/internal/scheduler/wave_candidates.go
+++ b/internal/scheduler/wave_candidates.go
@@ -44,7 +44,7 @@
 		c.Pool = in.Pool
 	}
 	switch {
-	case s.moves[machine] != nil:
+	case s.moves[machine] != nil || s.maintainedByOther(w, machine):
 		c.Obstacle = maintainer.Moving
 	case s.now < w.retryAt[machine]:
 		c.Obstacle = maintainer.Refused
@@ -58,6 +58,16 @@
 	return c
 }
 
+// maintainedByOther reports whether another wave evacuates or maintains the machine.
+func (s *Scheduler) maintainedByOther(w *wave, machine string) bool {
+	for _, other := range s.waves {
+		if other != w && other.inProgress[machine] != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // describeMissing describes a machine without an instance. The outcome of its maintenance order shows whether it still exists.
 func (s *Scheduler) describeMissing(w *wave, c *maintainer.Candidate) {
 	since, known := w.missingSince[c.Machine]
--- a/internal/scheduler/wave_evacuation.go
+++ b/internal/scheduler/wave_evacuation.go
@@ -1,103 +1,115 @@
 package scheduler
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sapphiresail/sapphiresail/internal/workload"
 )
 
-// reservationTime is how long an instance is kept free for a service task that leaves a machine: its stop, the report of its end
-// and the next plan.
-const reservationTime = 400 * time.Millisecond
-
-// reservation keeps batch tasks off an instance until a time.
-type reservation struct {
-	instance *instance
-	until    time.Duration
-}
+// Timing of the relocation of service tasks from machines that are being evacuated.
+const (
+	reservationTime   = 400 * time.Millisecond // a stop, the report of the end and the next plan
+	relocationTimeout = time.Second            // most batch tasks end within it; after that a machine that awaits maintenance will do
+)
 
 // evacuate empties a machine. Service runs are stopped within the availability budgets of their steps; batch runs may end by
-// themselves, and checkpointing ones outside gangs are stopped if stopBatch is set.
-func (s *Scheduler) evacuate(m *maintenance, stopBatch bool) {
+// themselves, and checkpointing ones outside gangs are stopped in a hurry.
+func (s *Scheduler) evacuate(m *maintenance, hurry bool) {
 	in := m.instance
 	if in == nil || s.instances.byID[in.ID] != in || m.inFlight || m.done {
 		return
 	}
 	in.evacuating = true
-	for _, r := range in.runs {
+	wasBlocked := m.blocked
+	m.blocked = false
+	for _, r := range in.runsInOrder() {
 		if r.stopping || r.status != statusRunning {
 			continue
 		}
 		step := r.job.step(r.task.Position)
 		switch {
 		case step.Service:
-			s.relocate(in, r, step)
-		case stopBatch && step.Checkpointing && !step.Gang:
+			s.relocate(m, r, step, hurry)
+		case hurry && step.Checkpointing && !step.Gang:
 			s.stopRun(in, r, "maintenance")
 		}
 	}
+	if !m.blocked || !wasBlocked {
+		m.blockedSince = s.now
+	}
+}
+
+// runsInOrder returns the runs of an instance ordered by number.
+func (in *instance) runsInOrder() []*run {
+	return slices.SortedFunc(maps.Values(in.runs), func(a, b *run) int { return cmp.Compare(a.number, b.number) })
 }
 
 // relocate stops a service run if the budget of its step allows it and another instance has capacity for its task. Otherwise it
-// reserves capacity: batch tasks would take all that becomes free in a full pool.
-func (s *Scheduler) relocate(in *instance, r *run, step *workload.Step) {
+// reserves capacity: batch tasks would take all that becomes free in a full pool. In a hurry the budget alone decides.
+func (s *Scheduler) relocate(m *maintenance, r *run, step *workload.Step, hurry bool) {
 	if !s.budgetLeft(r, step) {
 		return
 	}
 	target, fits := s.relocationTarget(r)
-	if target == nil {
-		if s.fitsElsewhere(r) {
-			s.stopRun(in, r, "maintenance")
-		} else {
-			s.demandOf(r.job.pool).unplacedAt = s.now
-		}
-		return
+	if target != nil {
+		s.reserve(target, r.claim)
+	}
+	if !fits && (target == nil || s.now-m.blockedSince > relocationTimeout) {
+		fits = s.fitsElsewhere(r)
 	}
-	s.reserve(target)
-	if fits {
-		s.stopRun(in, r, "maintenance")
+	if !fits && !(hurry && step.MaxUnavailable > 0) {
+		m.blocked = true
+		s.demandOf(r.job.pool).unplacedAt = s.now
 		return
 	}
-	s.demandOf(r.job.pool).unplacedAt = s.now
+	s.stopRun(m.instance, r, "maintenance")
 }
 
 // relocationTarget returns an instance that suits the task of a run and does not await maintenance itself: one with capacity, else
-// the one that is closest to having it.
+// of those that have it once their batch tasks have ended the one that is closest to it.
 func (s *Scheduler) relocationTarget(r *run) (target *instance, fits bool) {
 	st := r.job.stage(r.task.Position)
 	least := 0.0
 	for _, in := range s.instances.sorted {
-		if in.Pool != r.job.pool || in.awaitsMaintenance || !s.schedulable(in) || in.suspectRuns > 0 || !in.Capacity.Fits(st.claim) || !in.suits(st) {
+		if in.Pool != r.job.pool || in.awaitsMaintenance || !s.schedulable(in) || in.suspectRuns > 0 || !in.suits(st) {
 			continue
 		}
-		if in.free().Fits(st.claim) {
+		claim := st.claim.Add(in.reservedClaim)
+		if in.free().Fits(claim) {
 			return in, true
 		}
-		if shortfall := in.shortfall(st.claim); target == nil || shortfall < least {
+		if !in.Capacity.Fits(claim.Add(in.serviceClaimed)) {
+			continue
+		}
+		if shortfall := in.shortfall(claim); target == nil || shortfall < least {
 			target, least = in, shortfall
 		}
 	}
 	return target, false
 }
 
-func (s *Scheduler) reserve(in *instance) {
-	if !in.reserved {
-		in.reserved = true
-		s.reservations = append(s.reservations, reservation{in, s.now + reservationTime})
+// reserve keeps batch and best-effort tasks off an instance.
+func (s *Scheduler) reserve(in *instance, claim workload.Resources) {
+	if in.reservedUntil == 0 {
+		s.reserved = append(s.reserved, in)
 	}
+	in.reservedUntil = s.now + reservationTime
+	in.reservedClaim = in.reservedClaim.Add(claim)
 }
 
-// releaseReservations ends the reservations whose time is over.
-func (s *Scheduler) releaseReservations() {
-	kept := s.reservations[:0]
-	for _, r := range s.reservations {
-		if s.now < r.until {
-			kept = append(kept, r)
-		} else {
-			r.instance.reserved = false
+// renewReservations ends the reservations whose time is over. The others are claimed anew by the runs that need them.
+func (s *Scheduler) renewReservations() {
+	s.reserved = slices.DeleteFunc(s.reserved, func(in *instance) bool {
+		in.reservedClaim = workload.Resources{}
+		if s.now < in.reservedUntil {
+			return false
 		}
-	}
-	s.reservations = kept
+		in.reservedUntil = 0
+		return true
+	})
 }
 
 // budgetAllowsStop reports whether the availability budget of a service step allows stopping the run now and its task has
--- a/internal/scheduler/wave_returns.go
+++ b/internal/scheduler/wave_returns.go
@@ -1,17 +1,22 @@
 package scheduler
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Timing of reads of the platform's list of machines for waves.
 const (
 	returnListDelay    = 2300 * time.Millisecond // maintenance takes 2 s, and an instance announces itself at its start
-	returnListInterval = 2 * time.Second         // each read is charged
+	returnListInterval = time.Second             // a machine on standby holds its place for half of this longer than it is down; each read is charged
 )
 
 // releaseReturned releases the places of the machines that are back, and reports whether there were any. Only a later boot or the
 // platform's list of machines shows that a machine is back.
 func (s *Scheduler) releaseReturned(w *wave) (released bool) {
-	for machine, m := range w.inProgress {
+	for _, machine := range slices.Sorted(maps.Keys(w.inProgress)) {
+		m := w.inProgress[machine]
 		if !m.done {
 			continue
 		}
@@ -73,6 +78,7 @@
 			}
 			delete(w.inProgress, machine)
 			if m.instance != nil && !m.instance.departed {
+				m.instance.awaitsMaintenance = false
 				s.cancelEvacuation(m.instance) // the repeated order had been carried out before
 			}
 		}
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -32,6 +33,10 @@
 	retryAt map[string]time.Duration
 	// missingSince is since when machines have had no instance.
 	missingSince map[string]time.Duration
+	// late is the number of machines begun after the time limit.
+	late             int
+	reportedAt       time.Duration
+	reportedComplete bool
 	// inherited is set if an earlier leader may have maintained machines of the wave.
 	inherited bool
 }
@@ -49,6 +54,9 @@
 	// uncertain is set once an order was not answered; it may have been carried out.
 	uncertain bool
 	done      bool
+	// blocked is set while a service task could leave but has no capacity elsewhere, and blockedSince since when.
+	blocked      bool
+	blockedSince time.Duration
 }
 
 // holdsPlace reports whether the machine is down, or may be because of an order without an answer.
@@ -66,21 +74,26 @@
 	}
 	w := record.Wave
 	w.Machines = slices.Compact(slices.Sorted(slices.Values(w.Machines)))
-	s.waves[w.Number] = &wave{
+	added := &wave{
 		Wave: w, startedAt: startedAt, started: started, maintainer: maintainer.New(startedAt, w.TimeLimit, w.MaxConcurrent),
-		inProgress: map[string]*maintenance{}, retryAt: map[string]time.Duration{}, missingSince: map[string]time.Duration{},
+		inProgress: map[string]*maintenance{}, reportedAt: now, retryAt: map[string]time.Duration{}, missingSince: map[string]time.Duration{},
 	}
+	added.reportedComplete = added.allBegun()
+	s.waves[w.Number] = added
 }
 
 func (s *Scheduler) tickWaves() {
-	s.releaseReservations()
+	s.renewReservations()
 	for _, n := range slices.Sorted(maps.Keys(s.waves)) {
 		s.tickWave(s.waves[n])
 	}
 }
 
-// finished reports whether the maintenance of all machines has begun and none holds a place.
-func (w *wave) finished() bool { return len(w.started) >= len(w.Machines) && len(w.inProgress) == 0 }
+// allBegun reports whether the maintenance of all machines has begun.
+func (w *wave) allBegun() bool { return len(w.started) >= len(w.Machines) }
+
+// finished reports whether nothing is left to do for the wave.
+func (w *wave) finished() bool { return w.reportedComplete && len(w.inProgress) == 0 }
 
 func (s *Scheduler) tickWave(w *wave) {
 	if w.finished() {
@@ -88,21 +101,29 @@
 	}
 	returned := s.releaseReturned(w)
 	s.followBoots(w)
-	if !returned && s.now-w.plannedAt < wavePlanInterval {
+	completed := w.allBegun() && !w.reportedComplete
+	if !returned && !completed && s.now-w.plannedAt < wavePlanInterval {
 		return
 	}
 	w.plannedAt = s.now
 	view := s.waveView(w)
-	plan := w.maintainer.Plan(view)
+	s.reportWave(w, view)
+	s.applyWavePlan(w, view, w.maintainer.Plan(view))
+}
+
+// applyWavePlan evacuates the machines of a plan and those before them, and orders the maintenance of the empty ones.
+func (s *Scheduler) applyWavePlan(w *wave, view maintainer.View, plan maintainer.Plan) {
 	for _, i := range plan.Evacuate {
-		s.beginEvacuation(w, view.Candidates[i].Machine)
+		machine := view.Candidates[i].Machine
+		s.beginEvacuation(w, machine)
+		s.decisions = append(s.decisions, Decision{What: "machine evacuated", Machine: machine, Reason: fmt.Sprintf("maintenance wave %d", w.Number)})
 	}
-	stop := map[string]bool{}
-	for _, i := range plan.Stop {
-		stop[view.Candidates[i].Machine] = true
+	hurry := map[string]bool{}
+	for _, i := range plan.Hurry {
+		hurry[view.Candidates[i].Machine] = true
 	}
 	for _, machine := range slices.Sorted(maps.Keys(w.inProgress)) {
-		s.evacuate(w.inProgress[machine], stop[machine])
+		s.evacuate(w.inProgress[machine], hurry[machine])
 	}
 	for _, i := range plan.Maintain {
 		s.orderMaintenance(w, view.Candidates[i].Machine)
@@ -168,7 +189,7 @@
 		m.uncertain = m.uncertain || outcome == MachineUncertain
 		return false
 	}
-	w.started[order.Machine] = true
+	s.recordBegun(w, order.Machine)
 	return true
 }
 
--- a/internal/supervisor/instruments.go
+++ b/internal/supervisor/instruments.go
@@ -20,6 +20,11 @@
 	planDuration   metrics.Timer
 	postDelay      metrics.Timer
 	jobsWaiting    metrics.Gauge
+	wavesCompleted metrics.Counter
+	machinesLate   metrics.Counter
+	machinesLeft   metrics.Gauge
+	machinesDown   metrics.Gauge
+	waveDuration   metrics.Timer
 	mismatches     map[mismatch]metrics.Gauge
 	registry       metrics.Registry
 }
@@ -38,6 +43,11 @@
 		planDuration:   metrics.GetOrRegisterTimer("plan", r),
 		postDelay:      metrics.GetOrRegisterTimer("post-delay", r),
 		jobsWaiting:    metrics.GetOrRegisterGauge("jobs-waiting", r),
+		wavesCompleted: metrics.GetOrRegisterCounter("waves-completed", r),
+		machinesLate:   metrics.GetOrRegisterCounter("wave-machines-late", r),
+		machinesLeft:   metrics.GetOrRegisterGauge("wave-machines-left", r),
+		machinesDown:   metrics.GetOrRegisterGauge("wave-machines-down", r),
+		waveDuration:   metrics.GetOrRegisterTimer("wave", r),
 		mismatches:     map[mismatch]metrics.Gauge{},
 		registry:       r,
 	}
@@ -52,6 +62,8 @@
 // resetGauges sets the gauges of a leader to zero.
 func (m *instruments) resetGauges() {
 	m.jobsWaiting.Update(0)
+	m.machinesLeft.Update(0)
+	m.machinesDown.Update(0)
 	for _, g := range m.mismatches {
 		g.Update(0)
 	}
@@ -66,3 +78,15 @@
 func (m *instruments) countOrderOutcome(o scheduler.Order, outcome scheduler.Outcome) {
 	metrics.GetOrRegisterCounter("orders."+o.Kind.String()+"."+outcome.String(), m.registry).Inc(1)
 }
+
+// measureWave records the progress of a maintenance wave.
+func (m *instruments) measureWave(r scheduler.WaveReport) {
+	m.machinesLeft.Update(int64(r.Machines - r.Begun))
+	m.machinesDown.Update(int64(r.Down))
+	if r.Completed {
+		m.machinesDown.Update(0)
+		m.wavesCompleted.Inc(1)
+		m.machinesLate.Inc(int64(r.Late))
+		m.waveDuration.Update(r.Elapsed)
+	}
+}
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -268,6 +268,7 @@
 	t.commitEnds()
 	t.commitInstanceChanges()
 	t.logDecisions(now)
+	t.logWaves()
 	t.releaseJobs(now)
 	if !t.settledLogged && t.scheduler.Reconciled() {
 		t.settledLogged = true
