--- a/internal/scheduler/fleet_test.go
+++ b/internal/scheduler/fleet_test.go
@@ -32,8 +32,10 @@
 	// percentOf replaces reportedPercent if it is set.
 	percentOf func(task workload.TaskID) int
 	// taskTime, if set, is how long tasks take; their progress follows from it and reportedPercent is not used.
-	taskTime       time.Duration
-	startedAt      map[workload.TaskID]time.Duration
+	taskTime  time.Duration
+	startedAt map[workload.TaskID]time.Duration
+	// cut, if set, reports whether an instance is cut off from the leader.
+	cut            func(id fleet.InstanceID) bool
 	tailMillis     map[workload.TaskID]int
 	throttleOrders []scheduler.Order
 	bootMillis     map[string]int64
@@ -165,6 +167,10 @@
 
 func (f *testFleet) executeOrder(o scheduler.Order) {
 	runs := f.runs[o.Instance]
+	if f.cut != nil && f.cut(o.Instance) {
+		f.scheduler.HandleOrderOutcome(f.now, o, scheduler.Uncertain)
+		return
+	}
 	if runs == nil {
 		f.scheduler.HandleOrderOutcome(f.now, o, scheduler.Refused)
 		return
@@ -198,6 +204,10 @@
 		if !ok {
 			continue
 		}
+		if f.cut != nil && f.cut(id) {
+			f.scheduler.HandlePollFailure(f.now, id, scheduler.Uncertain)
+			continue
+		}
 		report := scheduler.StatusReport{Clock: time.Minute + f.now, Ended: slices.Clone(f.unackedEnds[id])}
 		for task, run := range runs {
 			report.Running = append(report.Running, scheduler.ReportedRun{Task: task, Run: run, Percent: f.progressOf(task), TailMillis: f.tailMillis[task]})
--- a/internal/scheduler/large_fleet_decisions_test.go
+++ b/internal/scheduler/large_fleet_decisions_test.go
@@ -22,9 +22,9 @@
 		newLeaders []time.Duration
 		want       string
 	}{
-		{1, false, nil, "b707ad3324fadfd3599fd49eb6256e877866fd6a6196694db15938c51d3afbba"},
-		{2, false, []time.Duration{2 * time.Second, 7 * time.Second}, "f5ba6f6d7647d4b2a3d095dd60ea87f99dea10fc917b4ec5370bdc0d06c4bb15"},
-		{3, true, []time.Duration{5 * time.Second}, "9049881e9e1574134ac1f69ff2e0401081e2e72849875e1a08f299e9b966ca84"},
+		{1, false, nil, "14dda5dd51270883613248192140a7fcdb7c9fea480e2f2ac6850ed1bac03ab7"},
+		{2, false, []time.Duration{2 * time.Second, 7 * time.Second}, "38847d07f8adc0cc1b50d1b735c7f628935cecd1e89e5bbe732760262a92c74d"},
+		{3, true, []time.Duration{5 * time.Second}, "5826f08f0af03c0628055b200526cab5a84bf70129cc6bb91f853c98c6937193"},
 	}
 	for _, day := range days {
 		f := newLargeFleet(day.seed, 0)
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -286,6 +286,7 @@
 	t.commitInstanceChanges()
 	t.commitForecast()
 	t.logDecisions(now)
+	t.logWaves()
 	t.releaseJobs(now)
 	if !t.settledLogged && t.scheduler.Reconciled() {
 		t.settledLogged = true
