Expect what is left of a job from the progress of its runs, and compute expectations without allocating

Cause: the rest of a running step was its forecast less the time since the last start, whatever its runs reported; each planning run allocated a slice for each job that it asked for.

--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -14,8 +14,9 @@
 	// priorRefreshInterval is how long the forecast for a step of which nothing has run is used again. Computing it costs as much as
 	// placing a task, and a planning run asks for hundreds.
 	priorRefreshInterval = time.Second
-	// heldPollTime is how long a response takes at least if the instance held it until a run ended. Instances answer within milliseconds.
-	heldPollTime = 40 * time.Millisecond
+	// heldPollTime is how long a response takes at least if the instance held it until a run ended. Instances answer within milliseconds, and
+	// the exchange takes some tens under load.
+	heldPollTime = 100 * time.Millisecond
 	// maxTimingDoubt is the part of a run time that may be uncertain. Tasks of one step differ by as much.
 	maxTimingDoubt = 0.3
 	// sampleInterval is the progress, in percent, after which a run is taken into the forecast for its stage again.
@@ -124,11 +125,6 @@
 	return in.receivedAt(r.progressedAt) - full*time.Duration(r.percent)/100
 }
 
-// expectedChain returns the typical duration of the longest chain of dependent steps of an occurrence, of which the objective is a multiple.
-func (s *Scheduler) expectedChain(j *job, o *occurrence) time.Duration {
-	return longestChain(&j.Job, func(step int) time.Duration { return s.expectedRunTime(j, o.stages[step]).Typical() })
-}
-
 // ExpectedRunTime returns the forecast for a task; ok is false if its job is not known.
 func (s *Scheduler) ExpectedRunTime(id workload.TaskID) (f forecaster.Forecast, ok bool) {
 	j := s.jobs[id.Job]
@@ -148,15 +144,6 @@
 	return s.expectedRemainder(t.instance, t.run), true
 }
 
-// ExpectedChain returns the typical duration of the longest chain of steps of a job; ok is false if the job is not known.
-func (s *Scheduler) ExpectedChain(id workload.JobID) (d time.Duration, ok bool) {
-	j := s.jobs[id]
-	if j == nil {
-		return 0, false
-	}
-	return s.expectedChain(j, j.occurrences[0]), true
-}
-
 // InstanceSpeed returns the speed of an instance relative to what is usual.
 func (s *Scheduler) InstanceSpeed(id fleet.InstanceID) forecaster.Speed {
 	return s.forecaster.InstanceSpeed(id)
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -27,11 +27,12 @@
 	acceptedAt time.Duration
 	dueAt      time.Duration
 	objective  time.Duration
-	// stretch and baseObjective are those of the queue. objectiveDue is when the objective is computed from the run times again.
-	stretch       float64
-	baseObjective time.Duration
-	objectiveDue  time.Duration
-	timeliness    timeliness
+	// stretch and constant are those of the queue: objective is stretch times the critical path plus constant. The critical path follows
+	// the expected run times of the steps from objectiveDue on.
+	stretch      float64
+	constant     time.Duration
+	objectiveDue time.Duration
+	timeliness   timeliness
 	// adviceConfig is that of the queue, and limit that of the customer.
 	adviceConfig *workload.Advice
 	limit        workload.Resources
@@ -57,6 +58,7 @@
 type occurrence struct {
 	dueMillis int64
 	stages    []*stage
+	chain     cachedChain
 }
 
 // stage is one step of an occurrence.
@@ -194,19 +196,18 @@
 	}
 	j.priority = q.Priority
 	j.maxAttempts = max(1, q.MaxAttempts)
-	j.stretch, j.baseObjective = q.Stretch, q.Objective
+	j.stretch, j.constant = q.Stretch, q.Objective
 	j.objective = time.Duration(q.Stretch*float64(criticalPath(&j.Job))) + q.Objective
 	j.objectiveDue, j.timeliness.rank = 0, 0
 }
 
 // criticalPath returns the estimated duration of the longest chain of dependent steps.
 func criticalPath(j *workload.Job) time.Duration {
-	return longestChain(j, func(step int) time.Duration { return cmp.Or(j.Steps[step].Estimate, defaultStepEstimate) })
+	return longestChain(j, make([]time.Duration, len(j.Steps)), func(step int) time.Duration { return cmp.Or(j.Steps[step].Estimate, defaultStepEstimate) })
 }
 
-// longestChain returns the duration of the longest chain of dependent steps.
-func longestChain(j *workload.Job, duration func(step int) time.Duration) time.Duration {
-	finishes := make([]time.Duration, len(j.Steps))
+// longestChain returns the duration of the longest chain of dependent steps. finishes has room for each step.
+func longestChain(j *workload.Job, finishes []time.Duration, duration func(step int) time.Duration) time.Duration {
 	longest := time.Duration(0)
 	for i, st := range j.Steps {
 		start := time.Duration(0)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -188,6 +188,8 @@
 	movesPlannedAt     time.Duration
 	machinesListedAt   time.Duration
 	forecaster         *forecaster.Forecaster
+	// finishes is kept to use its memory again.
+	finishes []time.Duration
 	// forecastError is why the committed summary of run times was ignored.
 	forecastError error
 	// forecastTakenAt is when a summary of run times was due last.
