--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -70,8 +70,6 @@
 	doneCount int
 	// waiting is the number of tasks that are not done and have no run.
 	waiting int
-	// startedAt is when a task was started last.
-	startedAt time.Duration
 	// runCounts is the number of runs on each instance that has some.
 	runCounts map[*instance]int
 	// suspects is the number of suspected tasks; a gang counts as one.
