Allot machines first to work that cannot wait, and keep surplus machines for 2.5 s again

Change: surplus is given away after 2.5 s, as before. Machines are allotted to the rate at which timely work has to run now, then to the rest of it, then to late work, which first fills what the pool has. Instances are reclaimed only for a deficit beyond the machines on standby. TestWaveWithLongTasks submits its load from 5 s before the wave on: with more machines in the pools the wave was over before the fleet was full, so that nothing had to be stopped.

--- a/internal/scheduler/allocation.go
+++ b/internal/scheduler/allocation.go
@@ -9,15 +9,19 @@
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
 )
 
-// allocate reduces what the pools desire to what there is. Late work gets machines that timely work leaves. No pool gives away what it
-// needs for its service tasks and its availability.
+// allocate reduces what the pools desire to what there is: first what cannot wait, then other timely work, then late work. Jobs of short steps
+// have to start within a second or two, while those of long steps can wait as long without being late. No pool gives away what it needs for its
+// service tasks and its availability.
 func (s *Scheduler) allocate() {
 	pools := slices.Sorted(maps.Keys(s.demands))
 	machines := s.usableMachines()
 	claims := make([]allocator.Claim, len(pools))
 	for i, pool := range pools {
 		d := s.demands[pool]
-		claims[i] = allocator.Claim{Floor: d.floor, Wanted: d.desired}
+		claims[i] = allocator.Claim{Floor: d.floor, Wanted: max(d.floor, d.desiredNow)}
+	}
+	for i, n := range allocator.Allocate(machines, claims) {
+		claims[i] = allocator.Claim{Floor: n, Wanted: max(n, s.demands[pools[i]].desired)}
 	}
 	for i, n := range allocator.Allocate(machines, claims) {
 		claims[i] = allocator.Claim{Floor: n, Wanted: n + s.demands[pools[i]].desiredLate}
@@ -30,10 +34,16 @@
 
 // usableMachines returns the number of machines that pools have, and of those on standby that they can get.
 func (s *Scheduler) usableMachines() int {
-	n := 0
+	n := s.usableStandbyMachines()
 	for _, d := range s.demands {
 		n += d.available
 	}
+	return n
+}
+
+// usableStandbyMachines returns the number of machines on standby that pools can get.
+func (s *Scheduler) usableStandbyMachines() int {
+	n := 0
 	for _, name := range s.machineNames {
 		if s.standbyAvailable(name) && !s.machineDrained(name) && !s.underMaintenance(name) {
 			n++
@@ -42,10 +52,10 @@
 	return n
 }
 
-// reclaim empties instances of pools that have more than they are allotted, for pools with work and a deficit. They get
-// no more starts, and are moved once their batch runs have ended.
+// reclaim empties instances of pools that have more than they are allotted, for pools with work and a deficit that the machines on standby do
+// not cover. They get no more starts, and are moved once their batch runs have ended.
 func (s *Scheduler) reclaim() {
-	deficit := 0
+	deficit := -s.usableStandbyMachines()
 	surplus := map[fleet.PoolID]int{}
 	for pool, d := range s.demands {
 		if d.service+d.batch > 0 {
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -24,6 +24,7 @@
 type demand struct {
 	service       float64 // claimed by service tasks
 	batch         float64 // claimed by batch tasks of timely jobs that could run now
+	urgent        float64 // the part of batch that has to run now, so that all of it is in time
 	late          float64 // claimed by the batch tasks of late jobs that have to run at a time
 	batchPeak     float64
 	batchSlope    float64
@@ -39,6 +40,8 @@
 	evacuating int
 	// floor is the number of instances that the pool needs whatever other pools want.
 	floor int
+	// desiredNow is the number of instances of desired that the pool needs now, so that no timely job becomes late.
+	desiredNow int
 	// desiredLate is the number of instances that late batch tasks could use beside desired.
 	desiredLate int
 	// unplacedAt is when a service task last found no capacity, and unplaced the number of tasks of its step that waited.
@@ -68,11 +71,12 @@
 		d.available = s.availableInstances(pool) + arriving
 		d.evacuating = s.evacuatingInstances(pool)
 		d.desired = d.desiredInstances()
-		d.desiredLate = int(math.Ceil(d.late))
+		d.desiredLate = max(0, d.neededInstances(d.batch+d.late)-d.desired)
 		if s.now-d.unplacedAt < unplacedWindow && d.unplacedAt > 0 {
 			d.desired = max(d.desired, d.available-arriving+d.unplaced)
 		}
-		d.floor = min(d.desired, d.neededInstances())
+		d.floor = min(d.desired, d.neededInstances(0))
+		d.desiredNow = min(d.desired, d.neededInstances(demandMargin*d.urgent))
 	}
 	s.allocate()
 	for pool, d := range s.demands {
@@ -117,7 +121,9 @@
 					d.minSpread = max(d.minSpread, (len(st.tasks)+step.MaxPerInstance-1)/step.MaxPerInstance)
 				}
 			case unfinished > 0 && o.ready(j, st.stepIndex) && timely:
-				d.batch += unfinished * capacity.DominantShare(step.Claim())
+				claimed := unfinished * capacity.DominantShare(step.Claim())
+				d.batch += claimed
+				d.urgent += claimed * s.rateWithin(j, st, s.timelinessOf(j).state.Slack())
 			case unfinished > 0 && o.ready(j, st.stepIndex):
 				d.late += unfinished * capacity.DominantShare(step.Claim()) * s.lateRate(j, st)
 			}
@@ -125,6 +131,12 @@
 	}
 }
 
+// rateWithin returns the part of the tasks of a stage that has to run at a time, so that the last of them starts within the given time.
+func (s *Scheduler) rateWithin(j *job, st *stage, slack time.Duration) float64 {
+	typical := s.expectedRunTime(j, st).Typical()
+	return float64(typical) / float64(typical+max(0, slack))
+}
+
 // lateRate returns the part of the tasks of a late stage that has to run at a time, so that all have run before they are worth nothing.
 func (s *Scheduler) lateRate(j *job, st *stage) float64 {
 	left := s.timelinessOf(j).state.TimeLeft()
@@ -152,12 +164,12 @@
 	return max(minPoolInstances, int(math.Ceil(batch+d.service+reserveInstances)), d.minSpread+d.evacuating)
 }
 
-// neededInstances returns what the pool needs for its service tasks.
-func (d *demand) neededInstances() int {
-	if d.service == 0 {
+// neededInstances returns what the pool needs for its service tasks and for batch tasks with the given claim.
+func (d *demand) neededInstances(batch float64) int {
+	if d.service+batch == 0 {
 		return 0
 	}
-	return max(int(math.Ceil(d.service+reserveInstances)), d.minSpread+d.evacuating)
+	return max(int(math.Ceil(d.service+batch+reserveInstances)), d.minSpread+d.evacuating)
 }
 
 // unneededInstances returns how many instances of the pool its tasks can do without now, at the recent peak and the present trend. It
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -13,10 +13,10 @@
 const (
 	moveStartDelay     = 300 * time.Millisecond // by then a new leader has polled all instances that answer
 	moveInterval       = 50 * time.Millisecond
-	moveRetryInterval  = 700 * time.Millisecond // the platform may be slow, and calls to it are metered
-	moveArrivalTimeout = 8 * time.Second        // a moved machine announces itself within 3 s
-	refusedMoveBackoff = 3 * time.Second        // a busy machine is down or in maintenance
-	scaleInDelay       = time.Second            // a queue's demand falls steadily at the end of its burst
+	moveRetryInterval  = 700 * time.Millisecond  // the platform may be slow, and calls to it are metered
+	moveArrivalTimeout = 8 * time.Second         // a moved machine announces itself within 3 s
+	refusedMoveBackoff = 3 * time.Second         // a busy machine is down or in maintenance
+	scaleInDelay       = 2500 * time.Millisecond // two moves cost as much as an idle instance in 3 s
 )
 
 // move is a machine move in progress.
--- a/internal/scheduler/wave_test.go
+++ b/internal/scheduler/wave_test.go
@@ -99,8 +99,7 @@
 }
 
 // TestWaveWithLongTasks guards against a wave that begins to wait for long tasks when its time is nearly over, and against one that stops
-// tasks although there is time to let them end. Load: tasks of 8 s or 30 s, more of
-// them than the fleet can hold.
+// tasks although there is time to let them end. Load: tasks of 8 s or 30 s, more of them than the fleet can hold, from 5 s before the wave on.
 func TestWaveWithLongTasks(t *testing.T) {
 	for name, tc := range map[string]struct {
 		length, limit time.Duration
@@ -113,14 +112,21 @@
 		t.Run(name, func(t *testing.T) {
 			f := newWaveFleet(t, 100)
 			f.length = func(workload.TaskID) time.Duration { return tc.length }
-			f.openWave(alternateMachines(f), tc.limit, 10)
-			stops, start := 0, f.now
-			for f.now < start+tc.limit && len(f.remaining()) > 0 {
+			submit := func() {
 				for _, queue := range []fleet.QueueID{"q", "other"} {
 					f.submitJobTo(queue, workload.Step{
 						Count: 4, Resources: workload.Resources{Processors: 8000, Memory: 1000}, Estimate: time.Second, Checkpointing: true,
 					})
 				}
+			}
+			for range 50 {
+				submit()
+				f.step(100 * time.Millisecond)
+			}
+			f.openWave(alternateMachines(f), tc.limit, 10)
+			stops, start := 0, f.now
+			for f.now < start+tc.limit && len(f.remaining()) > 0 {
+				submit()
 				f.step(100 * time.Millisecond)
 				for _, d := range f.scheduler.TakeDecisions() {
 					if d.What == "run stopping" && d.Reason == "maintenance" {
