Expect a step to take as long as its last task, and a job to take as long as its runs show

Cause: the chain of a job was the sum of the medians of single tasks, so that a job of eight tasks a step seemed to fit before its due time when it no longer did; and a job with a run of seven times the usual length was taken for late although its objective grows with that run. Change: a step is expected to take the median of the longest of its tasks (Forecast.TypicalLast); runs that have ended or show their pace lengthen the expected chain, and with it the objective.

--- a/internal/forecaster/all.go
+++ b/internal/forecaster/all.go
@@ -52,3 +52,23 @@
 	}
 	return timeOf((low + high) / 2)
 }
+
+// TypicalLast returns the median time within which n tasks of a step are all complete if they start together, for ordinary runs. It costs little
+// more than Typical.
+func (f Forecast) TypicalLast(n int) time.Duration {
+	return timeOf(f.mean + medianOfLast(n)*math.Sqrt(max(f.within, minWithin)))
+}
+
+// maxTabledTasks is the number of tasks up to which the median of the last one is computed in advance.
+const maxTabledTasks = 64
+
+// mediansOfLast holds the median of the largest of n standard normal values.
+var mediansOfLast = func() (table [maxTabledTasks + 1]float64) {
+	for n := 1; n <= maxTabledTasks; n++ {
+		table[n] = math.Sqrt2 * math.Erfinv(2*math.Pow(0.5, 1/float64(n))-1)
+	}
+	return table
+}()
+
+// medianOfLast returns the median of the largest of n standard normal values, for at most maxTabledTasks of them.
+func medianOfLast(n int) float64 { return mediansOfLast[min(max(n, 1), maxTabledTasks)] }
--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -208,6 +208,9 @@
 		sample := s.forecaster.Finished(expected, in.ID, observed.Remote, actual)
 		s.addEvidence(st, forecaster.Sample{}, sample)
 		r.job.addEstimateRatio(st, sample)
+		if !observed.Remote {
+			st.longestRun = max(st.longestRun, s.usualDuration(in, actual))
+		}
 	case ending == workload.EndedStopped:
 		s.forecaster.ObserveUnfinished(observed)
 	}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -70,6 +70,8 @@
 	doneCount int
 	// waiting is the number of tasks that are not done and have no run.
 	waiting int
+	// longestRun is the duration of the longest finished run, as on an instance of usual speed.
+	longestRun time.Duration
 	// runCounts is the number of runs on each instance that has some.
 	runCounts map[*instance]int
 	// suspects is the number of suspected tasks; a gang counts as one.
