Keep machines of drained data centres that were to be moved

Cause: an instance that is emptied for another pool (reclaimed) kept that mark when its data centre was drained, and its machine was moved out once its last run had ended.

Change: a drain ends the reclaiming there, as it ends the consolidation.

Result: TestReclaimedInstanceOfDrainedDataCentreStays fails before (3 machines of the drained data centre are moved) and passes.

--- a/internal/scheduler/drained.go
+++ b/internal/scheduler/drained.go
@@ -7,8 +7,8 @@
 func (s *Scheduler) SetDrainedDataCentres(drained map[fleet.DataCentreID]bool) {
 	s.drainedDataCentres = drained
 	for _, in := range s.instances.sorted {
-		if in.consolidating && s.drained(in.DataCentre) {
-			in.consolidating = false // machines there are not moved
+		if s.drained(in.DataCentre) {
+			in.consolidating, in.reclaimed = false, false // machines there are not moved
 		}
 	}
 }
--- a/internal/scheduler/drained_test.go
+++ b/internal/scheduler/drained_test.go
@@ -1,6 +1,8 @@
 package scheduler_test
 
 import (
+	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -250,3 +252,42 @@
 	f.advance(time.Second)
 	assert.Equal(t, f.startsOn("i-b1"), 1)
 }
+
+// TestReclaimedInstanceOfDrainedDataCentreStays guards against a machine that is moved out of a drained data centre because another pool was
+// to have it once its last run had ended, when the drain came. Load: late batch tasks in two data centres, and a pool that needs 40 more
+// instances.
+func TestReclaimedInstanceOfDrainedDataCentreStays(t *testing.T) {
+	for name, drained := range map[string]bool{"drained": true, "not drained": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(t)
+			f.taskTime = time.Hour
+			for i := range 5 {
+				f.addInstanceIn("a", fmt.Sprint("a", i))
+				f.addInstanceIn("b", fmt.Sprint("b", i))
+			}
+			f.addInstanceOnMachine("o1", "o", "m-o1")
+			f.advance(500 * time.Millisecond)
+			var late []workload.JobID
+			for range 10 {
+				late = append(late, f.submitJob(workload.Step{Count: 1, Resources: workload.Resources{Processors: 60000}, Estimate: time.Millisecond}))
+			}
+			f.advance(15 * time.Second)
+			f.submitJobTo("other", workload.Step{Count: 40, Resources: workload.Resources{Processors: 60000}, Service: true})
+			f.advance(500 * time.Millisecond)
+			if drained {
+				f.drain("a")
+			}
+			f.machineOrders = nil
+			for _, job := range late {
+				for task, id := range f.placements(job) {
+					if strings.HasPrefix(string(id), "i-a") {
+						f.endRun(id, task, workload.EndedDone)
+					}
+				}
+			}
+			f.advance(time.Second)
+			moved := slices.ContainsFunc(f.machineOrders, func(o scheduler.MachineOrder) bool { return strings.HasPrefix(o.Machine, "m-a") })
+			assert.Equal(t, moved, !drained, "%v", f.machineOrders)
+		})
+	}
+}
