Learn no run times from instances that are warming up

Cause: a run on an instance before its full speed counted as a full run of its task. After the return of a data centre the forecasts for its queues were too long, and its instances were named as slow until 24 later runs.

Change: a run that starts during the warm-up is not measured.

--- a/internal/scheduler/forecast_test.go
+++ b/internal/scheduler/forecast_test.go
@@ -119,6 +119,22 @@
 	}
 }
 
+// TestRunsDuringWarmupDoNotCount guards against forecasts and speeds from runs on an instance that has not reached its full speed: a data centre
+// that returns would be taken for slow long after its warm-up.
+func TestRunsDuringWarmupDoNotCount(t *testing.T) {
+	f := newTestFleet(t)
+	id := f.addColdInstance("a", 20*time.Second)
+	for range 6 {
+		f.runFor(secondStep, 2500*time.Millisecond)
+	}
+	assert.Equal(t, f.startsOn(id), 6)
+	assert.Equal(t, f.expected(secondStep), time.Second)
+	assert.Equal(t, f.scheduler.InstanceSpeed(id).Runs, 0)
+	f.advance(5 * time.Second)
+	f.runFor(secondStep, 1100*time.Millisecond)
+	assert.Equal(t, f.scheduler.InstanceSpeed(id).Runs, 1, "after the warm-up")
+}
+
 // TestUncertainStartDoesNotCount guards against the run time of a task that was started seconds after its order.
 func TestUncertainStartDoesNotCount(t *testing.T) {
 	f := newTestFleet(t)
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -152,7 +152,7 @@
 	suspicion suspicion
 	// account includes the run's claim; it is nil for service tasks.
 	account *account
-	// measured is set for a full run of the task that this leader has started.
+	// measured is set for a full run of the task that this leader has started on an instance at its full speed.
 	measured bool
 	// startedAt is when the run was started, within startDoubt; zero while it is not known.
 	startedAt, startDoubt time.Duration
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -34,7 +34,7 @@
 	r.claim = j.step(r.task.Position).Claim()
 	r.orderedAt = s.now
 	r.throttlePercent = 100
-	r.measured = t.checkpoint == ""
+	r.measured = t.checkpoint == "" && !in.warmingUp(s.now)
 	s.attachRun(in, r)
 	s.orders = append(s.orders, Order{
 		Kind: Start, Instance: in.ID, Address: in.Address, Task: r.task, Run: r.number, Spec: j.Spec, Checkpoint: t.checkpoint,
