Learn no run times from reports that arrived late

Cause: the receipt of a response that an instance had held counted as the end of the run. While the leader is paused, a response waits for it, so that after a pause of 3 s the runs that had ended in it taught 3 s too much, without any doubt.

Change: the time between two receipts is compared with that between the reports on the clock of the instance. What is more, from 100 ms on, widens the interval in which a run ended or progressed; too wide, it does not count, as for other doubts.

Result: TestLateReportDoesNotCount fails before (one run learned) and passes; the digests of TestLargeFleetDecisionsAreUnchanged stay.

--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -169,9 +169,27 @@
 	}
 }
 
-// endedAt returns when a run ended that the last report listed as ended, and how far the truth may be from that. A response that the
-// instance held came at the end of a run; else the run ended at some time since the report before.
+// timeReport records when a report arrived that a poll sent at sentAt has brought. By the clock of the instance it was made some time after
+// the one before; what is more than that was spent on the way, as while the leader is paused. Delays that a busy leader has at times
+// are ignored.
+func (in *instance) timeReport(sentAt, clock time.Duration) {
+	in.previousReportAt, in.reportReceivedAt = in.reportReceivedAt, in.clockReadAt
+	in.reportHeld = in.clockReadAt-sentAt >= heldPollTime
+	in.reportDelay = 0
+	if delay := in.reportReceivedAt - in.previousReportAt - (clock - in.reportedAt); in.previousReportAt > 0 && delay >= heldPollTime {
+		in.reportDelay = delay
+	}
+}
+
+// endedAt returns when a run ended that the last report listed as ended, and how far the truth may be from that.
 func (in *instance) endedAt(r *run) (at, doubt time.Duration) {
+	at, doubt = in.reportedEnd(r)
+	return at - in.reportDelay/2, doubt + in.reportDelay/2
+}
+
+// reportedEnd returns when a run ended if the last report arrived without delay. A response that the instance held came at the end of a run;
+// else the run ended at some time since the report before.
+func (in *instance) reportedEnd(r *run) (at, doubt time.Duration) {
 	latest := in.reportReceivedAt
 	if in.reportHeld {
 		return latest, 0
@@ -229,7 +247,11 @@
 	if !r.measured || r.startedAt == 0 || st.step.Service || st.step.BestEffort || r.percent < r.sampledPercent+sampleInterval {
 		return
 	}
-	sample := s.forecaster.Progress(s.expectedRunTime(r.job, st), in.ID, in.remoteFrom(st.step), in.reportReceivedAt-r.startedAt, r.percent)
+	elapsed := in.reportReceivedAt - in.reportDelay/2 - r.startedAt
+	if float64(in.reportDelay/2) > maxTimingDoubt*float64(elapsed) {
+		return
+	}
+	sample := s.forecaster.Progress(s.expectedRunTime(r.job, st), in.ID, in.remoteFrom(st.step), elapsed, r.percent)
 	if sample.Set() {
 		s.addEvidence(st, r.sample, sample)
 		r.sample, r.sampledPercent = sample, r.percent
--- a/internal/scheduler/forecast_test.go
+++ b/internal/scheduler/forecast_test.go
@@ -135,6 +135,30 @@
 	assert.Equal(t, f.scheduler.InstanceSpeed(id).Runs, 1, "after the warm-up")
 }
 
+// TestLateReportDoesNotCount guards against a run time that includes a pause of the leader: the response that told of the end had been on its
+// way for seconds when the leader went on.
+func TestLateReportDoesNotCount(t *testing.T) {
+	for name, c := range map[string]struct {
+		pause   time.Duration
+		learned int
+	}{"in time": {0, 1}, "leader paused": {3 * time.Second, 0}} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(t)
+			f.taskTime = time.Second
+			id := f.addInstance("a", "p")
+			job := f.submitJob(secondStep)
+			f.advance(time.Second)
+			sentAt := f.now
+			f.endRuns(job, workload.EndedDone)
+			f.now += 150 * time.Millisecond
+			report := scheduler.StatusReport{Clock: time.Minute + f.now, Ended: f.unackedEnds[id]}
+			f.now += c.pause
+			f.scheduler.HandleReport(f.now, id, sentAt, report)
+			assert.Equal(t, len(f.scheduler.ForecastAccuracies()), c.learned)
+		})
+	}
+}
+
 // TestUncertainStartDoesNotCount guards against the run time of a task that was started seconds after its order.
 func TestUncertainStartDoesNotCount(t *testing.T) {
 	f := newTestFleet(t)
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -45,8 +45,9 @@
 	// reportedAt is the clock of the instance in the latest report.
 	reportedAt time.Duration
 	// reportReceivedAt and previousReportAt are when the last two reports arrived. reportHeld is set if the instance held the latest until
-	// it had something to report.
+	// it had something to report. reportDelay is how much longer it took to arrive than the one before.
 	reportReceivedAt, previousReportAt time.Duration
+	reportDelay                        time.Duration
 	reportHeld                         bool
 	// maxDeadlineSent is the latest lease deadline in any order or poll sent to the instance.
 	maxDeadlineSent time.Duration
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -148,10 +148,9 @@
 	if report.Clock < in.reportedAt {
 		return
 	}
-	in.reportedAt = report.Clock
 	in.clockReadAt = cmp.Or(report.ReceivedAt, now)
-	in.previousReportAt, in.reportReceivedAt = in.reportReceivedAt, in.clockReadAt
-	in.reportHeld = in.clockReadAt-sentAt >= heldPollTime
+	in.timeReport(sentAt, report.Clock)
+	in.reportedAt = report.Clock
 	in.clock = report.Clock
 	in.failedPolls, in.failingSince = 0, 0
 	firstReport := !in.polled
