Omit from the summary of run times what its reader would refuse

Cause: a reader ignores the whole summary if one number or name in it is implausible, and the writer checked nothing. One customer whose run times differ far more than its estimates, or whose tasks of a step differ a millionfold, a name of more than 1,024 bytes, or slow instances with long names made every summary unusable or too long, so that each new leader started without forecasts.

Change: the writer applies the checks of the reader to each level and speed and omits what fails, bounds the variance within steps, and gives speeds at most half of the space.

--- a/internal/forecaster/plausible.go
+++ b/internal/forecaster/plausible.go
@@ -5,8 +5,8 @@
 	"math"
 )
 
-// Bounds on the numbers of a plausible summary. They are far beyond what observations can reach, so that they reject only damage and
-// summaries of a faulty program.
+// Bounds on the numbers of a plausible summary. They are far beyond what usual observations reach, so that they reject only damage and
+// summaries of a faulty program. A summary omits what is beyond them, as the slope of a customer whose tasks misreport may be.
 const (
 	maxSavedLog    = 20 // beyond the logarithms of minTime and maxTime in seconds
 	maxSavedWeight = 1000
@@ -19,22 +19,33 @@
 	if !between(float64(s.Within), 0, maxSavedLog) || !between(float64(s.Remote), 0, maxRemote) {
 		return fmt.Errorf("variance within steps %g, remote runs %g", s.Within, s.Remote)
 	}
-	for i, l := range s.Levels {
-		if l.Depth < depthRoot || l.Depth >= levelCount || len(l.Numbers) != 4*levelNumbers || len(l.Queue)+len(l.Customer) > maxSavedName {
-			return fmt.Errorf("level %d: depth %d, %d bytes", i, l.Depth, len(l.Numbers))
-		}
-		if err := l.checkNumbers(); err != nil {
+	for i := range s.Levels {
+		if err := s.Levels[i].check(); err != nil {
 			return fmt.Errorf("level %d: %w", i, err)
 		}
 	}
-	for i, v := range s.Speeds {
-		if !between(float64(v.Log), -maxSavedLog, maxSavedLog) || !between(float64(v.Weight), 0, 1/minVariance+1) || v.Runs < 0 || v.Runs > speedRuns || len(v.Instance) > maxSavedName {
-			return fmt.Errorf("speed %d: %g in %d runs of weight %g", i, v.Log, v.Runs, v.Weight)
+	for i := range s.Speeds {
+		if err := s.Speeds[i].check(); err != nil {
+			return fmt.Errorf("speed %d: %w", i, err)
 		}
 	}
 	return nil
 }
 
+func (s *levelSummary) check() error {
+	if s.Depth < depthRoot || s.Depth >= levelCount || len(s.Numbers) != 4*levelNumbers || len(s.Queue)+len(s.Customer) > maxSavedName {
+		return fmt.Errorf("depth %d, %d bytes", s.Depth, len(s.Numbers))
+	}
+	return s.checkNumbers()
+}
+
+func (s *speedSummary) check() error {
+	if !between(float64(s.Log), -maxSavedLog, maxSavedLog) || !between(float64(s.Weight), 0, 1/minVariance+1) || s.Runs < 0 || s.Runs > speedRuns || len(s.Instance) > maxSavedName {
+		return fmt.Errorf("%g in %d runs of weight %g", s.Log, s.Runs, s.Weight)
+	}
+	return nil
+}
+
 func (s *levelSummary) checkNumbers() error {
 	l := newLevel(s.Depth)
 	l.decode(s.Numbers)
--- a/internal/forecaster/summary.go
+++ b/internal/forecaster/summary.go
@@ -82,18 +82,25 @@
 	return f.unsaved >= max(minUnsaved, unsavedShare*f.root.plain.weight)
 }
 
-// Summary returns what was learned in at most MaxSummaryBytes: of the levels those with the most samples.
+// Summary returns what was learned in at most MaxSummaryBytes, of which at most half are speeds: of the levels those with the most samples.
 func (f *Forecaster) Summary() ([]byte, error) {
-	out := summary{Version: summaryVersion, Within: float32(f.within.value), Remote: float32(f.remote.value), Speeds: f.unusualSpeeds()}
+	out := summary{Version: summaryVersion, Within: float32(min(f.within.value, maxSavedLog)), Remote: float32(f.remote.value)}
 	left := MaxSummaryBytes - headerBytes
-	for _, s := range out.Speeds {
+	for _, s := range f.unusualSpeeds() {
 		n, err := encodedSize(s)
 		if err != nil {
 			return nil, err
 		}
+		if left-n < MaxSummaryBytes/2 {
+			break
+		}
 		left -= n
+		out.Speeds = append(out.Speeds, s)
 	}
 	for _, l := range f.savedLevels() {
+		if l.check() != nil {
+			continue
+		}
 		n, err := encodedSize(l)
 		if err != nil {
 			return nil, err
@@ -142,8 +149,9 @@
 func (f *Forecaster) unusualSpeeds() []speedSummary {
 	var list []speedSummary
 	f.speeds.each(func(id fleet.InstanceID, s *speed) {
-		if math.Abs(float64(s.log)) > unusualSpeed {
-			list = append(list, speedSummary{Instance: id, Log: s.log, Weight: s.meanWeight(), Runs: s.count})
+		saved := speedSummary{Instance: id, Log: s.log, Weight: s.meanWeight(), Runs: s.count}
+		if math.Abs(float64(s.log)) > unusualSpeed && saved.check() == nil {
+			list = append(list, saved)
 		}
 	})
 	slices.SortStableFunc(list, func(a, b speedSummary) int {
--- a/internal/forecaster/summary_test.go
+++ b/internal/forecaster/summary_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -160,3 +161,56 @@
 		}
 	})
 }
+
+// TestSummaryOfOddRunsIsUsable guards against a summary that the next leader ignores as a whole because of one name or customer: every leader
+// would start without forecasts.
+func TestSummaryOfOddRunsIsUsable(t *testing.T) {
+	long := strings.Repeat("x", 2000)
+	odd := func(run forecaster.Run) forecaster.Run {
+		run.Queue, run.Tasks = "odd", max(1, run.Tasks)
+		return run
+	}
+	var evidence forecaster.Evidence
+	evidence.Replace(forecaster.Sample{}, forecaster.New().Finished(forecaster.Forecast{}, "other", false, time.Second))
+	for name, run := range map[string]func(i int) forecaster.Run{
+		"long names of slow instances": func(i int) forecaster.Run {
+			actual, instance := 9*time.Second, fmt.Sprint(long, i%20)
+			if i%4 > 0 {
+				actual, instance = time.Second, "usual"
+			}
+			return odd(forecaster.Run{Actual: actual, Instance: fleet.InstanceID(instance), Subject: forecaster.Subject{Estimate: time.Second}})
+		},
+		"long name of a customer": func(int) forecaster.Run {
+			return odd(forecaster.Run{Actual: time.Second, Subject: forecaster.Subject{Customer: fleet.CustomerID(long), Estimate: time.Second}})
+		},
+		"tasks of a step that differ a millionfold": func(i int) forecaster.Run {
+			actual := time.Millisecond
+			if i%2 == 0 {
+				actual = 20 * time.Hour
+			}
+			return odd(forecaster.Run{Actual: actual, Evidence: &evidence, Subject: forecaster.Subject{Customer: "odd", Estimate: time.Second}})
+		},
+		"run times that differ far more than estimates": func(i int) forecaster.Run {
+			actual, estimate := time.Millisecond, time.Second
+			if i%2 == 0 {
+				actual, estimate = 20*time.Hour, 1800*time.Millisecond
+			}
+			return odd(forecaster.Run{Actual: actual, Tasks: 1 + i%2, Subject: forecaster.Subject{Customer: "odd", Image: "odd", Estimate: estimate}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, _ := trained(t)
+			for i := range 400 {
+				f.Observe(run(i))
+				f.Observe(forecaster.Run{Tasks: 1, Actual: 2 * time.Second, Subject: secondTask})
+			}
+			summary, err := f.Summary()
+			assert.NilError(t, err)
+			assert.Assert(t, len(summary) <= forecaster.MaxSummaryBytes, "%d bytes", len(summary))
+			restored := forecaster.New()
+			assert.NilError(t, restored.Restore(summary))
+			got := restored.Expect(secondTask).Typical()
+			assert.Assert(t, got > 1900*time.Millisecond && got < 2100*time.Millisecond, "%s", got)
+		})
+	}
+}
