Answer an announcement whose batch was lost once a later one is delivered

Cause: a collected announcement that was in flight when its instance announced itself again, and whose batch was lost, was dropped in favour of the later one, and nobody told the call that waited for it: the instance got no answer until its call timed out.

Change: the later announcement remembers those that it replaces, for the retention, and their calls are answered with its own.

Result: TestLaterAnnouncementAnswersForEarlier fails before (no answer within 10 s) and passes, also with -race.

--- a/internal/collector/collector.go
+++ b/internal/collector/collector.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -80,6 +81,15 @@
 	instance  workload.Instance
 	at        time.Duration
 	delivered chan struct{}
+	// replaced are earlier announcements of the instance that were lost with their batches within the retention.
+	replaced []*announcement
+}
+
+func (a *announcement) markDelivered() {
+	close(a.delivered)
+	for _, earlier := range a.replaced {
+		close(earlier.delivered)
+	}
 }
 
 // Start starts a collector, which delivers announcements until Close.
@@ -114,7 +124,7 @@
 		if !earlier.precedes(in) {
 			return earlier
 		}
-		a.delivered = earlier.delivered
+		a.delivered, a.replaced = earlier.delivered, earlier.replaced
 	} else {
 		c.order = append(c.order, in.ID)
 	}
@@ -224,7 +234,7 @@
 		return c.sleep(failurePause)
 	}
 	for _, a := range batch {
-		close(a.delivered)
+		a.markDelivered()
 	}
 	return true
 }
@@ -271,9 +281,15 @@
 func (c *Collector) putBack(batch []*announcement) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	oldest := c.options.Clock() - retention
 	for _, a := range batch {
 		id := a.instance.ID
-		if c.pending[id] == nil && c.inFlight[id] == a {
+		switch later := c.pending[id]; {
+		case c.inFlight[id] != a:
+		case later != nil:
+			later.replaced = slices.DeleteFunc(append(append(later.replaced, a), a.replaced...), func(x *announcement) bool { return x.at < oldest })
+			a.replaced = nil
+		default:
 			c.pending[id] = a
 			c.order = append(c.order, id)
 		}
--- a/internal/collector/collector_test.go
+++ b/internal/collector/collector_test.go
@@ -185,3 +185,26 @@
 	now = time.Hour
 	assert.Check(t, !c.Repeats(announcementOf(1, 8)), "forgotten")
 }
+
+// TestLaterAnnouncementAnswersForEarlier guards against an instance whose announcement is never answered because its batch was lost and a later
+// announcement, which the leader has, took its place.
+func TestLaterAnnouncementAnswersForEarlier(t *testing.T) {
+	l := &fakeLeader{delay: 100 * time.Millisecond, failing: true}
+	c := startCollector(t, l, bootclock.Now)
+	called := func(n int) func() bool {
+		return func() bool {
+			calls, _ := l.count()
+			return calls >= n
+		}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	answered := make(chan error, 2)
+	go func() { answered <- c.AddAndWait(ctx, announcementOf(1, 1)) }()
+	waitFor(t, "the first batch", called(1))
+	go func() { answered <- c.AddAndWait(ctx, announcementOf(1, 2)) }()
+	waitFor(t, "the second batch", called(2))
+	l.setFailing(false)
+	assert.NilError(t, <-answered)
+	assert.NilError(t, <-answered)
+}
