Maintain busy machines of drained data centres before others

Cause: only empty machines of drained data centres went first in a wave; a busy one, on which nothing more starts either, had the rank of its pool, the last one at a peak, and counted as a part of the surplus of its pool.

Change: it comes after those that are being evacuated and before all on which work could start, at the pace of the wave.

--- a/internal/maintainer/maintainer_test.go
+++ b/internal/maintainer/maintainer_test.go
@@ -69,6 +69,24 @@
 	assert.Assert(t, now <= 20*time.Second, "done after %s", now)
 }
 
+// TestBusyMachinesOfDrainedDataCentresGoBeforeOthers guards against a wave that takes machines on which work could start while those of a drained
+// data centre, which get none, wait because their pool is at its peak. They are no part of the surplus of their pool either.
+func TestBusyMachinesOfDrainedDataCentresGoBeforeOthers(t *testing.T) {
+	v := maintainer.View{Total: 4, Surplus: map[fleet.PoolID]int{"peak": -5, "spare": 1}, Candidates: []maintainer.Candidate{
+		{Machine: "other", Pool: "even", BatchLeft: 2 * time.Second},
+		{Machine: "spare", Pool: "spare", Empty: true},
+		{Machine: "drained-peak", Pool: "peak", Drained: true, BatchLeft: 2 * time.Second},
+		{Machine: "drained-spare", Pool: "spare", Drained: true, Empty: true},
+	}}
+	plan := maintainer.New(0, 20*time.Second, 3).Plan(v)
+	assert.Equal(t, names(v, plan.Maintain), "drained-spare spare")
+	plan, v.Begun, v.Candidates = maintainer.Plan{}, 2, []maintainer.Candidate{v.Candidates[0], v.Candidates[2]}
+	for m := maintainer.New(0, 40*time.Second, 1); len(plan.Evacuate) == 0 && v.Now < 40*time.Second; v.Now += 100 * time.Millisecond {
+		plan = m.Plan(v)
+	}
+	assert.Equal(t, names(v, plan.Evacuate), "drained-peak", "after %s", v.Now)
+}
+
 // TestPlacesBoundOrders guards against an order that takes more machines down than the wave allows, also when an unanswered order is
 // repeated, and against a machine that waits for a place although it has one.
 func TestPlacesBoundOrders(t *testing.T) {
--- a/internal/maintainer/queue.go
+++ b/internal/maintainer/queue.go
@@ -16,6 +16,7 @@
 	rankDrained
 	rankSurplus
 	rankEvacuating
+	rankBusyDrained
 	rankBalanced
 	rankNeeded
 	rankDoubtful
@@ -99,6 +100,8 @@
 		return rankEvacuating
 	case c.Doubtful:
 		return rankDoubtful
+	case c.Drained:
+		return rankBusyDrained
 	case c.Empty && surplus > 0:
 		return rankSurplus
 	case surplus >= 0:
