Bound the time between the inspection and the change of a drained data centre

Cause: a repeated drain changes nothing and leaves the revision as it is. A resumption that had read the same revision, and whose copy was delayed on its way, so took effect after a repeated drain that was sent and acknowledged later; the same holds for a delayed drain after a repeated resumption.

Change: the leader says with the revision in which term and when it was read, and refuses a change that is more than a second older or from another term (Outdated). The process then reads it again, as long as the request may be sent at all.

Result: TestDelayedResumptionAfterRepeatedDrain, first without the new fields, fails before (resumed after a later drain was acknowledged) and passes. changeDrain in the tests of the supervisor sends what processes send.

--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -1,8 +1,9 @@
 // Package drainer requests the drain and the resumption of data centres for operators.
 //
 // A request is sent in two steps: the revision of the data centre is read first, and the change is committed only if the data centre still
-// has that revision. A copy of the change that is delayed on its way is thus refused once a later request has been committed, without
-// clocks that agree. Lifetime bounds the delay before the first step.
+// has that revision. A copy of the change that is delayed on its way is thus refused once a later request has changed the data centre, without
+// clocks that agree. A later request that repeats what is in force changes nothing, so the leader also bounds the time between the steps.
+// Lifetime bounds the delay before the first step.
 package drainer
 
 import (
@@ -58,9 +59,11 @@
 		if err := ctx.Err(); err != nil {
 			return forwarder.Response{}, &forwarder.Error{Op: "change drain", Kind: forwarder.KindNotSent, Err: err}
 		}
-		request.Revision = inspected.Revision
+		request.Revision, request.Inspection = inspected.Revision, inspected.Inspection
 		response, err := d.call(ctx, request)
 		switch {
+		case err == nil && response.Outcome == forwarder.Outdated:
+			continue
 		case err != nil || response.Outcome != forwarder.Superseded:
 			return response, err
 		case request.Operation == forwarder.ResumeDataCentre:
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -120,6 +120,29 @@
 	assert.Assert(t, !l.drained())
 }
 
+// TestOutdatedChangeIsSentAgain guards against a request that fails because the leader changed between its two steps, and against one that
+// is repeated for ever.
+func TestOutdatedChangeIsSentAgain(t *testing.T) {
+	l := newFakeLeader()
+	now, outdated := time.Hour, 1
+	d := drainer.New(func(ctx context.Context, r forwarder.Request) (forwarder.Response, error) {
+		now += 100 * time.Millisecond
+		if r.Operation != forwarder.InspectDataCentre && outdated > 0 {
+			outdated--
+			return forwarder.Response{Outcome: forwarder.Outdated}, nil
+		}
+		return l.call(ctx, r)
+	}, drainer.WithClock(func() time.Duration { return now }))
+	mustChange(t, d, drain)
+	assert.Assert(t, l.drained())
+	outdated = 1
+	mustChange(t, d, resume)
+	assert.Assert(t, !l.drained())
+	outdated = 1000
+	_, err := d.Change(t.Context(), drain)
+	assert.ErrorIs(t, err, forwarder.KindNotSent)
+}
+
 // TestChangeEndsWithItsCaller guards against a request whose caller has hung up and that is sent nevertheless.
 func TestChangeEndsWithItsCaller(t *testing.T) {
 	l := newFakeLeader()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -93,6 +93,8 @@
 	UnknownDataCentre
 	// Superseded means that a later request has changed the data centre since the revision of the call, which changed nothing.
 	Superseded
+	// Outdated means that the revision of the call was read too long ago, or from an earlier leader. The call changed nothing.
+	Outdated
 )
 
 // Response is the response of a keeper to a call.
@@ -110,7 +112,17 @@
 	// AnnounceTo is the keeper to which an instance sends its next announcements.
 	AnnounceTo fleet.EntryID `cbor:"9,keyasint,omitempty"`
 	// Revision is that of the data centre.
-	Revision uint64 `cbor:"10,keyasint,omitempty"`
+	Revision   uint64      `cbor:"10,keyasint,omitempty"`
+	Inspection *Inspection `cbor:"11,keyasint,omitempty"`
+}
+
+// Inspection says when and under which leader the revision of a data centre was read, so that the leader can bound how long a change may be
+// on its way.
+type Inspection struct {
+	_    struct{} `cbor:",toarray"`
+	Term uint64
+	// At is on the boot clock of the leader.
+	At time.Duration
 }
 
 // LeadershipStatus is the response of a keeper to a probe.
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -23,6 +23,8 @@
 	DataCentre fleet.DataCentreID `cbor:"10,keyasint,omitempty"`
 	By         string             `cbor:"11,keyasint,omitempty"`
 	Revision   uint64             `cbor:"12,keyasint,omitempty"`
+	// Inspection came with the revision; a process of an earlier version sends none.
+	Inspection *Inspection `cbor:"13,keyasint,omitempty"`
 	// Instances are the announcements of a batch; none of them is draining.
 	Instances []workload.Instance `cbor:"16,keyasint,omitempty"`
 }
--- a/internal/supervisor/drains.go
+++ b/internal/supervisor/drains.go
@@ -19,13 +19,23 @@
 // drainRestatementInterval is the interval at which the drains are proposed again. A keeper takes longer to restart with another version.
 const drainRestatementInterval = 10 * time.Second
 
+// maxInspectionAge bounds how long a change of a data centre is on its way from the inspection on. A repeated request changes nothing, so that
+// the revision alone would let a delayed copy of the opposite request take effect after it. A process sends the change at once,
+// and the operator has repeated the request by then.
+const maxInspectionAge = time.Second
+
 // inspectDataCentre returns the revision of a data centre, which a request to drain or resume it must carry.
 func (t *term) inspectDataCentre(request forwarder.Request) forwarder.Response {
 	known, revision := t.findDataCentre(request.DataCentre)
 	if !known {
 		return unknownDataCentre(request.DataCentre)
 	}
-	return forwarder.Response{Outcome: forwarder.Done, Revision: revision}
+	return forwarder.Response{Outcome: forwarder.Done, Revision: revision, Inspection: &forwarder.Inspection{Term: t.number, At: monotonicNow()}}
+}
+
+// outdated reports whether the revision of a request was read from an earlier leader or too long ago.
+func (t *term) outdated(i *forwarder.Inspection) bool {
+	return i != nil && (i.Term != t.number || monotonicNow()-i.At > maxInspectionAge)
 }
 
 func unknownDataCentre(name fleet.DataCentreID) forwarder.Response {
@@ -47,6 +57,9 @@
 	if !known {
 		return unknownDataCentre(request.DataCentre)
 	}
+	if t.outdated(request.Inspection) {
+		return forwarder.Response{Outcome: forwarder.Outdated, Detail: "the request was on its way for too long"}
+	}
 	replied, err := t.commitAndWait(ctx, t.drainCommand(request), func() { t.applyDrain(request) })
 	switch {
 	case errors.Is(err, state.KindStale):
--- a/internal/supervisor/drains_test.go
+++ b/internal/supervisor/drains_test.go
@@ -30,8 +30,9 @@
 
 func (s *resumption) changeDrain(o forwarder.Operation, name fleet.DataCentreID) {
 	s.t.Helper()
-	response := handleWhenLeading(s.t, s.Supervisor, drainRequest(o, name, s.revision(name)))
-	assert.Equal(s.t, response.Outcome, forwarder.Done)
+	request := drainRequest(o, name, s.revision(name))
+	request.Inspection = handleWhenLeading(s.t, s.Supervisor, drainRequest(forwarder.InspectDataCentre, name, 0)).Inspection
+	assert.Equal(s.t, handleWhenLeading(s.t, s.Supervisor, request).Outcome, forwarder.Done)
 }
 
 // TestAcknowledgedDrainIsInForce guards against an acknowledgement before the scheduler knows the drain: a job that is accepted right after it
@@ -176,3 +177,22 @@
 	s.replica.View(func(committed *state.State) { index = committed.AppliedIndex })
 	return index
 }
+
+// TestDelayedResumptionAfterRepeatedDrain guards against a copy of a resumption that was delayed on its way and takes effect after a drain that
+// was sent later. The data centre was drained already, so that the drain changed nothing.
+func TestDelayedResumptionAfterRepeatedDrain(t *testing.T) {
+	s := startResumption(t)
+	s.changeDrain(forwarder.DrainDataCentre, "a")
+	inspected := handleWhenLeading(t, s.Supervisor, drainRequest(forwarder.InspectDataCentre, "a", 0))
+	delayed := drainRequest(forwarder.ResumeDataCentre, "a", inspected.Revision)
+	delayed.Inspection = inspected.Inspection
+	s.changeDrain(forwarder.DrainDataCentre, "a")
+	time.Sleep(maxInspectionAge + 100*time.Millisecond)
+	assert.Equal(t, handleWhenLeading(t, s.Supervisor, delayed).Outcome, forwarder.Outdated)
+	assert.Assert(t, s.term.Load().isDrained("a"), "resumed after a later drain was acknowledged")
+	ofEarlierLeader := delayed
+	ofEarlierLeader.Inspection = &forwarder.Inspection{Term: inspected.Inspection.Term - 1, At: monotonicNow()}
+	assert.Equal(t, handleWhenLeading(t, s.Supervisor, ofEarlierLeader).Outcome, forwarder.Outdated)
+	s.changeDrain(forwarder.ResumeDataCentre, "a")
+	assert.Assert(t, !s.term.Load().isDrained("a"))
+}
