Charge the simulated leader for each job of a commit

Cause: since jobs share commits, the simulation that shows that an overloaded leader keeps its lease charged a commit of 32 jobs as much as one of a single job, so that it checked less than it says.

Change: each job costs two hops more, for its record and for the scheduler.

--- a/internal/supervisor/poll_pacer_simulation_test.go
+++ b/internal/supervisor/poll_pacer_simulation_test.go
@@ -31,6 +31,8 @@
 	simulatedSlots = 8
 	jobWidth       = 8
 	jobHops        = 2 // per job besides its commit: the call and the response
+	// jobCost is that of a job in a commit with others: its record is encoded and applied, and the loop adds it to the scheduler.
+	jobCost = 2 * hopCost
 )
 
 // simulation is a leader with one processor and the instances that it polls, on a virtual clock.
@@ -313,12 +315,14 @@
 			return
 		}
 		s.commit(func() {
-			s.jobs.finish(batch)
-			for _, p := range batch {
-				s.accept(p)
-			}
-			s.planSoon()
-			s.commitJobs()
+			s.compute(time.Duration(len(batch))*jobCost, func() {
+				s.jobs.finish(batch)
+				for _, p := range batch {
+					s.accept(p)
+				}
+				s.planSoon()
+				s.commitJobs()
+			})
 		})
 	}
 }
