Acknowledge a drain after the starts that are not answered

Cause: an order that an instance has not answered may be executed until its deadline, a lease of 5.4 s after it, when a frozen instance thaws or a suspended carrier goes on. A drain was acknowledged a few milliseconds after such an order, so that a start was possible 5.4 s after the acknowledgement; the bound is 5 s.

Change: after the commit the leader waits until no start there that it ordered less than 0.5 s ago is unanswered (lease less bound plus 0.1 s for the clock). Most starts are answered within milliseconds, and a repeated request waits for nothing.

Result: TestDrainIsAcknowledgedAfterUnansweredStarts fails before (acknowledged 15 ms after the order) and passes: 0.5 s after the order. The sessions of startResumption have the lease of a deployment, 5.4 s instead of 5 s.

--- a/internal/scheduler/drained.go
+++ b/internal/scheduler/drained.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "github.com/sapphiresail/sapphiresail/internal/fleet"
+import (
+	"time"
+
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
+)
 
 // SetDrainedDataCentres replaces the data centres on whose instances nothing is started. What runs there ends by itself. The caller must
 // not change the map afterwards.
@@ -29,3 +33,19 @@
 		s.machineDataCentres[in.Machine] = in.DataCentre
 	}
 }
+
+// StartPending reports whether a start in a data centre that was ordered within the given time has not been answered. Its instance may
+// still execute it.
+func (s *Scheduler) StartPending(now time.Duration, dataCentre fleet.DataCentreID, within time.Duration) bool {
+	for _, in := range s.instances.sorted {
+		if in.DataCentre != dataCentre {
+			continue
+		}
+		for _, r := range in.runs {
+			if (r.status == statusOrdered || r.status == statusUncertain) && now-r.orderedAt < within {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/supervisor/drains.go
+++ b/internal/supervisor/drains.go
@@ -19,6 +19,15 @@
 // drainRestatementInterval is the interval at which the drains are proposed again. A keeper takes longer to restart with another version.
 const drainRestatementInterval = 10 * time.Second
 
+const (
+	// drainBound is how long after the acknowledgement of a drain a start may still be executed in the data centre.
+	drainBound = 5 * time.Second
+	// maxStartWait bounds how long an acknowledgement waits for unanswered starts; it has to be sent within a second.
+	maxStartWait      = 500 * time.Millisecond
+	startWaitMargin   = 100 * time.Millisecond // the clock of an instance is known within less
+	startWaitInterval = 20 * time.Millisecond
+)
+
 // maxInspectionAge bounds how long a change of a data centre is on its way from the inspection on. A repeated request changes nothing, so that
 // the revision alone would let a delayed copy of the opposite request take effect after it. A process sends the change at once,
 // and the operator has repeated the request by then.
@@ -66,10 +75,28 @@
 		return forwarder.Response{Outcome: forwarder.Superseded}
 	case err != nil || !replied:
 		return forwarder.Response{Outcome: forwarder.Uncertain}
+	case request.Operation == forwarder.DrainDataCentre && !t.awaitStarts(ctx, request.DataCentre):
+		return forwarder.Response{Outcome: forwarder.Uncertain}
 	}
 	return forwarder.Response{Outcome: forwarder.Done}
 }
 
+// awaitStarts waits until no start in a drained data centre can be executed later than drainBound from now. A start that is not answered may be
+// executed until its deadline, which is a lease after the order. It returns false if ctx or the term ends before.
+func (t *term) awaitStarts(ctx context.Context, name fleet.DataCentreID) bool {
+	within := min(t.options.Lease-drainBound+startWaitMargin, maxStartWait)
+	for {
+		pending := false
+		if !t.postAndWait(ctx, func() { t.skipPlan(); pending = t.scheduler.StartPending(monotonicNow(), name, within) }) {
+			return false
+		}
+		if !pending {
+			return true
+		}
+		sleep(ctx, startWaitInterval, nil)
+	}
+}
+
 // drainCommand returns the command of a request. A drain that is committed already is proposed with its record.
 func (t *term) drainCommand(request forwarder.Request) state.Command {
 	at := state.Timestamp(wallMillis())
--- a/internal/supervisor/drains_test.go
+++ b/internal/supervisor/drains_test.go
@@ -196,3 +196,24 @@
 	s.changeDrain(forwarder.ResumeDataCentre, "a")
 	assert.Assert(t, !s.term.Load().isDrained("a"))
 }
+
+// TestDrainIsAcknowledgedAfterUnansweredStarts guards against a start later than drainBound after the acknowledgement of a drain: an instance
+// that is frozen executes an order when it thaws, at any time before the deadline of the order.
+func TestDrainIsAcknowledgedAfterUnansweredStarts(t *testing.T) {
+	s := startResumption(t)
+	s.waitFor("a report", func() bool { s.fleet.mutex.Lock(); defer s.fleet.mutex.Unlock(); return s.fleet.polled > 0 })
+	s.fleet.mutex.Lock()
+	s.fleet.frozen = true
+	s.fleet.mutex.Unlock()
+	before := time.Now()
+	s.submit(submission(jobID, "/q/"))
+	s.waitFor("the start", func() bool { s.fleet.mutex.Lock(); defer s.fleet.mutex.Unlock(); return s.fleet.ordered > 0 })
+	ordered := time.Now()
+	s.changeDrain(forwarder.DrainDataCentre, "a")
+	latestStart := s.options.Lease
+	assert.Assert(t, time.Since(before) >= latestStart-drainBound, "acknowledged %s after the order, which may be executed for %s", time.Since(before), latestStart)
+	assert.Assert(t, time.Since(ordered) < 900*time.Millisecond, "acknowledged after %s", time.Since(ordered))
+	repeated := time.Now()
+	s.changeDrain(forwarder.DrainDataCentre, "a")
+	assert.Assert(t, time.Since(repeated) < 300*time.Millisecond, "a repeated request waits for nothing")
+}
--- a/internal/supervisor/lapse_test.go
+++ b/internal/supervisor/lapse_test.go
@@ -169,12 +169,17 @@
 	ordered  int
 	polled   int
 	advised  int
+	// frozen is set while the instance answers nothing.
+	frozen bool
 }
 
 func (f *responsiveFleet) Order(_ context.Context, o scheduler.Order) (scheduler.Outcome, error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.ordered++
+	if f.frozen {
+		return scheduler.Uncertain, nil
+	}
 	f.running = slices.DeleteFunc(f.running, func(r scheduler.ReportedRun) bool { return r.Task == o.Task && r.Run == o.Run })
 	if o.Kind == scheduler.Start {
 		f.running = append(f.running, scheduler.ReportedRun{Task: o.Task, Run: o.Run, Percent: 100})
@@ -187,6 +192,9 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.polled++
+	if f.frozen {
+		return scheduler.StatusReport{}, scheduler.Uncertain, nil
+	}
 	return scheduler.StatusReport{Boot: f.boot, Clock: time.Since(f.bootedAt), Running: slices.Clone(f.running)}, scheduler.Accepted, nil
 }
 
--- a/internal/supervisor/resumption_test.go
+++ b/internal/supervisor/resumption_test.go
@@ -43,7 +43,7 @@
 	_, errs := s.replica.CommitAll(t.Context(), []state.Command{state.PublishCatalogue{Source: []byte("x"), Catalogue: routedCatalogue(1, "other")}})
 	assert.NilError(t, errs[0])
 	s.Supervisor = Start(Options{
-		Entry: "k", Replica: s.replica, Instances: s.fleet, Machines: s.fleet, Lease: 5 * time.Second, JobRetention: time.Minute, DataCentres: []fleet.DataCentreID{"configured"},
+		Entry: "k", Replica: s.replica, Instances: s.fleet, Machines: s.fleet, Lease: 5400 * time.Millisecond, JobRetention: time.Minute, DataCentres: []fleet.DataCentreID{"configured"},
 		Logger: zap.NewNop(), Metrics: metrics.NewRegistry(),
 	})
 	t.Cleanup(func() {
