Bound the part of a customer in the variance within steps

Cause: how far the tasks of a step differ is learned for all customers together, without the bound on the part of one customer. A customer whose tasks differ a millionfold made what finished tasks of a step show worthless for everybody: 2.7 s expected after four tasks of 3 s became 1.3 s, and the median for all of 16 tasks rose from 2.8 to 3.7 s.

Change: a run counts there, and in the factor of runs away from their data, with the weight to which the root level admits its customer, and as at most two standard deviations of what is first assumed.

Result: TestTasksOfOneCustomerThatDiffer fails before and passes; the tests of accuracy pass.

--- a/internal/forecaster/change_test.go
+++ b/internal/forecaster/change_test.go
@@ -80,3 +80,39 @@
 		})
 	}
 }
+
+// TestTasksOfOneCustomerThatDiffer guards against a customer whose tasks of a step differ a millionfold, so that what finished tasks of a step show
+// counts for nothing for the customers of other queues.
+func TestTasksOfOneCustomerThatDiffer(t *testing.T) {
+	f, _ := trained(t)
+	g := newGenerator(7, "q", 0.9)
+	siblings := func() *forecaster.Evidence {
+		var e forecaster.Evidence
+		for range 4 {
+			e.Replace(forecaster.Sample{}, f.Finished(f.Expect(secondTask), "i", false, 3*time.Second))
+		}
+		return &e
+	}
+	before := f.Expect(secondTask)
+	beforeGiven := before.Given(siblings())
+	var odd forecaster.Evidence
+	odd.Replace(forecaster.Sample{}, f.Finished(before, "j", false, time.Second))
+	for i := range 400 {
+		run := forecaster.Run{Actual: time.Millisecond, Tasks: 1, Evidence: &odd, Subject: forecaster.Subject{Queue: "odd", Customer: "odd", Estimate: time.Second}}
+		if i%2 == 0 {
+			run.Actual = 20 * time.Hour
+		}
+		f.Observe(run)
+		if i%4 == 0 {
+			g.observe(f, g.step())
+		}
+	}
+	after := f.Expect(secondTask)
+	for what, pair := range map[string][2]time.Duration{
+		"after other tasks of the step": {beforeGiven.Typical(), after.Given(siblings()).Typical()},
+		"all of 16 tasks":               {before.QuantileOfAll(16, 0.5), after.QuantileOfAll(16, 0.5)},
+	} {
+		ratio := pair[1].Seconds() / pair[0].Seconds()
+		assert.Check(t, ratio > 0.8 && ratio < 1.25, "%s: %s, then %s", what, pair[0], pair[1])
+	}
+}
--- a/internal/forecaster/forecaster.go
+++ b/internal/forecaster/forecaster.go
@@ -127,19 +127,20 @@
 	p := f.pathOf(&r.Subject)
 	before := f.forecast(&p, r.Estimate)
 	weight := 1 / float64(max(1, r.Tasks))
+	shared := weight * f.root.admit(r.Customer, weight)
 	y := f.normal(logOf(r.Actual), r.Instance, r.Remote)
 	if r.Evidence != nil {
-		f.observeWithin(y, r.Evidence, weight)
+		f.observeWithin(y, r.Evidence, shared)
 	}
 	f.observeInstance(&r, before, weight)
 	if r.Remote {
-		f.observeRemote(&r, before, weight)
+		f.observeRemote(&r, before, shared)
 	}
 	if queue := p[depthQueue]; queue.accuracy == nil {
 		queue.accuracy = &accuracy{}
 	}
 	p[depthQueue].accuracy.record(math.Abs(y-before.mean), math.Abs(y-logOf(estimateOr(r.Estimate))), weight)
-	f.learn(&p, &r, y, weight)
+	f.learn(&p, &r, y, weight, shared)
 	f.unsaved += weight
 }
 
@@ -162,13 +163,17 @@
 	return p
 }
 
-// learn updates each level of a path with a run, against the belief that the levels above it give.
-func (f *Forecaster) learn(p *path, r *Run, y, weight float64) {
+// learn updates each level of a path with a run, against the belief that the levels above it give. shared is the weight of the run in what
+// all customers share.
+func (f *Forecaster) learn(p *path, r *Run, y, weight, shared float64) {
 	hasEstimate := r.Estimate > 0
 	x := logOf(r.Estimate)
 	given, plain := priorBelief(true), priorBelief(false)
 	for depth, l := range p {
-		w := weight * l.admit(r.Customer, weight)
+		w := shared
+		if depth > depthRoot {
+			w = weight * l.admit(r.Customer, weight)
+		}
 		nextGiven, nextPlain := l.refine(given, true), l.refine(plain, false)
 		if hasEstimate {
 			w *= l.classify(nextGiven, y-nextGiven.at(x), w)
@@ -193,7 +198,7 @@
 	}
 	d := y - others.mean()
 	square := d * d * n / (n + 1)
-	f.within.add(min(square, 9*f.within.value), weight)
+	f.within.add(min(square, 9*f.within.value, maxWithinSample), weight)
 	f.within.value = max(f.within.value, minWithin)
 }
 
--- a/internal/forecaster/level.go
+++ b/internal/forecaster/level.go
@@ -59,12 +59,15 @@
 	priorWithinWeight  = 20
 	withinWindow       = 200
 	minWithin          = 0.0025
-	priorRemote        = 0.9 // away from its data a task takes two to three times as long
-	priorRemoteWeight  = 5
-	remoteWindow       = 100
-	maxRemote          = 3
-	priorSibling       = 1.0 // the steps of a job may be estimated each by itself
-	maxSibling         = 4
+	// maxWithinSample is two standard deviations of the tasks of a step. With a fifth of the weight, the customer with the greatest differences
+	// leaves the variance below that between steps.
+	maxWithinSample   = 4 * priorWithin
+	priorRemote       = 0.9 // away from its data a task takes two to three times as long
+	priorRemoteWeight = 5
+	remoteWindow      = 100
+	maxRemote         = 3
+	priorSibling      = 1.0 // the steps of a job may be estimated each by itself
+	maxSibling        = 4
 )
 
 // Strengths, in samples, with which a level is shrunk towards the one before, and variance of the logarithm of estimates
