Log each drain that a request has made

Cause: the event was written if the change was new to the loop, which also reads the committed drains every 2 s. If it did so between the commit and its callback, nobody logged the drain.

Change: the callback compares with what was logged in the term.

Result: TestDrainIsLoggedOnce fails before (no event) and passes.

--- a/internal/supervisor/drains.go
+++ b/internal/supervisor/drains.go
@@ -128,16 +128,16 @@
 
 // applyDrain passes the committed drains to the scheduler and logs the change that a request has made.
 func (t *term) applyDrain(request forwarder.Request) {
-	before := t.isDrained(request.DataCentre)
 	var index uint64
 	t.options.Replica.View(func(s *state.State) {
 		t.refreshDrains(s)
 		index = s.DrainRevisions[request.DataCentre]
 	})
 	after := t.isDrained(request.DataCentre)
-	if before == after {
+	if t.loggedDrains[request.DataCentre] == after {
 		return
 	}
+	t.loggedDrains[request.DataCentre] = after
 	changed := event.DataCentreResumed
 	if after {
 		changed = event.DataCentreDrained
--- a/internal/supervisor/drains_test.go
+++ b/internal/supervisor/drains_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphiresail/sapphiresail/internal/drainer"
@@ -217,3 +219,18 @@
 	s.changeDrain(forwarder.DrainDataCentre, "a")
 	assert.Assert(t, time.Since(repeated) < 300*time.Millisecond, "a repeated request waits for nothing")
 }
+
+// TestDrainIsLoggedOnce guards against a drain that operators do not see in the log because the loop had read it from the committed state before
+// the callback of its commit ran, and against a repeated request that is logged.
+func TestDrainIsLoggedOnce(t *testing.T) {
+	s := startLapsedSession(t)
+	core, logs := observer.New(zap.InfoLevel)
+	s.options.Logger = zap.New(core)
+	for range 2 {
+		s.replica.commit(t, state.DrainDataCentre{DataCentre: "a"})
+		s.replica.View(func(committed *state.State) { s.refreshDrains(committed) })
+		s.applyDrain(drainRequest(forwarder.DrainDataCentre, "a", 0))
+	}
+	assert.Equal(t, logs.Len(), 1)
+	assert.Equal(t, logs.All()[0].ContextMap()["by"], "operator")
+}
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,6 +55,7 @@
 	pausedAt             time.Duration // zero while the lease is held
 	lastRelease          time.Duration
 	drainsRestatedAt     time.Duration
+	loggedDrains         map[fleet.DataCentreID]bool // those of the start of the term and of the changes that were logged since
 	lastPollCheck        time.Duration
 	// postsWithoutPlan counts the functions of a batch after which the scheduler need not run.
 	postsWithoutPlan   int
@@ -78,7 +80,7 @@
 }
 
 func newTerm(ctx context.Context, o *Options, m *instruments, number uint64) *term {
-	t := &term{options: o, instruments: m, number: number, inbox: make(chan func(), inboxCapacity), firstPolls: make(chan struct{}, maxFirstPolls), jobQueue: newJobQueue(defaultJobLimits), dispatchers: map[fleet.InstanceID]*dispatcher{}, pollPacer: pollPacer{limits: defaultPollLimits}}
+	t := &term{options: o, instruments: m, number: number, inbox: make(chan func(), inboxCapacity), firstPolls: make(chan struct{}, maxFirstPolls), jobQueue: newJobQueue(defaultJobLimits), dispatchers: map[fleet.InstanceID]*dispatcher{}, loggedDrains: map[fleet.DataCentreID]bool{}, pollPacer: pollPacer{limits: defaultPollLimits}}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	return t
 }
@@ -159,6 +161,7 @@
 	jobs, instances, forecastBytes := 0, 0, 0
 	t.options.Replica.View(func(s *state.State) {
 		drained := t.readDrains(s)
+		maps.Copy(t.loggedDrains, drained)
 		t.scheduler = scheduler.New(now, wallMillis(), scheduler.Options{
 			Fence: t.number, LeaseDuration: t.options.Lease, LeadingSince: now, MachineOrderRate: t.options.MachineOrderRate, DrainedDataCentres: drained,
 		}, &s.Workload)
