Bound the machines whose data centre is committed

Change: beyond 16,384 machines, or twice the enrolled instances, those without an instance are forgotten. One on standby is then in no known data centre, as one that was on standby ever since the deployment began.

Result: TestLocationsOfMachinesAreBounded fails before (32,779 machines) and passes.

--- a/internal/state/drains.go
+++ b/internal/state/drains.go
@@ -103,3 +103,21 @@
 	}
 	return false
 }
+
+// maxMachineDataCentres bounds the machines whose data centre is known: five times a fleet of three thousand, for machines on standby. In a larger
+// fleet the bound is twice the number of instances.
+const maxMachineDataCentres = 16384
+
+// locateMachine records in which data centre a machine is. Of too many machines those without an instance are forgotten.
+func (w *Workload) locateMachine(machine string, dataCentre fleet.DataCentreID) {
+	w.MachineDataCentres[machine] = dataCentre
+	if len(w.MachineDataCentres) <= max(maxMachineDataCentres, 2*len(w.Enrolled)) {
+		return
+	}
+	clear(w.MachineDataCentres)
+	for _, in := range w.Enrolled {
+		if in.Machine != "" && in.DataCentre != "" {
+			w.MachineDataCentres[in.Machine] = in.DataCentre
+		}
+	}
+}
--- a/internal/state/drains_test.go
+++ b/internal/state/drains_test.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -164,3 +165,18 @@
 	s.ApplyCommand(3, DeregisterInstances{Instances: []fleet.InstanceID{"i"}})
 	assert.Assert(t, s.HasDataCentre("a"), "a resumption was accepted")
 }
+
+// TestLocationsOfMachinesAreBounded guards against a committed state, and snapshots, that grow with each machine that there ever was, as where
+// machines get a new name at each start. Those with an instance are kept.
+func TestLocationsOfMachinesAreBounded(t *testing.T) {
+	s := New()
+	s.ApplyCommand(1, EnrolInstance{Instance: workload.Instance{ID: "kept", Machine: "kept", DataCentre: "a"}})
+	for i := range uint64(2*maxMachineDataCentres + 10) {
+		machine := fmt.Sprint("m-", i)
+		s.ApplyCommand(2*i+2, EnrolInstance{Instance: workload.Instance{ID: "i", Machine: machine, DataCentre: "b"}})
+		s.ApplyCommand(2*i+3, DeregisterInstances{Instances: []fleet.InstanceID{"i"}})
+		assert.Equal(t, s.Workload.MachineDataCentres[machine], fleet.DataCentreID("b"))
+	}
+	assert.Assert(t, len(s.Workload.MachineDataCentres) <= maxMachineDataCentres, "%d", len(s.Workload.MachineDataCentres))
+	assert.Equal(t, s.Workload.MachineDataCentres["kept"], fleet.DataCentreID("a"))
+}
--- a/internal/state/jobs.go
+++ b/internal/state/jobs.go
@@ -243,7 +243,7 @@
 func (c EnrolInstance) apply(s *State) (Reply, error) {
 	s.Workload.Enrolled[c.Instance.ID] = c.Instance
 	if c.Instance.Machine != "" && c.Instance.DataCentre != "" {
-		s.Workload.MachineDataCentres[c.Instance.Machine] = c.Instance.DataCentre
+		s.Workload.locateMachine(c.Instance.Machine, c.Instance.DataCentre)
 	}
 	if !c.KeepsCordon {
 		delete(s.Workload.Cordoned, c.Instance.ID)
