Start a gang anew if a part of it was held back because of a drain

Cause: a gang over several data centres of which one is drained while its orders wait was started in part. The other members held their capacity, the missing one waited for them, and the gang never ran.

Change: the members that were started are stopped, and the gang starts as a whole once they have ended.

Result: TestWithheldPartOfGangIsRepeated fails before (one of two tasks runs after 3 s) and passes. The outcomes rejected, unhealthy, unsent and unpolled of a part of a gang are handled as before.

--- a/internal/scheduler/drained_test.go
+++ b/internal/scheduler/drained_test.go
@@ -291,3 +291,32 @@
 		})
 	}
 }
+
+// TestWithheldPartOfGangIsRepeated guards against a gang that waits for ever for the part that was held back because of a drain, while the other
+// part runs in another data centre.
+func TestWithheldPartOfGangIsRepeated(t *testing.T) {
+	f := newTestFleet(t)
+	f.taskTime = time.Minute
+	f.addInstanceIn("a", "a1")
+	f.addInstanceIn("b", "b1")
+	f.advance(time.Second)
+	gang := f.submitJob(workload.Step{Count: 2, Resources: workload.Resources{Processors: 60000}, Gang: true, Estimate: time.Minute})
+	f.now += 100 * time.Millisecond
+	f.pollAll()
+	f.scheduler.Tick(f.now, f.now.Milliseconds())
+	orders := f.scheduler.TakeOrders()
+	assert.Equal(t, len(orders), 2)
+	f.drain("a")
+	for _, o := range orders {
+		if o.DataCentre == "a" {
+			f.scheduler.HandleOrderOutcome(f.now, o, scheduler.Withheld)
+			continue
+		}
+		f.executeOrder(o)
+	}
+	f.addInstanceIn("b", "b2")
+	f.advance(3 * time.Second)
+	assert.Equal(t, len(f.placements(gang)), 2, "%v", f.placements(gang))
+	assert.Equal(t, f.startsOn("i-a1"), 0)
+	assert.Assert(t, f.instancesOf(gang)["i-b1"] && f.instancesOf(gang)["i-b2"], "%v", f.instancesOf(gang))
+}
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -108,3 +108,16 @@
 	}
 	return assigned
 }
+
+// stopGang stops the other members of the gang of a run that was not started. They work only together, and the gang starts anew once none of
+// them runs.
+func (s *Scheduler) stopGang(r *run, reason string) {
+	if !r.job.step(r.task.Position).Gang {
+		return
+	}
+	for _, p := range r.job.gangPositions(r.task.Position) {
+		if t := r.job.task(p); t.run != nil && t.run.number == r.number {
+			s.stopRun(t.instance, t.run, reason)
+		}
+	}
+}
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -101,6 +101,7 @@
 	case Withheld:
 		s.logRunDecision("run unsent", r, in, "data centre is drained")
 		s.detachRun(in, r)
+		s.stopGang(r, "a part of the gang was not started")
 	case Unpolled:
 		s.logRunDecision("run unsent", r, in, "instance is not polled")
 		s.detachRun(in, r)
