--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -45,8 +45,9 @@
 	// reportedAt is the clock of the instance in the latest report.
 	reportedAt time.Duration
 	// reportReceivedAt and previousReportAt are when the last two reports arrived. reportHeld is set if the instance held the latest until
-	// it had something to report.
+	// it had something to report. reportDelay is how much longer it took to arrive than the one before.
 	reportReceivedAt, previousReportAt time.Duration
+	reportDelay                        time.Duration
 	reportHeld                         bool
 	// maxDeadlineSent is the latest lease deadline in any order or poll sent to the instance.
 	maxDeadlineSent time.Duration
@@ -152,7 +153,7 @@
 	suspicion suspicion
 	// account includes the run's claim; it is nil for service tasks.
 	account *account
-	// measured is set for a full run of the task that this leader has started.
+	// measured is set for a full run of the task that this leader has started on an instance at its full speed.
 	measured bool
 	// startedAt is when the run was started, within startDoubt; zero while it is not known.
 	startedAt, startDoubt time.Duration
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -34,7 +34,7 @@
 	r.claim = j.step(r.task.Position).Claim()
 	r.orderedAt = s.now
 	r.throttlePercent = 100
-	r.measured = t.checkpoint == ""
+	r.measured = t.checkpoint == "" && !in.warmingUp(s.now)
 	s.attachRun(in, r)
 	s.orders = append(s.orders, Order{
 		Kind: Start, Instance: in.ID, Address: in.Address, Task: r.task, Run: r.number, Spec: j.Spec, Checkpoint: t.checkpoint,
@@ -101,6 +101,7 @@
 	case Withheld:
 		s.logRunDecision("run unsent", r, in, "data centre is drained")
 		s.detachRun(in, r)
+		s.stopGang(r, "a part of the gang was not started")
 	case Unpolled:
 		s.logRunDecision("run unsent", r, in, "instance is not polled")
 		s.detachRun(in, r)
