Measure the backlog of the pools and examine jobs against it

The scheduler gives the admitter what it knows: work that may run now at a standard deviation below its expected time, and the processors of all machines that may move to a pool. The reasons of waiting tasks name the backlog.

--- /dev/null
+++ b/internal/scheduler/backlog_test.go
@@ -0,0 +1,129 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/scheduler"
+	"github.com/sapphiresail/sapphiresail/internal/workload"
+)
+
+// admittingFleet is a large fleet of which the leader examines jobs. Run times have been learned.
+type admittingFleet struct {
+	*largeFleet
+	backlog           *scheduler.Backlog
+	measuredAt        time.Duration
+	accepted, refused int
+}
+
+// counterStep is one of which the whole fleet does 272 jobs of 10 tasks a second.
+var counterStep = workload.Step{Count: 10, Resources: workload.Resources{Processors: 4100, Memory: 7500}, Estimate: time.Second}
+
+func newAdmittingFleet() *admittingFleet {
+	f := &admittingFleet{largeFleet: newLargeFleet(1, 0)}
+	f.runFor(200*time.Millisecond, 0)
+	f.runFor(2*time.Second, 40)
+	f.runFor(3*time.Second, 0)
+	return f
+}
+
+// runFor runs the fleet for a time, in which jobs arrive at a rate.
+func (f *admittingFleet) runFor(d time.Duration, jobsPerSecond float64) {
+	due := 0.0
+	f.workload = func(time.Duration) {
+		for due += jobsPerSecond * largeFleetStep.Seconds(); due >= 1; due-- {
+			f.handIn("counter", customerName((f.accepted+f.refused)%20), workload.Job{Steps: []workload.Step{counterStep}})
+		}
+	}
+	for end := f.now + d; f.now < end; {
+		f.advance()
+		if f.now-f.measuredAt >= 250*time.Millisecond {
+			f.backlog, f.measuredAt = f.scheduler.MeasureBacklog(), f.now
+		}
+	}
+}
+
+// handIn examines a job, and submits it if it is accepted.
+func (f *admittingFleet) handIn(queue fleet.QueueID, customer fleet.CustomerID, job workload.Job) bool {
+	if f.scheduler.Admit(f.now, f.backlog, &job, queue, customer).Refused {
+		f.refused++
+		return false
+	}
+	f.accepted++
+	f.submit(queue, customer, job.Steps...)
+	return true
+}
+
+// TestBurstOfTwiceTheCapacity guards against refusals in a burst that ends before the jobs are worth nothing. Load: for 4 s, jobs of one pool
+// for twice the capacity of the whole fleet.
+func TestBurstOfTwiceTheCapacity(t *testing.T) {
+	f := newAdmittingFleet()
+	f.runFor(4*time.Second, 2*272)
+	assert.Equal(t, f.refused, 0, "of %d", f.accepted)
+	assert.Assert(t, f.accepted > 2000, "%d", f.accepted)
+}
+
+// TestReturnAfterOutage guards against jobs that are accepted although more work waits than can be done before it is worth nothing, and
+// against refusals once that is over. Load: no instance answers for 2 s, and then 6,000 jobs arrive within 0.2 s, for which the fleet needs 22 s.
+func TestReturnAfterOutage(t *testing.T) {
+	f := newAdmittingFleet()
+	cut := func(cut bool) {
+		for _, in := range f.instances {
+			in.cut = cut
+		}
+	}
+	cut(true)
+	f.runFor(2*time.Second, 0)
+	cut(false)
+	before := f.accepted
+	f.runFor(200*time.Millisecond, 30000)
+	t.Logf("%d of %d accepted", f.accepted-before, f.accepted-before+f.refused)
+	assert.Assert(t, f.refused > 500, "%d refused", f.refused)
+	assert.Assert(t, f.accepted-before > 1600, "%d accepted: the fleet does 1,520 before they are worth nothing", f.accepted-before)
+	for name, job := range map[string]workload.Job{
+		"service":     {Steps: []workload.Step{{Count: 1, Resources: workload.Resources{Processors: 1000}, Service: true}}},
+		"best effort": {Steps: []workload.Step{{Count: 1, Resources: workload.Resources{Processors: 1000}, BestEffort: true}}},
+		"scheduled":   {Steps: []workload.Step{counterStep}, Repetitions: 1, FirstDueMillis: 1},
+		"too large":   {Steps: []workload.Step{{Count: 1, Resources: workload.Resources{Processors: 33000}}}},
+		"no label":    {Steps: []workload.Step{{Count: 1, Resources: workload.Resources{Processors: 1000}, RequiredLabel: "none"}}},
+	} {
+		assert.Assert(t, !f.scheduler.Admit(f.now, f.backlog, &job, "counter", customerName(0)).Refused, name)
+	}
+	f.refused = 0
+	f.runFor(3*time.Second, 5)
+	assert.Equal(t, f.refused, 0, "seconds after the return of the callers")
+}
+
+// TestBacklogOfNewLeader guards against refusals by a leader that does not know yet what runs, or which machines its pools can get.
+func TestBacklogOfNewLeader(t *testing.T) {
+	f := newTestFleet(t)
+	f.addInstance("a", "p")
+	f.advance(time.Second)
+	assert.Assert(t, f.scheduler.MeasureBacklog() == nil, "the machines are not listed")
+	f.scheduler.SetMachines([]scheduler.Machine{{Name: "m-a", Pool: "p", Available: true}, {Name: "m-b", Pool: "off", Available: true}})
+	assert.Equal(t, f.scheduler.MeasureBacklog().Pool("p").Processors(), 128.0)
+	assert.Equal(t, f.scheduler.MeasureBacklog().Pool("o").Processors(), 128.0)
+	f.startLeader()
+	f.scheduler.SetMachines([]scheduler.Machine{{Name: "m-a", Pool: "p", Available: true}})
+	assert.Assert(t, f.scheduler.MeasureBacklog() == nil, "the runs of the earlier leader are not known")
+}
+
+// TestBacklogExplainsWaiting guards against waiting tasks that do not name the work by which new jobs are refused.
+func TestBacklogExplainsWaiting(t *testing.T) {
+	f := newTestFleet(t)
+	f.addInstance("a", "p")
+	f.advance(time.Second)
+	f.scheduler.SetMachines([]scheduler.Machine{{Name: "m-a", Pool: "p", Available: true}})
+	for range 10 {
+		f.submitJob(workload.Step{Count: 20, Resources: workload.Resources{Processors: 4000}, Estimate: time.Second})
+	}
+	f.advance(4 * time.Second)
+	f.scheduler.MeasureBacklog()
+	list, _ := f.scheduler.ExplainWaiting(f.now, 1)
+	assert.Equal(t, len(list), 1)
+	assert.Assert(t, cmp.Contains(list[0].Reason, "processor-seconds on at most 64 processors"))
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -194,6 +194,8 @@
 	forecastError error
 	// forecastTakenAt is when a summary of run times was due last.
 	forecastTakenAt time.Duration
+	// backlog is the one that was measured last, nil if none is.
+	backlog *Backlog
 }
 
 // Decision is one decision for the log.
--- a/internal/scheduler/waiting.go
+++ b/internal/scheduler/waiting.go
@@ -156,7 +156,7 @@
 		Task: workload.TaskID{Job: j.ID, Position: p}, Class: s.classOf(j, c.stage).String(), Waited: s.now - w.since, Inherited: j.inherited, Tasks: w.tasks,
 		Pool: j.pool, Free: pool.free, Total: pool.total,
 	}
-	explained.Reason = s.reasonForWaiting(c, p, pool)
+	explained.Reason = s.reasonForWaiting(c, p, pool) + s.describeBacklog(j.pool)
 	return explained
 }
 
@@ -258,6 +258,15 @@
 		what, step.Claim(), len(pool.schedulable), admitting, full, unlabelled, atMax, noTicket, pool.describeOthers())
 }
 
+// describeBacklog describes the work of a pool in which new jobs may be refused.
+func (s *Scheduler) describeBacklog(pool fleet.PoolID) string {
+	p := s.backlog.Pool(pool)
+	if p == nil {
+		return ""
+	}
+	return fmt.Sprintf("; backlog: %.0f processor-seconds on at most %.0f processors", p.Total(), p.Processors())
+}
+
 // poolSummary is the capacity of the schedulable instances of a pool, and why others are not schedulable.
 type poolSummary struct {
 	schedulable []*instance
