Refuse jobs that can certainly not be complete while they are worth anything

Callers waited for the end of jobs that nothing could finish. With refuse-hopeless-jobs in the settings, off by default, the leader refuses them before the commit, with 503, Retry-After, event 416 and a counter by queue. Jobs that were accepted before, have times of their own or do not end by themselves are not refused; without overload nothing is examined.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -84,6 +84,7 @@
 	JobFailed              = define(413, "job failed", "job")
 	JobCompleted           = define(414, "job completed", "job", "took")
 	JobsMismatched         = define(415, "jobs mismatched", "term", "what", "count", "jobs")
+	JobHopeless            = define(416, "job hopeless", "job", "queue", "customer", "pool", "ahead", "possible", "retry-after")
 	DecisionMade           = define(420, "scheduling decision made", "what", "task", "run", "instance", "machine", "reason")
 	OrderCompleted         = define(421, "order completed", "order", "task", "run", "instance", "outcome", "took", "error")
 	PollFailed             = define(422, "poll failed", "instance", "outcome", "error")
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -160,7 +160,7 @@
 	p.supervisor = supervisor.Start(supervisor.Options{
 		Entry: p.entryID(), Replica: p.replicator, Instances: dispatcher, Machines: client, Adviser: client,
 		Lease: time.Duration(leaseShare * float64(p.settings.Lease())), JobRetention: jobRetention, MachineOrderRate: p.settings.MachineOrderRate, DataCentres: p.settings.DataCentres,
-		Logger: p.logger, Metrics: registry,
+		RefuseHopelessJobs: p.settings.RefuseHopelessJobs, Logger: p.logger, Metrics: registry,
 	})
 	p.closers = append(p.closers, p.supervisor)
 	p.messenger.Handle(forwarder.TopicCall, p.handleRequest)
--- a/internal/settings/deployment.go
+++ b/internal/settings/deployment.go
@@ -42,6 +42,8 @@
 	PlatformAddress string  `json:"platform-address,omitempty"`
 	// MachineOrderRate is how many machine orders a second the platform accepts from all keepers together.
 	MachineOrderRate float64 `json:"machine-order-rate,omitempty"`
+	// RefuseHopelessJobs has the leader refuse batch jobs that can certainly not be complete while they are worth anything.
+	RefuseHopelessJobs bool `json:"refuse-hopeless-jobs,omitempty"`
 	// PolicyAddress is the address of the policy service, which returns the instances that may run the steps of queues with advice.
 	PolicyAddress string `json:"policy-address,omitempty"`
 	// FleetKey is the shared secret, in hex, with which the processes of the deployment authenticate each other.
--- a/internal/settings/deployment_test.go
+++ b/internal/settings/deployment_test.go
@@ -40,6 +40,10 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, d.SeedEntries(), []fleet.EntryID{"10.1.0.26", "10.2.0.17"})
 	assert.Equal(t, d.Lease().Seconds(), 6.0)
+	assert.Assert(t, !d.RefuseHopelessJobs)
+	d, err = loadText(t, validDeployment+"refuse-hopeless-jobs: true\n")
+	assert.NilError(t, err)
+	assert.Assert(t, d.RefuseHopelessJobs)
 }
 
 // TestInvalidDeploymentNamesKey makes one setting at a time invalid and checks that the error names the key and the file.
@@ -50,6 +54,8 @@
 		{`voters: 5`, `voters: 0`, "voters"},
 		{`voters: 5`, "voters: 5\ndata-centres: [\"a\", \"a\"]", "data-centres[1]"},
 		{`voters: 5`, "voters: 5\ndata-centres: [\"\"]", "data-centres[0]"},
+		{`voters: 5`, "voters: 5\nrefuse-hopeless-jobs: perhaps", "refuse-hopeless-jobs"},
+		{`voters: 5`, "voters: 5\nrefuse-hopeless-job: true", "refuse-hopeless-job"},
 		{`maximum-lease: 6000`, `maximum-lease: 0`, "maximum-lease"},
 		{`"10.2.0.17:8345"]`, `"nowhere"]`, "seeds[1]"},
 		{`grace: 6`, `graze: 6`, "graze"},
--- a/internal/supervisor/instruments.go
+++ b/internal/supervisor/instruments.go
@@ -35,7 +35,9 @@
 	// forecastErrors are the gauges of the queues that this process has had forecasts for.
 	forecastErrors                       map[fleet.QueueID]forecastGauges
 	forecastsCommitted, forecastsIgnored metrics.Counter
-	registry                             metrics.Registry
+	// hopelessJobs are the counters of the queues of which this process has refused jobs.
+	hopelessJobs map[fleet.QueueID]metrics.Counter
+	registry     metrics.Registry
 }
 
 func newInstruments(r metrics.Registry) *instruments {
@@ -59,6 +61,7 @@
 		waveDuration:   metrics.GetOrRegisterTimer("wave", r),
 		drained:        metrics.GetOrRegisterGauge("data-centres-drained", r),
 		mismatches:     map[mismatch]metrics.Gauge{},
+		hopelessJobs:   map[fleet.QueueID]metrics.Counter{},
 		slowInstances:  metrics.GetOrRegisterGauge("instances-slow", r),
 		forecastErrors: map[fleet.QueueID]forecastGauges{}, forecastsCommitted: metrics.GetOrRegisterCounter("forecasts-committed", r),
 		forecastsIgnored:     metrics.GetOrRegisterCounter("forecasts-ignored", r),
@@ -88,7 +91,7 @@
 // forecastGauges are the median errors of the forecasts for a queue and of the estimates of its callers.
 type forecastGauges struct{ forecast, estimate metrics.GaugeFloat64 }
 
-// maxForecastGauges bounds the number of queues with gauges, since a process keeps them.
+// maxForecastGauges bounds the number of queues with gauges, since a process keeps them, and with counters of hopeless jobs.
 const maxForecastGauges = 256
 
 // updateForecast sets the gauges of forecasts; those of queues without an accuracy are set to zero.
@@ -114,6 +117,19 @@
 	}
 }
 
+// countHopelessJob counts a job of a queue that was refused for want of capacity.
+func (m *instruments) countHopelessJob(queue fleet.QueueID) {
+	c, ok := m.hopelessJobs[queue]
+	if !ok {
+		if len(m.hopelessJobs) >= maxForecastGauges {
+			return
+		}
+		c = metrics.GetOrRegisterCounter("jobs-hopeless."+string(queue), m.registry)
+		m.hopelessJobs[queue] = c
+	}
+	c.Inc(1)
+}
+
 // countDecision counts a scheduling decision by its kind.
 func (m *instruments) countDecision(kind string) {
 	metrics.GetOrRegisterCounter("decisions."+kind, m.registry).Inc(1)
--- a/internal/supervisor/pending_jobs.go
+++ b/internal/supervisor/pending_jobs.go
@@ -136,7 +136,11 @@
 
 // acceptJob commits a job with others and waits for the outcome.
 func (t *term) acceptJob(ctx context.Context, command state.SubmitJob, version uint64) forwarder.Response {
-	p := t.jobQueue.add(command, version)
+	return t.awaitCommit(ctx, t.jobQueue.add(command, version))
+}
+
+// awaitCommit waits for the outcome of a job that was added to the queue.
+func (t *term) awaitCommit(ctx context.Context, p *pendingJob) forwarder.Response {
 	defer func() { t.jobQueue.leave(monotonicNow(), p) }()
 	t.commitJobs()
 	select {
--- a/internal/supervisor/requests.go
+++ b/internal/supervisor/requests.go
@@ -137,6 +137,9 @@
 		return forwarder.Response{Outcome: forwarder.Done}
 	}
 	command := state.SubmitJob{Job: *request.Job, Queue: queue.Name, Customer: customer.Name, At: state.Timestamp(wallMillis())}
+	if t.mayBeHopeless(&queue) {
+		return t.examineJob(ctx, command, queue.Pool, version)
+	}
 	return t.acceptJob(ctx, command, version)
 }
 
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -67,6 +67,8 @@
 	MachineOrderRate float64
 	// DataCentres are those that the settings name; requests may also name those of instances.
 	DataCentres []fleet.DataCentreID
+	// RefuseHopelessJobs has jobs refused that can certainly not be complete while they are worth anything.
+	RefuseHopelessJobs bool
 	// JobRetention is how long the record of a job is kept after its end.
 	JobRetention time.Duration
 	Logger       *zap.Logger
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -64,6 +64,7 @@
 	committingForecast bool
 	planPacer          planPacer
 	pollPacer          pollPacer
+	admission          admission
 
 	// drained holds the data centres in which nothing may be started. The loop replaces the map; senders of orders read it.
 	drained atomic.Pointer[map[fleet.DataCentreID]bool]
@@ -272,6 +273,7 @@
 func (t *term) runScheduler() {
 	now := monotonicNow()
 	t.scheduler.Tick(now, wallMillis())
+	t.measureBacklog(now)
 	t.startPolls(now)
 	for _, o := range t.scheduler.TakeOrders() {
 		t.dispatch(o)
