--- a/internal/commander/operator.go
+++ b/internal/commander/operator.go
@@ -203,12 +203,3 @@
 func (c *Commander) statusCommand() *cobra.Command {
 	return &cobra.Command{Use: "status", Short: "Show the status of an entry and of the group of keepers.", Args: cobra.NoArgs, RunE: c.runGet("/v1/status")}
 }
-
-func (c *Commander) explainCommand() *cobra.Command {
-	return &cobra.Command{
-		Use: "explain ID", Short: "Show the decisions about a request, instance, customer or pool and their reasons.", Args: cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			return c.send(cmd.Context(), http.MethodGet, "/v1/decisions?subject="+url.QueryEscape(args[0]), nil)
-		},
-	}
-}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -63,6 +63,8 @@
 	InspectDataCentre
 	// AnnounceBatch passes announcements on that a keeper has collected and acknowledged. A leader of an earlier version answers Invalid.
 	AnnounceBatch
+	// ExplainPlacement asks where the tasks of a job would be placed now. It changes nothing.
+	ExplainPlacement
 	// OperationCount is one more than the highest operation.
 	OperationCount
 )
@@ -70,7 +72,7 @@
 // String returns the name that logs use.
 func (o Operation) String() string {
 	return namer.Name(o, "none", "submit", "cancel", "inspect", "count", "announce", "depart", "publish", "fetch", "open-wave", "inspect-wave",
-		"drain-data-centre", "resume-data-centre", "inspect-data-centre", "announce-batch")
+		"drain-data-centre", "resume-data-centre", "inspect-data-centre", "announce-batch", "explain-placement")
 }
 
 // Outcome is the outcome of a call.
@@ -99,12 +101,13 @@
 
 // Response is the response of a keeper to a call.
 type Response struct {
-	Outcome  Outcome        `cbor:"1,keyasint"`
-	Phase    workload.Phase `cbor:"2,keyasint,omitempty"`
-	Pending  int            `cbor:"3,keyasint,omitempty"`
-	Source   []byte         `cbor:"4,keyasint,omitempty"`
-	Detail   string         `cbor:"5,keyasint,omitempty"`
-	Finished bool           `cbor:"6,keyasint,omitempty"`
+	Outcome Outcome        `cbor:"1,keyasint"`
+	Phase   workload.Phase `cbor:"2,keyasint,omitempty"`
+	Pending int            `cbor:"3,keyasint,omitempty"`
+	// Source is the catalogue as it was sent, or the explanation of a placement in JSON.
+	Source   []byte `cbor:"4,keyasint,omitempty"`
+	Detail   string `cbor:"5,keyasint,omitempty"`
+	Finished bool   `cbor:"6,keyasint,omitempty"`
 	// Leader is the leading keeper, as far as the responding one knows.
 	Leader fleet.EntryID `cbor:"7,keyasint,omitempty"`
 	// RetryAfter is the delay after which a refused caller may retry.
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -27,6 +27,9 @@
 	Inspection *Inspection `cbor:"13,keyasint,omitempty"`
 	// Instances are the announcements of a batch; none of them is draining.
 	Instances []workload.Instance `cbor:"16,keyasint,omitempty"`
+	// Queue and Customer are those of a job whose placement is to be explained without handing it in. Without a queue the job is an accepted one.
+	Queue    fleet.QueueID    `cbor:"17,keyasint,omitempty"`
+	Customer fleet.CustomerID `cbor:"18,keyasint,omitempty"`
 }
 
 // MaxBatch bounds the announcements of one call, which are handled by one function in the event loop of the leader: about 2 ms of
@@ -63,6 +66,8 @@
 		if r.DataCentre == "" {
 			return errors.New("the name of the data centre is missing")
 		}
+	case ExplainPlacement:
+		return r.validateExplained()
 	case CancelJob, InspectJob, CountJobs, FetchCatalogue:
 	default:
 		return fmt.Errorf("unknown operation %d", r.Operation)
@@ -70,6 +75,17 @@
 	return nil
 }
 
+func (r *Request) validateExplained() error {
+	switch {
+	case r.Job == nil, r.Queue == "" && r.Job.ID == "":
+		return errors.New("the job is missing")
+	case r.Queue == "":
+		return nil
+	default:
+		return r.Job.Validate()
+	}
+}
+
 func (r *Request) validateBatch() error {
 	if len(r.Instances) == 0 || len(r.Instances) > MaxBatch {
 		return fmt.Errorf("%d announcements in a batch", len(r.Instances))
--- a/internal/supervisor/requests.go
+++ b/internal/supervisor/requests.go
@@ -50,6 +50,8 @@
 		response = t.changeDrain(ctx, request)
 	case forwarder.InspectDataCentre:
 		response = t.inspectDataCentre(request)
+	case forwarder.ExplainPlacement:
+		response = t.explainPlacement(ctx, request)
 	}
 	return t.confirmLeadership(request.Operation, response)
 }
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -44,6 +44,8 @@
 	// firstPolls has a slot for each instance that is polled for the first time.
 	firstPolls chan struct{}
 	jobQueue   *jobQueue
+	// explaining is set while the placement of a job is being explained.
+	explaining atomic.Bool
 
 	// The fields below are accessed only by the loop.
 	scheduler            *scheduler.Scheduler
