--- a/internal/scheduler/backlog.go
+++ b/internal/scheduler/backlog.go
@@ -197,9 +197,9 @@
 	for i := range handedIn.Steps {
 		step := &handedIn.Steps[i]
 		f := s.forecaster.Expect(forecaster.Subject{Queue: q.Name, Customer: customer, Image: step.Image, Step: forecaster.StepNumber(i), Estimate: step.Estimate})
-		times[i] = f.Typical()
+		times[i] = f.TypicalLast(step.Count)
 		claim := step.Claim()
-		work := processorTime(claim, float64(step.Count)*times[i].Seconds())
+		work := processorTime(claim, float64(step.Count)*f.Typical().Seconds())
 		j.Needs += work
 		j.Confidence = min(j.Confidence, f.Confidence())
 		if cmp.Or(cmp.Compare(claim.Processors, j.Claim.Processors), cmp.Compare(claim.Memory, j.Claim.Memory)) > 0 {
@@ -207,7 +207,7 @@
 		}
 		if len(step.After) == 0 && holdsUpOthers(step) {
 			left := work * admitter.ProcessorSeconds(math.Exp(-f.Spread()))
-			added = append(added, admitter.Work{Priority: q.Priority, Customer: customer, Left: left, Claim: claim, Task: times[i], Most: mostAtOnce(claim, limit)})
+			added = append(added, admitter.Work{Priority: q.Priority, Customer: customer, Left: left, Claim: claim, Task: f.Typical(), Most: mostAtOnce(claim, limit)})
 		}
 	}
 	j.Chain = longestChain(handedIn, make([]time.Duration, len(times)), func(step int) time.Duration { return times[step] })
--- a/internal/scheduler/backlog_test.go
+++ b/internal/scheduler/backlog_test.go
@@ -68,7 +68,7 @@
 }
 
 // TestReturnAfterOutage guards against jobs that are accepted although more work waits than can be done before it is worth nothing, and
-// against refusals once that is over. Load: no instance answers for 2 s, and then 6,000 jobs arrive within 0.2 s, for which the fleet needs 22 s.
+// against refusals once that is over. Load: no instance answers for 2 s, and then 10,000 jobs arrive within 0.2 s, for which the fleet needs 37 s.
 func TestReturnAfterOutage(t *testing.T) {
 	f := newAdmittingFleet()
 	cut := func(cut bool) {
@@ -80,10 +80,10 @@
 	f.runFor(2*time.Second, 0)
 	cut(false)
 	before := f.accepted
-	f.runFor(200*time.Millisecond, 30000)
+	f.runFor(200*time.Millisecond, 50000)
 	t.Logf("%d of %d accepted", f.accepted-before, f.accepted-before+f.refused)
-	assert.Assert(t, f.refused > 500, "%d refused", f.refused)
-	assert.Assert(t, f.accepted-before > 1600, "%d accepted: the fleet does 1,520 before they are worth nothing", f.accepted-before)
+	assert.Assert(t, f.refused > 2000, "%d refused", f.refused)
+	assert.Assert(t, f.accepted-before > 2500, "%d accepted: the fleet does 2,100 before they are worth nothing", f.accepted-before)
 	for name, job := range map[string]workload.Job{
 		"service":     {Steps: []workload.Step{{Count: 1, Resources: workload.Resources{Processors: 1000}, Service: true}}},
 		"best effort": {Steps: []workload.Step{{Count: 1, Resources: workload.Resources{Processors: 1000}, BestEffort: true}}},
@@ -94,8 +94,8 @@
 		assert.Assert(t, !f.scheduler.Admit(f.now, f.backlog, &job, "counter", customerName(0)).Refused, name)
 	}
 	f.refused = 0
-	f.runFor(3*time.Second, 5)
-	assert.Equal(t, f.refused, 0, "seconds after the return of the callers")
+	f.runFor(time.Second, 10)
+	assert.Equal(t, f.refused, 0, "within a second after the return of the callers")
 }
 
 // TestBacklogOfNewLeader guards against refusals by a leader that does not know yet what runs, or which machines its pools can get.
--- a/internal/scheduler/where.go
+++ b/internal/scheduler/where.go
@@ -123,9 +123,9 @@
 	for i, st := range o.stages {
 		f := s.forecastOf(j, st)
 		p.Confidence = min(p.Confidence, f.Confidence())
-		whole[i] = f.Typical()
-		if st.doneCount < len(st.tasks) {
-			left[i] = whole[i]
+		whole[i] = f.TypicalLast(len(st.tasks))
+		if n := len(st.tasks) - st.doneCount; n > 0 {
+			left[i] = f.TypicalLast(n)
 		}
 	}
 	chain := func(times []time.Duration) time.Duration {
--- a/internal/supervisor/admission.go
+++ b/internal/supervisor/admission.go
@@ -20,7 +20,7 @@
 const (
 	// backlogInterval is the time between measurements of the backlog. Jobs that are accepted in between are added to it.
 	backlogInterval = 250 * time.Millisecond
-	// backlogPause is the least time between measurements as a multiple of what one takes, which grows with the number of jobs: 7.6 ms with 4,909.
+	// backlogPause is the least time between measurements as a multiple of what one takes, which grows with the number of jobs: 8.8 ms with 7,428.
 	backlogPause = 32
 )
 
