--- a/internal/supervisor/requests.go
+++ b/internal/supervisor/requests.go
@@ -50,6 +50,8 @@
 		response = t.changeDrain(ctx, request)
 	case forwarder.InspectDataCentre:
 		response = t.inspectDataCentre(request)
+	case forwarder.ExplainPlacement:
+		response = t.explainPlacement(ctx, request)
 	}
 	return t.confirmLeadership(request.Operation, response)
 }
@@ -137,6 +139,9 @@
 		return forwarder.Response{Outcome: forwarder.Done}
 	}
 	command := state.SubmitJob{Job: *request.Job, Queue: queue.Name, Customer: customer.Name, At: state.Timestamp(wallMillis())}
+	if t.mayBeHopeless(&queue) {
+		return t.examineJob(ctx, command, queue.Pool, version)
+	}
 	return t.acceptJob(ctx, command, version)
 }
 
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -44,6 +44,8 @@
 	// firstPolls has a slot for each instance that is polled for the first time.
 	firstPolls chan struct{}
 	jobQueue   *jobQueue
+	// explaining is set while the placement of a job is being explained.
+	explaining atomic.Bool
 
 	// The fields below are accessed only by the loop.
 	scheduler            *scheduler.Scheduler
@@ -64,6 +66,7 @@
 	committingForecast bool
 	planPacer          planPacer
 	pollPacer          pollPacer
+	admission          admission
 
 	// drained holds the data centres in which nothing may be started. The loop replaces the map; senders of orders read it.
 	drained atomic.Pointer[map[fleet.DataCentreID]bool]
@@ -272,6 +275,7 @@
 func (t *term) runScheduler() {
 	now := monotonicNow()
 	t.scheduler.Tick(now, wallMillis())
+	t.measureBacklog(now)
 	t.startPolls(now)
 	for _, o := range t.scheduler.TakeOrders() {
 		t.dispatch(o)
