Weigh crashes in a row under a task against what its neighbours and pool explain, and give it up or delay it

What users see: a task that crashes its instances seconds after its start, or at ages that vary, is started without end; innocent tasks lose their work and small pools their instances (TestTaskThatCrashesInstancesLateIsGivenUp, listed as red).

Cause: a crash counts only for runs that were listed for less than 3 s, and a crash at another age starts a new count. Neighbours move along with the task, so that nothing tells them apart.

Change: each task has a streak, the crashes in a row at any age. Each crash multiplies its odds by the rate at which such tasks crash instances over that at which the other runs, the machine and the pool explain the crash. Tasks with streaks start apart from each other, with two crashes away from service tasks and with few neighbours; the start is delayed from the third crash on if the evidence is strong; a product of 1e6 over two machines gives the task up. Streaks are committed with the counts of crashes. When an instance refuses a connection, the crash is pending for all of its runs, not only for those at their start.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -74,10 +74,14 @@
 	return workload.TaskID{Job: j.ID, Position: p}
 }
 
-// crashedRun is a young run on an instance at the time of its loss.
+// crashedRun is a run on an instance at the time of its loss.
 type crashedRun struct {
 	task workload.TaskID
 	run  workload.Run
+	// young is set if the crash may be the doing of the start of the run.
+	young bool
+	// adopted is set if the run is older than is known.
+	adopted bool
 	// minAge and maxAge bound the age of the run at the crash.
 	minAge, maxAge time.Duration
 	// alone is set if the crash cannot be the doing of any other run as well.
@@ -94,19 +98,21 @@
 
 func (r *run) settled(in *instance) bool { return r.reported && r.listedFor(in) >= settleTime }
 
-// young reports whether a crash of the instance may be the doing of the run.
+// young reports whether a crash of the instance may be the doing of the start of the run.
 func (r *run) young(in *instance) bool { return !r.undelivered && r.listedFor(in) < earlyTime }
 
-// crashedRuns returns the young runs of a lost instance.
+// crashedRuns returns the runs of a lost instance that were delivered.
 func (s *Scheduler) crashedRuns(in *instance) []crashedRun {
 	lostAt := cmp.Or(in.failingSince, s.now)
 	var list []crashedRun
 	for _, r := range in.runs {
-		if r.young(in) {
-			minAge := r.listedFor(in)
-			maxAge := max(minAge, lostAt-r.orderedAt)
-			list = append(list, crashedRun{task: r.task, run: r.number, minAge: minAge, maxAge: maxAge, alone: in.otherSuspects(r, minAge, maxAge) == 0})
+		if r.undelivered {
+			continue
 		}
+		c := crashedRun{task: r.task, run: r.number, young: r.young(in), adopted: r.adopted, minAge: r.listedFor(in)}
+		c.maxAge = max(c.minAge, lostAt-r.orderedAt)
+		c.alone = c.young && in.otherSuspects(r, c.minAge, c.maxAge) == 0
+		list = append(list, c)
 	}
 	slices.SortFunc(list, func(a, b crashedRun) int {
 		return cmp.Or(cmp.Compare(a.task.Job, b.task.Job), cmp.Compare(a.task.Position, b.task.Position))
@@ -137,9 +143,10 @@
 
 // countCrash counts a crash for each of the runs that the instance had, and gives up the tasks that it proves to have caused it.
 func (s *Scheduler) countCrash(in *instance, runs []crashedRun) {
+	s.extendStreaks(in, runs)
 	for _, c := range runs {
 		j := s.jobs[c.task.Job]
-		if j == nil || j.finished || j.task(c.task.Position).done {
+		if !c.young || j == nil || j.finished || j.task(c.task.Position).done {
 			continue
 		}
 		id := j.suspectID(c.task.Position)
@@ -171,6 +178,7 @@
 
 // commitCrashes replaces the count of crashes under a task, and holds the next start of the task until the count is committed.
 func (s *Scheduler) commitCrashes(j *job, p workload.Position, count state.CrashCount) {
+	count.Streak = j.task(p).streak.committed()
 	s.setCrashes(j, p, count)
 	j.task(p).heldFor = s.lastBatch + 1
 	s.crashes = append(s.crashes, state.TaskCrashes{Task: workload.TaskID{Job: j.ID, Position: p}, Count: count})
@@ -235,10 +243,12 @@
 		j.task(p).assumedCrash = true
 	}
 	s.setCrashes(j, p, count)
+	s.inheritStreak(j, p, count.Streak)
 }
 
 // withdrawAssumedCrash corrects the count of a task whose run an instance lists.
 func (s *Scheduler) withdrawAssumedCrash(j *job, p workload.Position) {
+	j.task(p).streak.withdrawAssumed()
 	if t := j.task(p); t.assumedCrash {
 		t.assumedCrash = false
 		count := t.crashes
@@ -255,7 +265,9 @@
 		return
 	}
 	in.markedPending = true
-	for _, c := range s.crashedRuns(in) {
+	runs := s.crashedRuns(in)
+	s.markStreaksPending(in, runs)
+	for _, c := range runs {
 		j := s.jobs[c.task.Job]
 		if j == nil || j.finished || c.minAge >= settleTime {
 			continue
@@ -312,6 +324,7 @@
 			in.endProbation(r)
 		}
 		p := r.job.suspectID(r.task.Position).Position
+		s.settleStreak(in, r, p)
 		count := r.job.task(p).crashes
 		if !r.reported || !r.clears(in, count) {
 			continue
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -9,6 +9,9 @@
 
 // placeGang starts all tasks of a stage under one run number, or none of them.
 func (s *Scheduler) placeGang(c *candidate, instances []*instance) {
+	if s.heldBack(c, 0) {
+		return
+	}
 	step := &c.job.Steps[c.stage.stepIndex]
 	requested := workload.Resources{}
 	for i := range c.stage.tasks {
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -93,6 +93,8 @@
 	hasOrphans bool
 	// suspectRuns and loneSuspectRuns are the numbers of runs on probation, and of those that must not share an instance.
 	suspectRuns, loneSuspectRuns int
+	// streakRuns are the numbers of runs whose tasks have a streak of each level.
+	streakRuns [maxStreakLevel + 1]int
 	// expiredRuns are the runs that were dropped when the instance fell silent. They count as crashed if a later boot shows that
 	// the instance has crashed.
 	expiredRuns []crashedRun
@@ -151,6 +153,10 @@
 	undelivered bool
 	// suspicion is that of the task while the run is on probation.
 	suspicion suspicion
+	// streakLevel is that of the task when the run was attached.
+	streakLevel int
+	// adopted is set if the run was not started by this leader.
+	adopted bool
 	// account includes the run's claim; it is nil for service tasks.
 	account *account
 	// measured is set for a full run of the task that this leader has started on an instance at its full speed.
@@ -313,6 +319,7 @@
 		}
 	}
 	s.beginProbation(in, r)
+	in.countStreak(r, r.job.suspectAt(r.task.Position).streak.level())
 }
 
 // detachRun removes a run that has certainly ended. Its task waits for placement again unless it is done.
@@ -337,6 +344,7 @@
 	}
 	r.job.runCount--
 	in.endProbation(r)
+	in.countStreak(r, 0)
 	if r.checkpoint != "" {
 		s.storeCheckpoint(r)
 	}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -97,6 +97,8 @@
 	crashedRun workload.Run
 	// heldFor is the batch that must be committed before the task is started again.
 	heldFor uint64
+	// streak is nil unless the instance of the latest run crashed.
+	streak *streak
 }
 
 func (j *job) step(p workload.Position) *workload.Step { return &j.Steps[p.Step()] }
--- a/internal/scheduler/loss.go
+++ b/internal/scheduler/loss.go
@@ -46,7 +46,7 @@
 	}
 	if runs > 0 {
 		s.decisions = append(s.decisions, Decision{What: "instance " + cause.String(), Instance: in.ID, Machine: in.Machine,
-			Reason: fmt.Sprintf("%s, last report %s ago, %d failed polls, %d runs, %d of them young", reason, rounded(s.now-in.clockReadAt), in.failedPolls, runs, len(crashed))})
+			Reason: fmt.Sprintf("%s, last report %s ago, %d failed polls, %d runs, %d of them young", reason, rounded(s.now-in.clockReadAt), in.failedPolls, runs, youngRuns(crashed))})
 	}
 	switch cause {
 	case lossCrash:
@@ -65,3 +65,11 @@
 	}
 	return fmt.Sprintf(", ordered %s ago, listed for %s", rounded(s.now-r.orderedAt), rounded(r.listedFor(in)))
 }
+
+func youngRuns(runs []crashedRun) int {
+	n := 0
+	for _, c := range runs {
+		n += boolToInt(c.young)
+	}
+	return n
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -178,7 +178,7 @@
 	instances := s.advisedInstances(c, pool.instances)
 	for i := range c.stage.tasks {
 		t := &c.stage.tasks[i]
-		if t.done || t.run != nil || t.suspicion() != unsuspected {
+		if t.done || t.run != nil || t.suspicion() != unsuspected || s.heldBack(c, i) {
 			continue
 		}
 		if !s.withinLimit(c.job, c.stage.step.Resources) {
@@ -276,6 +276,7 @@
 		score += weightDataRack
 	}
 	score -= weightFailure * float64(min(in.recentFailures, 3))
+	score -= in.crashRisk(c, t)
 	if t.lastInstance == in.ID {
 		score -= weightLastInstance
 	}
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -340,7 +340,7 @@
 		s.withdrawAssumedCrash(j, j.suspectID(reported.Task.Position).Position)
 		r := &run{
 			task: reported.Task, number: reported.Run, job: j, status: statusRunning, claim: j.step(reported.Task.Position).Claim(),
-			orderedAt: s.now, startOutcomeAt: s.now, throttlePercent: throttleUnset,
+			orderedAt: s.now, startOutcomeAt: s.now, throttlePercent: throttleUnset, adopted: true,
 		}
 		s.attachRun(in, r)
 		s.logRunDecision("run adopted", r, in, "listed by the instance")
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -180,8 +180,9 @@
 	// platformFencedAt is when the platform first answered a machine order of this term, zero before that.
 	platformFencedAt time.Duration
 	// batchWorkSeen is set by the first job with a batch step; until then the demand is unknown.
-	batchWorkSeen bool
-	probations    []probation
+	batchWorkSeen  bool
+	probations     []probation
+	crashHistories map[fleet.PoolID]*crashHistory
 	// drainedDataCentres is replaced rather than changed.
 	drainedDataCentres map[fleet.DataCentreID]bool
 	machineDataCentres map[string]fleet.DataCentreID
@@ -235,6 +236,7 @@
 		poolSizes:        map[fleet.PoolID]int{},
 		demands:          map[fleet.PoolID]*demand{},
 		refusedMoves:     map[refusedMove]bool{},
+		crashHistories:   map[fleet.PoolID]*crashHistory{},
 		machinesListedAt: -machineListInterval,
 
 		drainedDataCentres: options.DrainedDataCentres,
--- a/internal/scheduler/suspects.go
+++ b/internal/scheduler/suspects.go
@@ -32,7 +32,7 @@
 	instances := s.advisedInstances(c, pool.instances)
 	for i := range c.stage.tasks {
 		t := &c.stage.tasks[i]
-		if t.done || t.run != nil || t.suspicion() == unsuspected || t.heldFor > s.committedBatch {
+		if t.done || t.run != nil || t.suspicion() == unsuspected || s.heldBack(c, i) {
 			continue
 		}
 		if !s.withinLimit(c.job, c.stage.step.Resources) {
@@ -59,7 +59,7 @@
 
 // placeSuspectGang starts a suspected gang on instances without young runs, and returns false if they have too little capacity.
 func (s *Scheduler) placeSuspectGang(c *candidate, pool *poolCapacity) bool {
-	if c.stage.tasks[0].heldFor > s.committedBatch {
+	if s.heldBack(c, 0) {
 		return true
 	}
 	var settled []*instance
--- a/internal/scheduler/waiting.go
+++ b/internal/scheduler/waiting.go
@@ -188,6 +188,9 @@
 		}
 		return reason
 	}
+	if k := c.job.suspectAt(p).streak; k != nil && s.now < k.heldUntil {
+		return fmt.Sprintf("held back for %s: %s", rounded(k.heldUntil-s.now), k.describe(s.crashesOf(c.job.pool)))
+	}
 	if suspect := c.job.suspectAt(p); suspect.suspicion() != unsuspected {
 		return fmt.Sprintf("set apart: %s; of %d schedulable instances none has room and no young runs", describeCrashes(suspect.crashes), len(pool.schedulable))
 	}
--- a/internal/state/jobs.go
+++ b/internal/state/jobs.go
@@ -42,6 +42,28 @@
 	// Pending is set while the task may have a run that is at its start, if the task is suspected already or the instance of the run
 	// does not answer. A later leader that does not find the run counts a crash.
 	Pending bool `cbor:"5,keyasint,omitempty"`
+	// Streak is nil unless the instance of the latest run crashed.
+	Streak *CrashStreak `cbor:"6,keyasint,omitempty"`
+}
+
+// CrashStreak holds the latest crashes in a row under a task, at any age of its runs. Its slices are replaced rather than changed.
+type CrashStreak struct {
+	Crashes []StreakCrash `cbor:"1,keyasint,omitempty"`
+	// Rate is how often an instance of the pool crashed without a task that explains it, in crashes a second, at the last crash.
+	Rate float64 `cbor:"2,keyasint,omitempty"`
+	// Exposure is the time of all instances of the pool together in which the rate was observed.
+	Exposure time.Duration `cbor:"4,keyasint,omitempty"`
+	// Pending is the crash that a later leader counts if it does not find the run: the instance of the run does not answer.
+	Pending *StreakCrash `cbor:"3,keyasint,omitempty"`
+}
+
+// StreakCrash is one crash of a streak.
+type StreakCrash struct {
+	// Age is that of the run at the crash.
+	Age time.Duration `cbor:"1,keyasint,omitempty"`
+	// Hazard is the rate of crashes that the other tasks and the history of the machine explain.
+	Hazard float64 `cbor:"2,keyasint,omitempty"`
+	Host   string  `cbor:"3,keyasint,omitempty"`
 }
 
 // Complete reports whether all tasks have succeeded.
@@ -202,7 +224,7 @@
 
 // recordCrashes replaces the count of a task.
 func (r *JobRecord) recordCrashes(c TaskCrashes) {
-	if c.Count.Crashes == 0 && !c.Count.Pending {
+	if c.Count.Crashes == 0 && !c.Count.Pending && c.Count.Streak == nil {
 		delete(r.Crashes, c.Task.Position)
 		return
 	}
