--- a/internal/supervisor/admission.go
+++ b/internal/supervisor/admission.go
@@ -75,11 +75,13 @@
 func (t *term) examineJob(ctx context.Context, command state.SubmitJob, pool fleet.PoolID, version uint64) forwarder.Response {
 	x := examination{refusal: forwarder.Response{Outcome: forwarder.Uncertain}}
 	if !t.postAndWait(ctx, func() {
+		t.skipPlan()
 		if ctx.Err() == nil { // nobody waits for the answer, and a later copy of the call may have been refused
 			x = t.examine(command, pool, version)
 		}
 	}) {
 		t.post(func() {
+			t.skipPlan()
 			if x.accepted != nil {
 				t.jobQueue.leave(monotonicNow(), x.accepted)
 			}
