Give connections between processes memory by what they send, not by what they may send

Cause: at 299 processes and 3,000 instances nobody kept the leadership. Each incoming connection had a channel for 4,096 frames (400 KB) and two buffers of 64 KB; 290 entries made 150 MB of it.

Change: a queue that grows with what waits, a read buffer of 4 KB, and write buffers that are shared.

--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -32,7 +32,7 @@
 type peer struct {
 	id      fleet.EntryID
 	address string
-	queue   chan frame
+	queue   *queue[frame]
 	cancel  context.CancelFunc
 
 	mutex        sync.Mutex
@@ -43,7 +43,7 @@
 
 func (m *Messenger) startPeer(id fleet.EntryID, address string) *peer {
 	ctx, cancel := context.WithCancel(m.ctx)
-	p := &peer{id: id, address: address, queue: make(chan frame, queueCapacity), cancel: cancel, connected: true, pendingCalls: map[uint64]chan frame{}}
+	p := &peer{id: id, address: address, queue: newQueue[frame](queueCapacity), cancel: cancel, connected: true, pendingCalls: map[uint64]chan frame{}}
 	m.goroutines.Go(func() { m.keepConnected(ctx, p) })
 	return p
 }
@@ -60,13 +60,11 @@
 		p.queuedBytes.Add(-f.size())
 		return false
 	}
-	select {
-	case p.queue <- f:
-		return true
-	default:
+	if !p.queue.push(f) {
 		p.queuedBytes.Add(-f.size())
 		return false
 	}
+	return true
 }
 
 func (f frame) size() int64 { return int64(len(f.Payload)) }
@@ -106,8 +104,8 @@
 		delete(p.pendingCalls, id)
 		reply <- frame{ConnectionLost: true}
 	}
-	for len(p.queue) > 0 {
-		p.queuedBytes.Add(-(<-p.queue).size())
+	for _, f := range p.queue.take() {
+		p.queuedBytes.Add(-f.size())
 	}
 }
 
@@ -159,7 +157,7 @@
 }
 
 func (m *Messenger) readReplies(p *peer, stream io.Reader) {
-	reader := bufio.NewReaderSize(stream, bufferBytes)
+	reader := bufio.NewReaderSize(stream, readBufferBytes)
 	for {
 		f, err := m.readFrame(reader)
 		if err != nil {
@@ -173,30 +171,47 @@
 
 // writeLoop writes the first frame and then queued frames until ctx ends; frames that are already queued share a flush.
 //
-// onDequeue is called with each frame that is taken from the queue, before it is written.
-func (m *Messenger) writeLoop(ctx context.Context, stream io.Writer, queue chan frame, first frame, onDequeue func(frame)) {
-	writer := bufio.NewWriterSize(stream, bufferBytes)
-	f := first
+// onWrite is called with each frame that was taken from the queue, before it is written or after the stream has failed.
+func (m *Messenger) writeLoop(ctx context.Context, stream io.Writer, frames *queue[frame], first frame, onWrite func(frame)) {
+	if m.writeFrames(stream, []frame{first}, func(frame) {}) != nil {
+		return
+	}
 	for {
-		if err := m.writeFrame(writer, f); err != nil {
-			return
-		}
-		select {
-		case f = <-queue:
-			onDequeue(f)
-			continue
-		default:
-		}
-		if writer.Flush() != nil {
-			return
-		}
 		select {
-		case f = <-queue:
-			onDequeue(f)
+		case <-frames.ready:
 		case <-ctx.Done():
 			return
 		}
+		for list := frames.take(); len(list) > 0; list = frames.take() {
+			if m.writeFrames(stream, list, onWrite) != nil {
+				return
+			}
+			frames.recycle(list)
+		}
+	}
+}
+
+// writeBuffers are shared by the connections, of which few write at a time.
+var writeBuffers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferBytes) }}
+
+func (m *Messenger) writeFrames(stream io.Writer, list []frame, onWrite func(frame)) error {
+	writer := writeBuffers.Get().(*bufio.Writer)
+	writer.Reset(stream)
+	defer func() {
+		writer.Reset(nil)
+		writeBuffers.Put(writer)
+	}()
+	var err error
+	for _, f := range list {
+		onWrite(f)
+		if err == nil {
+			err = m.writeFrame(writer, f)
+		}
 	}
+	if err != nil {
+		return err
+	}
+	return writer.Flush()
 }
 
 func (m *Messenger) writeFrame(w io.Writer, f frame) error {
@@ -254,7 +269,7 @@
 	if err != nil {
 		return
 	}
-	s := &session{messenger: m, peer: peer, replies: make(chan frame, queueCapacity), cancels: map[uint64]context.CancelFunc{}}
+	s := &session{messenger: m, peer: peer, replies: newQueue[frame](0), cancels: map[uint64]context.CancelFunc{}}
 	var writer sync.WaitGroup
 	writer.Go(func() { m.writeLoop(ctx, stream, s.replies, frame{}, func(frame) {}) })
 	s.readLoop(ctx, stream)
@@ -267,15 +282,16 @@
 type session struct {
 	messenger *Messenger
 	peer      fleet.EntryID
-	replies   chan frame
-	handlers  sync.WaitGroup
+	// replies has no limit: a handler that waited for room would take more memory than its reply.
+	replies  *queue[frame]
+	handlers sync.WaitGroup
 
 	mutex   sync.Mutex
 	cancels map[uint64]context.CancelFunc
 }
 
 func (s *session) readLoop(ctx context.Context, stream io.Reader) {
-	reader := bufio.NewReaderSize(stream, bufferBytes)
+	reader := bufio.NewReaderSize(stream, readBufferBytes)
 	for {
 		f, err := s.messenger.readFrame(reader)
 		if err != nil {
@@ -327,8 +343,5 @@
 	} else if reply.Payload, err = Codec.Encode(value); err != nil {
 		reply.Failure = err.Error()
 	}
-	select {
-	case s.replies <- reply:
-	case <-ctx.Done():
-	}
+	s.replies.push(reply)
 }
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -56,7 +56,9 @@
 	// maxQueuedBytes bounds the payloads queued for a peer to a tenth of the memory of a small process.
 	maxQueuedBytes = 8 << 20
 	maxFrameBytes  = 16 << 20
-	bufferBytes    = 64 << 10
+	// A reader takes frames larger than its buffer directly, and there is one for each connection.
+	readBufferBytes  = 4 << 10
+	writeBufferBytes = 64 << 10
 )
 
 // Codec encodes the messages between processes as CBOR.
