Give instances of a lost carrier only to carriers that answer

Change: once a carrier falls silent, those of which nothing was heard since then get no instances before they have answered.

--- a/internal/courier/choose.go
+++ b/internal/courier/choose.go
@@ -12,7 +12,7 @@
 	var best *link
 	near, highest := false, uint64(0)
 	for _, l := range d.active {
-		if !l.usable {
+		if !l.usable || l.doubted {
 			continue
 		}
 		isNear, w := l.dataCentre == dataCentre, weight(id, l.carrier)
@@ -50,10 +50,10 @@
 			l = &link{carrier: id, pending: map[uint64]chan result{}}
 			d.links[id] = l
 		}
-		if l.usable {
+		if l.usable && !l.doubted {
 			candidates = append(candidates, l)
 		}
-		if !l.asking && (!l.usable && now >= l.retryAt || l.usable && now-l.clockReadAt > maxClockAge) {
+		if !l.asking && (!l.usable && now >= l.retryAt || l.usable && (l.doubted || now-l.clockReadAt > maxClockAge)) {
 			l.asking = true
 			d.goroutines.Go(func() { d.askClock(l) })
 		}
--- a/internal/courier/dispatcher.go
+++ b/internal/courier/dispatcher.go
@@ -50,8 +50,9 @@
 	lastID uint64
 	links  map[fleet.EntryID]*link
 	routes map[fleet.InstanceID]*route
-	// active are the links that share the instances, in a lasting order.
-	active []*link
+	// carriers are the processes that may carry exchanges, and active the links that share the instances, in a lasting order.
+	carriers []fleet.EntryID
+	active   []*link
 }
 
 // route is who writes to an instance.
@@ -257,6 +258,7 @@
 		return nil, nil
 	}
 	now := d.options.Clock()
+	l.heardAt = now
 	if l.usable {
 		l.clock, l.clockReadAt = m.Clock, now
 		l.acknowledge(now, m.Acknowledged)
@@ -304,9 +306,8 @@
 	now := d.options.Clock()
 	for _, l := range d.links {
 		if l.silent(now) {
-			event.CarrierLost.Warn(d.options.Logger, zap.String("carrier", string(l.carrier)), zap.Int("exchanges", len(l.pending)), zap.Duration("silent", now-l.unacknowledgedSince))
-			l.fail(now)
-			d.blockRoutes(l)
+			d.doubtOthers(l)
+			d.lose(l, now)
 		}
 	}
 	for id, r := range d.routes {
@@ -314,9 +315,26 @@
 			delete(d.routes, id)
 		}
 	}
+	d.carriers = carriers
 	d.choose(now, carriers)
 }
 
+// lose fails the exchanges of a carrier that does not answer, and keeps others from its instances until it may no longer send.
+func (d *Dispatcher) lose(l *link, now time.Duration) {
+	event.CarrierLost.Warn(d.options.Logger, zap.String("carrier", string(l.carrier)), zap.Int("exchanges", len(l.pending)), zap.Duration("silent", now-l.heardAt))
+	l.fail(now)
+	d.blockRoutes(l)
+}
+
+// doubtOthers has the carriers asked of which nothing was heard since a lost one fell silent: a partition often cuts off several.
+func (d *Dispatcher) doubtOthers(lost *link) {
+	for _, l := range d.links {
+		if l != lost && l.usable && l.heardAt < lost.unacknowledgedSince {
+			l.doubted = true
+		}
+	}
+}
+
 // blockRoutes keeps others from writing to the instances of a lost carrier until it may no longer send to them.
 func (d *Dispatcher) blockRoutes(l *link) {
 	for _, r := range d.routes {
--- a/internal/courier/link.go
+++ b/internal/courier/link.go
@@ -21,10 +21,14 @@
 	clock      clockReading
 	// clockReadAt is when the reading arrived, on the leader's clock.
 	clockReadAt time.Duration
+	// heardAt is when the last message of the carrier arrived, on the leader's clock.
+	heardAt time.Duration
 	// usable is set while the carrier answers. retryAt is when one that does not is asked for its clock again.
 	usable  bool
 	retryAt time.Duration
 	asking  bool
+	// doubted is set while it is not known whether the carrier was lost together with another one. It gets no more instances before it has answered.
+	doubted bool
 	// permittedUntil is until when the carrier may still send what it was given, on the leader's clock.
 	permittedUntil time.Duration
 	queue          []exchange
@@ -44,7 +48,7 @@
 
 // fail fails all pending exchanges and gives the carrier none until it has told its clock again.
 func (l *link) fail(now time.Duration) {
-	l.usable = false
+	l.usable, l.doubted = false, false
 	l.retryAt = now + linkRetryInterval
 	l.unacknowledgedSince = 0
 	l.queue = nil
@@ -75,6 +79,8 @@
 	if err != nil {
 		if !l.usable {
 			l.retryAt = now + linkRetryInterval
+		} else if l.doubted {
+			d.lose(l, now)
 		}
 		return
 	}
@@ -83,5 +89,9 @@
 		l.acknowledged, l.unacknowledgedSince = l.lastNumber, 0
 	}
 	l.usable = true
-	l.clock, l.clockReadAt, l.dataCentre = answer.Clock, now, answer.DataCentre
+	l.clock, l.clockReadAt, l.heardAt, l.dataCentre = answer.Clock, now, now, answer.DataCentre
+	if l.doubted {
+		l.doubted = false
+		d.choose(now, d.carriers)
+	}
 }
