Send a new boot on to another keeper if this one has lost the leader

A keeper beyond the cut acknowledged the first announcement of each machine that had been moved, for 3 s after its last contact with the leader, and the machine kept announcing itself there. The rule was made for a fleet that starts together with its keepers.

Change: except while all start, the first announcement of a boot waits 250 ms for the leader; then the instance calls the next keeper. TestChooseHandling says so in three rows (two were 'collect', one 'collectAndWait').

--- a/internal/process/announcements.go
+++ b/internal/process/announcements.go
@@ -21,6 +21,10 @@
 // election takes up to two seconds; without the bound, a keeper that is cut off would keep the instances that announce themselves to it.
 const maxContactAge = 3 * time.Second
 
+// leaderWait is how long a new boot waits at a keeper that has lost the leader. A partition leaves the leader to other keepers, and a boot that
+// is unknown to it serves nothing, so it should soon go to one of them; an election rarely ends sooner.
+const leaderWait = 250 * time.Millisecond
+
 // handling is what a keeper does with an announcement.
 type handling uint8
 
@@ -32,14 +36,16 @@
 	collect
 	// collectAndWait answers once the leader has handled the announcement, with others.
 	collectAndWait
+	// collectBriefly is collectAndWait for leaderWait at most.
+	collectBriefly
 	// forward passes the announcement to the leader by itself: a later leader must know what it says before it is acknowledged.
 	forward
 )
 
 // copyStatus is what a keeper knows from its copy of the committed state.
 type copyStatus struct {
-	// leased is set while the copy is at most a lease old, recent within maxContactAge after that.
-	leased, recent bool
+	// leased is set while the copy is at most a lease old, recent within maxContactAge after that, and starting if the process started since.
+	leased, recent, starting bool
 	// record is the enrolled boot of the instance, or nil.
 	record *workload.Instance
 }
@@ -47,7 +53,8 @@
 // chooseHandling decides what to do with an announcement. repeats is set if the announcement before it said the same and was acknowledged
 // here, so that no other keeper can have acknowledged anything else since.
 //
-// Without a lease the copy may lack what another keeper has acknowledged, so all but repeated and first announcements wait for a leader. They
+// Without a lease the copy may lack what another keeper has acknowledged, so announcements wait for a leader, except for those that say nothing
+// new and the first ones of a fleet that starts together with its keepers. They
 // wait together: forwarded one by one, the announcements of thousands of instances take the processor time that an election needs.
 func chooseHandling(c copyStatus, announced *workload.Instance, repeats bool) handling {
 	unknown := c.record == nil || c.record.Boot < announced.Boot
@@ -57,8 +64,10 @@
 		return forward
 	case c.leased && same, c.recent && same && repeats:
 		return acknowledge
-	case c.leased && unknown, c.recent && unknown && (repeats || announced.Sequence <= 1):
+	case c.leased && unknown, c.starting && unknown && (repeats || announced.Sequence <= 1):
 		return collect
+	case unknown && (repeats || announced.Sequence <= 1):
+		return collectBriefly
 	case c.leased:
 		return forward
 	default:
@@ -68,8 +77,8 @@
 
 // copyOf returns what this keeper knows of an instance.
 func (p *Process) copyOf(id fleet.InstanceID) copyStatus {
-	left := p.replicator.LeaseLeft()
-	c := copyStatus{leased: left > 0, recent: max(left, p.startedAt-bootclock.Now()) > -maxContactAge}
+	left, sinceStart := p.replicator.LeaseLeft(), bootclock.Now()-p.startedAt
+	c := copyStatus{leased: left > 0, recent: max(left, -sinceStart) > -maxContactAge, starting: sinceStart < maxContactAge}
 	p.replicator.View(func(s *state.State) {
 		if record, enrolled := s.Workload.Enrolled[id]; enrolled {
 			c.record = &record
@@ -89,6 +98,10 @@
 		p.collector.Add(in)
 	case collectAndWait:
 		err = p.collector.AddAndWait(ctx, in)
+	case collectBriefly:
+		ctx, cancel := context.WithTimeout(ctx, leaderWait)
+		defer cancel()
+		err = p.collector.AddAndWait(ctx, in)
 	case forward:
 		p.collector.Forget(in.ID)
 		if response, err = p.callAsKeeper(ctx, request); err == nil && !in.Draining {
--- a/internal/process/announcements_test.go
+++ b/internal/process/announcements_test.go
@@ -32,7 +32,8 @@
 }
 
 // TestChooseHandling guards against an announcement that is acknowledged before the leader has it although a later leader must know what it
-// says, and against one that costs the leader a call although it says nothing new.
+// says, against one that costs the leader a call although it says nothing new, and against a new boot that stays with a keeper beyond a
+// partition: in a turn half of all moved machines served 3 s later for it.
 func TestChooseHandling(t *testing.T) {
 	record := func(boot, processors int64) *workload.Instance {
 		return &workload.Instance{ID: "i", Boot: boot, Pool: "p", Address: "a", Capacity: workload.Resources{Processors: processors}}
@@ -40,6 +41,7 @@
 	leased := func(r *workload.Instance) copyStatus { return copyStatus{leased: true, recent: true, record: r} }
 	recent := func(r *workload.Instance) copyStatus { return copyStatus{recent: true, record: r} }
 	cut := func(r *workload.Instance) copyStatus { return copyStatus{record: r} }
+	starting := copyStatus{recent: true, starting: true}
 	for _, c := range []struct {
 		name             string
 		copy             copyStatus
@@ -58,13 +60,15 @@
 		{"draining", leased(record(1, 8)), 1, 8, 5, true, false, forward},
 		{"draining, not enrolled", leased(nil), 1, 8, 1, true, false, forward},
 		{"draining during an election", recent(record(1, 8)), 1, 8, 5, true, false, forward},
-		{"first during an election", recent(nil), 1, 8, 1, false, false, collect},
-		{"repeated during an election", recent(nil), 1, 8, 2, false, true, collect},
+		{"first while all start", starting, 1, 8, 1, false, false, collect},
+		{"repeated while all start", starting, 1, 8, 2, false, true, collect},
+		{"first during an election", recent(nil), 1, 8, 1, false, false, collectBriefly},
+		{"repeated during an election", recent(nil), 1, 8, 2, false, true, collectBriefly},
 		{"unknown during an election, may be enrolled elsewhere", recent(nil), 1, 8, 2, false, false, collectAndWait},
 		{"nothing new during an election", recent(record(1, 8)), 1, 8, 5, false, true, acknowledge},
 		{"nothing new, but the copy may be old", recent(record(1, 8)), 1, 8, 5, false, false, collectAndWait},
 		{"capacity shrinks during an election", recent(record(1, 8)), 1, 4, 5, false, false, collectAndWait},
-		{"first at a keeper that is cut off", cut(nil), 1, 8, 1, false, false, collectAndWait},
+		{"first at a keeper that is cut off", cut(nil), 1, 8, 1, false, false, collectBriefly},
 		{"nothing new at a keeper that is cut off", cut(record(1, 8)), 1, 8, 5, false, true, collectAndWait},
 	} {
 		t.Run(c.name, func(t *testing.T) {
