Leave waves the machines on standby that no pool is about to call

Change: machines on standby go at once only beyond those that pools are expected to call within a round, by their deficits and their rise; the others are paced like machines of pools. TestStandbyIsKeptForRisingLoad; TestOrderOfMachines names a surplus on standby now.

--- a/internal/maintainer/maintainer.go
+++ b/internal/maintainer/maintainer.go
@@ -1,7 +1,7 @@
 // Package maintainer decides which machines of a maintenance wave are evacuated and maintained next.
 //
-// Machines that cost nothing go at once: those on standby, in drained data centres and idle ones of pools with a surplus. The
-// others are paced so that all are begun before the time limit, those first that are empty soonest, machines of pools that need
+// Machines that cost nothing go at once: those on standby that no pool is about to call, in drained data centres and idle ones of pools with a
+// surplus. The others are paced so that all are begun before the time limit, those first that are empty soonest, machines of pools that need
 // them last. A machine is evacuated ahead of its turn by the time that it needs to become empty.
 package maintainer
 
@@ -45,6 +45,9 @@
 	}
 }
 
+// Round returns the mean time for which a machine holds a place.
+func (m *Maintainer) Round() time.Duration { return m.round }
+
 // Deadline returns when the maintenance of every machine should have begun.
 func (m *Maintainer) Deadline() time.Duration { return m.startedAt + m.limit }
 
@@ -58,6 +61,8 @@
 	Candidates []Candidate
 	// Surplus is the number of instances that each pool can do without; it is negative for pools that need more.
 	Surplus map[fleet.PoolID]int
+	// StandbySurplus is the number of machines on standby, of all waves and none, that no pool is expected to call during a round.
+	StandbySurplus int
 }
 
 // Plan is what to do now, as indices of candidates.
--- a/internal/maintainer/maintainer_test.go
+++ b/internal/maintainer/maintainer_test.go
@@ -44,7 +44,7 @@
 	now := time.Duration(0)
 	for ; len(order) < 10; now += 100 * time.Millisecond {
 		assert.Assert(t, now < time.Minute, "begun: %v", order)
-		v := maintainer.View{Now: now, Total: len(candidates) + len(order), Begun: len(order), Candidates: candidates, Surplus: surplus}
+		v := maintainer.View{Now: now, Total: len(candidates) + len(order), Begun: len(order), Candidates: candidates, Surplus: surplus, StandbySurplus: 1}
 		plan := m.Plan(v)
 		for _, i := range plan.Evacuate {
 			candidates[i].Evacuating = true
@@ -69,6 +69,34 @@
 	assert.Assert(t, now <= 20*time.Second, "done after %s", now)
 }
 
+// TestStandbyIsKeptForRisingLoad guards against a wave that takes the machines on standby at the moment in which pools call them: in a rise all 64
+// places went to them, and the pool waited for 2 s longer. Load: 40 machines on standby, of which all are about to be called for 5 s, and 16 after that.
+func TestStandbyIsKeptForRisingLoad(t *testing.T) {
+	m := maintainer.New(0, 20*time.Second, 20)
+	var candidates []maintainer.Candidate
+	for i := range 40 {
+		candidates = append(candidates, maintainer.Candidate{Machine: fmt.Sprintf("m-%02d", i), Standby: true, Empty: true})
+	}
+	var back []time.Duration
+	begun := 0
+	for now := time.Duration(0); begun < 40; now += 50 * time.Millisecond {
+		assert.Assert(t, now < 9*time.Second, "%d begun 4 s after the rise", begun)
+		back = slices.DeleteFunc(back, func(b time.Duration) bool { return b <= now })
+		called := 16
+		if now < 5*time.Second {
+			called = 40
+		}
+		v := maintainer.View{Now: now, Total: 40, Begun: begun, Down: len(back), Candidates: candidates, StandbySurplus: 40 - len(back) - called}
+		plan := m.Plan(v)
+		for _, i := range slices.Backward(plan.Maintain) {
+			candidates = slices.Delete(candidates, i, i+1)
+			back = append(back, now+2*time.Second)
+			begun++
+		}
+		assert.Assert(t, now >= 5*time.Second || len(back) <= 10, "%d of 40 machines are away after %s", len(back), now)
+	}
+}
+
 // TestBusyMachinesOfDrainedDataCentresGoBeforeOthers guards against a wave that takes machines on which work could start while those of a drained
 // data centre, which get none, wait because their pool is at its peak. They are no part of the surplus of their pool either.
 func TestBusyMachinesOfDrainedDataCentresGoBeforeOthers(t *testing.T) {
--- a/internal/maintainer/queue.go
+++ b/internal/maintainer/queue.go
@@ -17,6 +17,7 @@
 	rankSurplus
 	rankEvacuating
 	rankBusyDrained
+	rankReserve
 	rankBalanced
 	rankNeeded
 	rankDoubtful
@@ -49,9 +50,16 @@
 		}
 	}
 	slices.SortFunc(order, func(a, b ranked) int { return cmp.Or(cmp.Compare(a.left, b.left), cmp.Compare(a.Machine, b.Machine)) })
-	surplus := map[fleet.PoolID]int{}
+	surplus, standby := map[fleet.PoolID]int{}, v.StandbySurplus
 	for i := range order {
 		c := &order[i]
+		if c.Standby {
+			c.rank = rankStandby
+			if standby--; standby < 0 {
+				c.rank = rankReserve
+			}
+			continue
+		}
 		if _, known := surplus[c.Pool]; !known {
 			surplus[c.Pool] = v.Surplus[c.Pool]
 		}
@@ -89,11 +97,9 @@
 	return position - (len(evacuating) - later)
 }
 
-// rankOf returns the rank of a candidate whose pool has the given surplus.
+// rankOf returns the rank of a candidate in a pool with the given surplus.
 func rankOf(c *Candidate, surplus int) rank {
 	switch {
-	case c.Standby:
-		return rankStandby
 	case c.Drained && c.Empty:
 		return rankDrained
 	case c.Evacuating:
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -179,6 +179,11 @@
 	return d.available - int(math.Round(needed))
 }
 
+// expectedCalls returns how many machines the pool is expected to call within a time, by its deficit and its present rise.
+func (d *demand) expectedCalls(within time.Duration) int {
+	return max(0, d.deficit()+int(math.Ceil(demandMargin*d.batchSlope*within.Seconds())))
+}
+
 // evacuatingInstances returns the number of instances of a pool that are being emptied for maintenance.
 func (s *Scheduler) evacuatingInstances(pool fleet.PoolID) int {
 	n := 0
--- a/internal/scheduler/wave_candidates.go
+++ b/internal/scheduler/wave_candidates.go
@@ -18,8 +18,10 @@
 			view.Down++
 		}
 	}
+	view.StandbySurplus = s.usableStandbyMachines()
 	for pool, d := range s.demands {
 		view.Surplus[pool] = d.unneededInstances()
+		view.StandbySurplus -= d.expectedCalls(w.maintainer.Round())
 	}
 	steps := map[waveStep]maintainer.StepID{}
 	for _, machine := range w.Machines {
