--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -252,50 +252,6 @@
 	return step.MaxPerInstance == 0 || st.runCounts[in] < step.MaxPerInstance
 }
 
-// Weights of the placement score, in units of a fully used instance.
-const (
-	weightCold            = 500.0 // an instance gets nothing before it is warm if a warm one has room, whatever else speaks for it
-	weightDataRack        = 100.0 // away from its data a task takes two to three times as long
-	weightFailure         = 20.0  // an instance on which tasks failed recently is the last choice
-	weightLastInstance    = 10.0  // a task is retried on another instance after a lost or failed run
-	weightMaintenance     = 6.0   // a machine that a wave has yet to maintain must be emptied again, which costs a service task 1 s
-	weightInterference    = 5.0   // best-effort tasks and latency-sensitive service tasks slow each other down
-	weightServiceInstance = 4.0   // with service tasks on few instances, the others can go to standby when batch work ends
-	weightRackSpread      = 0.5   // the loss of a rack should not stop all tasks of a service step
-	weightPacking         = 1.0   // packing leaves other instances empty for maintenance and moves
-	weightInstanceSpread  = 0.3   // the loss of an instance should not either; both spread weights are below the cost of another instance
-)
-
-func (in *instance) score(c *candidate, t *task) float64 {
-	step := c.stage.step
-	score := 0.0
-	if in.cold {
-		score -= weightCold
-	}
-	if step.DataRack != "" && in.Rack == step.DataRack {
-		score += weightDataRack
-	}
-	score -= weightFailure * float64(min(in.recentFailures, 3))
-	score -= in.crashRisk(c, t)
-	if t.lastInstance == in.ID {
-		score -= weightLastInstance
-	}
-	if in.awaitsMaintenance {
-		score -= weightMaintenance
-	}
-	load := float64(in.claimed.Processors) / float64(max(1, in.Capacity.Processors))
-	if !step.Service {
-		return score + weightPacking*load
-	}
-	if step.TailLatencyTarget > 0 || step.BestEffort {
-		score -= weightInterference * float64(in.interferingRuns(step))
-	}
-	if in.serviceRuns > 0 || c.serviceInstances < minPoolInstances {
-		score += weightServiceInstance
-	}
-	return score + weightPacking*load - weightInstanceSpread*float64(c.stage.runCounts[in]) - weightRackSpread*float64(c.tasksPerRack[in.Rack])
-}
-
 // interferingRuns returns the number of runs that tasks of the step and their neighbours slow down.
 func (in *instance) interferingRuns(step *workload.Step) int {
 	n := 0
