Place by speed and spread, reserve room, and wait for data racks

Cause: the score ignored slow instances and put the work of a customer into one rack, small tasks kept large ones and gangs waiting, and a task whose rack was full ran at half of the speed elsewhere although a place was about to be free. Change: criteria in internal/scorer, expected room in internal/reserver, their use in the planning run; room reserved is a new decision.

--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -30,6 +30,11 @@
 	// of the stage in each rack. Both are set for service stages only.
 	serviceInstances int
 	tasksPerRack     map[string]int
+	// requirement is set for batch stages, once it is required.
+	requirement requirement
+	required    bool
+	// spread is that of the customer's batch work over racks, nil if it is of no concern.
+	spread *spread
 }
 
 // candidateLists holds the candidates of each class in placement order: by priority and due time.
--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -278,6 +278,7 @@
 // logSpeed records that an instance has become slow or has its usual speed again.
 func (s *Scheduler) logSpeed(in *instance, before forecaster.Speed) {
 	after := s.forecaster.InstanceSpeed(in.ID)
+	in.observeSpeed(after)
 	if after.Slow == before.Slow {
 		return
 	}
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -7,22 +7,22 @@
 	"github.com/sapphiresail/sapphiresail/internal/workload"
 )
 
-// placeGang starts all tasks of a stage under one run number, or none of them.
-func (s *Scheduler) placeGang(c *candidate, instances []*instance) {
+// placeGang starts all tasks of a stage under one run number, or none of them. It returns false if they find too little room.
+func (s *Scheduler) placeGang(c *candidate, instances []*instance) bool {
 	if s.heldBack(c, 0) {
-		return
+		return true
 	}
 	step := &c.job.Steps[c.stage.stepIndex]
 	requested := workload.Resources{}
 	for i := range c.stage.tasks {
 		t := &c.stage.tasks[i]
 		if t.run != nil {
-			return
+			return true
 		}
 		requested = requested.Add(step.Resources)
 	}
 	if !s.withinLimit(c.job, requested) {
-		return
+		return true
 	}
 	warm := warmInstances(instances)
 	assigned := fitGang(c, step, warm)
@@ -30,7 +30,7 @@
 		assigned = fitGang(c, step, instances)
 	}
 	if assigned == nil {
-		return
+		return false
 	}
 	number := s.nextRunNumber()
 	for i, in := range assigned {
@@ -38,6 +38,7 @@
 		s.startRun(in, c.job, r)
 		s.logRunDecision("run placed", r, in, "gang")
 	}
+	return true
 }
 
 // fitGang returns an instance for each task of the stage, or nil. It prefers a single rack, the data rack first.
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -78,6 +78,14 @@
 	// not, and reservedClaim what those claim in the current decision.
 	reservedUntil time.Duration
 	reservedClaim workload.Resources
+	// reservation keeps batch tasks of other stages off the instance, nil if there is none.
+	reservation *reservation
+	// slowdown is the part by which tasks take longer than on an instance of usual speed, zero unless the instance is slow.
+	slowdown float64
+	// rackIndex is the index of the rack in the spreads of customers.
+	rackIndex int
+	// startedAt is when a task was started here last.
+	startedAt time.Duration
 	// fromCommitted is set for instances that this leader found in the committed state.
 	fromCommitted bool
 	// consolidating is set while the service tasks of a surplus instance are relocated.
@@ -159,6 +167,9 @@
 	adopted bool
 	// account includes the run's claim; it is nil for service tasks.
 	account *account
+	// spread counts the run in the rack with rackIndex; it is nil for service tasks.
+	spread    *spread
+	rackIndex int
 	// measured is set for a full run of the task that this leader has started on an instance at its full speed.
 	measured bool
 	// startedAt is when the run was started, within startDoubt; zero while it is not known.
@@ -173,6 +184,8 @@
 	in := &instance{Instance: announced, runs: map[workload.TaskID]*run{}, orphans: map[runKey]time.Duration{}, clockReadAt: s.now, announcedAt: s.now, throttlePercent: 100,
 		largestCapacity: announced.Capacity.Max(announced.LargestCapacity)}
 	in.observeWarmup(false)
+	in.rackIndex = s.rackIndex(in.Rack)
+	in.observeSpeed(s.forecaster.InstanceSpeed(in.ID))
 	s.instances.put(in)
 	s.locateMachine(in)
 	return in
@@ -201,6 +214,7 @@
 		stillCold := in.warmingUp(now)
 		s.instances.update(in, announced)
 		in.observeWarmup(stillCold)
+		in.rackIndex = s.rackIndex(in.Rack)
 		s.locateMachine(in)
 		in.announcedAt = now
 		in.drainCommitted = in.drainCommitted && in.leaving()
@@ -309,6 +323,7 @@
 	in.claimed = in.claimed.Add(r.claim)
 	*r.job.customerUsage = r.job.customerUsage.Add(r.job.step(r.task.Position).Resources)
 	s.chargeUsage(in, r)
+	s.countRack(in, r)
 	r.job.started = true
 	r.job.runCount++
 	if t := r.job.task(r.task.Position); t.run == nil {
@@ -333,6 +348,7 @@
 	in.claimed = in.claimed.Sub(r.claim)
 	*r.job.customerUsage = r.job.customerUsage.Sub(r.job.step(r.task.Position).Resources)
 	s.releaseUsage(r)
+	r.uncountRack()
 	t := r.job.task(r.task.Position)
 	if t.run == r {
 		t.run = nil
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -74,6 +74,8 @@
 	longestRun time.Duration
 	// runCounts is the number of runs on each instance that has some.
 	runCounts map[*instance]int
+	// rackWaitSince is when a task first waited for the rack of its data.
+	rackWaitSince time.Duration
 	// suspects is the number of suspected tasks; a gang counts as one.
 	suspects int
 	// expectation is nil until it is asked for: a job with many occurrences has far more stages than run.
--- a/internal/scheduler/large_fleet_test.go
+++ b/internal/scheduler/large_fleet_test.go
@@ -36,6 +36,10 @@
 	// completed, if set, is called for jobs that are complete once their ends are committed.
 	completed        func(jobs []scheduler.CompletedJob)
 	machineOrderRate float64
+	// decided, if set, is called for the decisions of a planning run.
+	decided func(list []scheduler.Decision)
+	// withoutCriteria are the placement criteria that do not apply.
+	withoutCriteria scheduler.Criteria
 	// varied adds the kinds of work that the site lacks: see vary.
 	varied bool
 	jobs   []workload.JobID
@@ -91,7 +95,7 @@
 
 // startLeader replaces the scheduler by one that starts from the committed state.
 func (f *largeFleet) startLeader() {
-	f.scheduler = scheduler.New(f.now, f.now.Milliseconds(), scheduler.Options{Fence: f.index + 1, LeaseDuration: 3 * time.Second, LeadingSince: f.now, MachineOrderRate: f.machineOrderRate}, &f.state.Workload)
+	f.scheduler = scheduler.New(f.now, f.now.Milliseconds(), scheduler.Options{Fence: f.index + 1, LeaseDuration: 3 * time.Second, LeadingSince: f.now, MachineOrderRate: f.machineOrderRate, WithoutCriteria: f.withoutCriteria}, &f.state.Workload)
 	f.listMachines()
 }
 
@@ -383,7 +387,9 @@
 	if completed := f.scheduler.TakeCompleted(); f.completed != nil {
 		f.completed(completed)
 	}
-	f.scheduler.TakeDecisions()
+	if decisions := f.scheduler.TakeDecisions(); f.decided != nil {
+		f.decided(decisions)
+	}
 	if list := f.scheduler.TakeCordons(); len(list) > 0 {
 		f.commit(state.CordonInstances{Instances: list})
 	}
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -32,7 +32,7 @@
 	r.job = j
 	r.status = statusOrdered
 	r.claim = j.step(r.task.Position).Claim()
-	r.orderedAt = s.now
+	r.orderedAt, in.startedAt = s.now, s.now
 	r.throttlePercent = 100
 	r.measured = t.checkpoint == "" && !in.warmingUp(s.now)
 	s.attachRun(in, r)
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -21,6 +21,11 @@
 	full []workload.Resources
 	// probations is the number of instances with runs on probation.
 	probations int
+	// reserved is the number of instances with reservations for waiting batch tasks, and withheld that of those that instances lacks.
+	reserved, withheld int
+	// runs is the number of batch runs on the instances, and claimed what they claim; both are zero until they are needed.
+	runs    int
+	claimed workload.Resources
 }
 
 type poolCapacities map[fleet.PoolID]*poolCapacity
@@ -65,7 +70,12 @@
 		s.unreconciledCapacity = s.unreconciledCapacity.Add(s.instances.byID[id].largestCapacity)
 	}
 	s.placeSuspects(lists)
-	for _, list := range lists {
+	s.keepReservations(pools)
+	clear(s.rackOutlooks)
+	for class, list := range lists {
+		if class == int(classPromoted) {
+			pools.withholdReserved()
+		}
 		for len(list) > 0 {
 			n := equalRankPrefix(list)
 			s.placeEqualRank(list[:n])
@@ -104,11 +114,16 @@
 		return
 	}
 	pool := c.job.account.capacity
+	s.placeOnReserved(c)
 	if c.stage.step.Gang {
-		if c.stage.suspects == 0 {
-			s.placeGang(c, s.advisedInstances(c, pool.instances))
+		if c.stage.suspects == 0 && !s.placeGang(c, s.advisedInstances(c, pool.instances)) {
+			s.reserveRoom(c, pool)
+		}
+	} else if !s.placeTasks(c, pool) {
+		if c.class != classService {
+			s.reserveRoom(c, pool)
+			return
 		}
-	} else if !s.placeTasks(c, pool) && c.class == classService {
 		d := s.demandOf(c.job.pool)
 		d.unplacedAt, d.unplaced = s.now, c.stage.waiting
 		pool.instances = withoutReserved(c, pool.instances)
@@ -184,6 +199,9 @@
 		if !s.withinLimit(c.job, c.stage.step.Resources) {
 			return true
 		}
+		if s.waitsForRack(c, instances) {
+			continue
+		}
 		if !pool.hasRoom(c.stage.claim) {
 			return false
 		}
@@ -197,7 +215,7 @@
 		id := workload.TaskID{Job: c.job.ID, Position: workload.NewPosition(c.occurrence, c.stage.stepIndex, i)}
 		r := &run{task: id, number: s.nextRunNumber()}
 		s.startRun(in, c.job, r)
-		s.logRunDecision("run placed", r, in, "room")
+		s.logRunDecision("run placed", r, in, in.roomReason())
 	}
 	return true
 }
@@ -209,9 +227,11 @@
 }
 
 // chooseInstance returns the instance with the highest score for a task, or nil. hasRoom reports whether the task's claim
-// fits on any of the instances.
+// fits on any of the instances. An instance that is too slow for the job is chosen only if no other could take the task.
 func (s *Scheduler) chooseInstance(c *candidate, t *task, instances []*instance) (best *instance, hasRoom bool) {
-	bestScore := 0.0
+	bestScore, measured := 0.0, false
+	var bestSlow *instance
+	slowScore := 0.0
 	for _, in := range instances {
 		if !in.free().Fits(c.stage.claim) {
 			continue
@@ -220,14 +240,24 @@
 		if !in.accepts(c.stage) {
 			continue
 		}
-		if best == nil && c.stage.step.Service {
-			c.measureSpread(instances)
+		if !measured {
+			measured = true
+			s.measureSpread(c, instances)
+		}
+		score := s.score(in, c, t)
+		if in.slowdown > 0 && s.tooSlow(in, c) {
+			if bestSlow == nil || score > slowScore {
+				bestSlow, slowScore = in, score
+			}
+			continue
 		}
-		score := in.score(c, t)
 		if best == nil || score > bestScore {
 			best, bestScore = in, score
 		}
 	}
+	if best == nil && bestSlow != nil && !c.awaitsUsualSpeed(instances) {
+		best = bestSlow
+	}
 	return best, hasRoom
 }
 
@@ -264,8 +294,13 @@
 	return n
 }
 
-// measureSpread counts the tasks of a service stage in each rack, and the instances that run service tasks.
-func (c *candidate) measureSpread(instances []*instance) {
+// measureSpread sets the spread of the customer's work for a batch stage. For a service stage it counts its tasks in each rack, and the instances
+// that run service tasks.
+func (s *Scheduler) measureSpread(c *candidate, instances []*instance) {
+	if !c.stage.step.Service {
+		c.spread = s.spreadOf(c)
+		return
+	}
 	c.serviceInstances, c.tasksPerRack = 0, map[string]int{}
 	for _, in := range instances {
 		if in.serviceRuns > 0 {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -9,6 +9,7 @@
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
 	"github.com/sapphiresail/sapphiresail/internal/forecaster"
 	"github.com/sapphiresail/sapphiresail/internal/namer"
+	"github.com/sapphiresail/sapphiresail/internal/reserver"
 	"github.com/sapphiresail/sapphiresail/internal/state"
 	"github.com/sapphiresail/sapphiresail/internal/workload"
 )
@@ -117,6 +118,8 @@
 	MachineOrderRate float64
 	// DrainedDataCentres are the data centres on whose instances nothing is started.
 	DrainedDataCentres map[fleet.DataCentreID]bool
+	// WithoutCriteria are the placement criteria that do not apply.
+	WithoutCriteria Criteria
 }
 
 // Scheduler places the tasks of all jobs. It is not safe for concurrent use.
@@ -195,6 +198,16 @@
 	forecastError error
 	// forecastTakenAt is when a summary of run times was due last.
 	forecastTakenAt time.Duration
+	// reservations are those for waiting batch tasks.
+	reservations []*reservation
+	// rackOutlooks are those of the racks that tasks wait for, in the current planning run.
+	rackOutlooks map[poolRack]*rackOutlook
+	// spreads are those of the batch work of each customer in each pool, and rackIndexes the indexes of racks in them.
+	spreads     map[poolCustomer]*spread
+	rackIndexes map[string]int
+	// outlook and slots are kept to use their memory again.
+	outlook reserver.Outlook
+	slots   []time.Duration
 	// backlog is the one that was measured last, nil if none is.
 	backlog *Backlog
 }
@@ -242,9 +255,13 @@
 		drainedDataCentres: options.DrainedDataCentres,
 		machineDataCentres: map[string]fleet.DataCentreID{},
 		forecaster:         forecaster.New(),
+		rackOutlooks:       map[poolRack]*rackOutlook{},
+		spreads:            map[poolCustomer]*spread{},
+		rackIndexes:        map[string]int{},
 		forecastTakenAt:    now,
 	}
 	maps.Copy(s.machineDataCentres, committed.MachineDataCentres)
+	s.restoreForecast(committed.Forecast)
 	for id, e := range committed.Enrolled {
 		in := s.addInstance(e)
 		in.enrolled = true
@@ -258,7 +275,6 @@
 		in.cordoned = in.cordonIndex > 0
 		s.unreconciled[id] = true
 	}
-	s.restoreForecast(committed.Forecast)
 	for _, r := range committed.Jobs {
 		s.AddJob(now, wallMillis, r, true)
 	}
--- a/internal/scheduler/waiting.go
+++ b/internal/scheduler/waiting.go
@@ -151,9 +151,10 @@
 func (s *Scheduler) explain(w waitingJob) WaitingTask {
 	j, p := w.job, w.task
 	c := candidate{job: j, occurrence: p.Occurrence(), stage: j.stage(p)}
+	c.class = s.classOf(j, c.stage)
 	pool := s.summarisePool(j.pool)
 	explained := WaitingTask{
-		Task: workload.TaskID{Job: j.ID, Position: p}, Class: s.classOf(j, c.stage).String(), Waited: s.now - w.since, Inherited: j.inherited, Tasks: w.tasks,
+		Task: workload.TaskID{Job: j.ID, Position: p}, Class: c.class.String(), Waited: s.now - w.since, Inherited: j.inherited, Tasks: w.tasks,
 		Pool: j.pool, Free: pool.free, Total: pool.total,
 	}
 	explained.Reason = s.reasonForWaiting(c, p, pool) + s.describeBacklog(j.pool)
@@ -258,7 +259,7 @@
 		what = "no advice"
 	}
 	return fmt.Sprintf("%s for %s: of %d schedulable instances %d admit it, %d are full, %d lack the label, %d have the most tasks, %d have no ticket%s",
-		what, step.Claim(), len(pool.schedulable), admitting, full, unlabelled, atMax, noTicket, pool.describeOthers())
+		what, step.Claim(), len(pool.schedulable), admitting, full, unlabelled, atMax, noTicket, s.describeKeptRoom(c, pool)+pool.describeOthers())
 }
 
 // describeBacklog describes the work of a pool in which new jobs may be refused.
--- a/internal/scheduler/where.go
+++ b/internal/scheduler/where.go
@@ -141,7 +141,7 @@
 	p.Class = class.String()
 	p.Share, p.Entitled = s.shareIn(j.pool, j.customer)
 	p.Ahead = s.tasksAhead(j, class, j.acceptedAt+objective)
-	s.describeSteps(&p, j, o, class, whole)
+	s.describeSteps(&p, j, o, class, whole, standing.Slack())
 	return p
 }
 
@@ -214,7 +214,7 @@
 }
 
 // describeSteps describes the steps of an occurrence, and the instances for the first that may run now.
-func (s *Scheduler) describeSteps(p *Placement, j *job, o *occurrence, class class, expected []time.Duration) {
+func (s *Scheduler) describeSteps(p *Placement, j *job, o *occurrence, class class, expected []time.Duration, slack time.Duration) {
 	for i, st := range o.stages {
 		if len(p.Steps) == maxExplainedSteps {
 			p.StepsOmitted = len(o.stages) - i
@@ -223,6 +223,7 @@
 		step := StepPlacement{Step: i, Waiting: st.waiting, Claim: st.claim.String(), Expected: rounded(expected[i]).String(), State: s.stateOf(j, o, st), RuledOut: map[string]int{}}
 		if step.State == stateRunnable {
 			c := candidate{job: j, occurrence: slices.Index(j.occurrences, o), stage: st, class: class}
+			c.required, c.requirement = true, requirement{indifferent: class != classOnTime, typical: s.forecastOf(j, st).Typical(), slack: slack}
 			verdicts := s.judgeInstances(&c)
 			step.sum(&c, verdicts)
 			if len(p.Instances) == 0 && len(p.Changes) == 0 {
--- a/internal/scheduler/where_instances.go
+++ b/internal/scheduler/where_instances.go
@@ -29,6 +29,8 @@
 	ruledOutSuspect  = "has a task on probation"
 	ruledOutReserved = "reserved for service tasks"
 	ruledOutTicket   = "without advice"
+	ruledOutLarge    = "reserved for a waiting task"
+	ruledOutSlow     = "too slow for the job to be in time"
 )
 
 // judgeInstances judges the instances of the pool of a candidate, in the order of their IDs.
@@ -40,9 +42,7 @@
 			schedulable = append(schedulable, in)
 		}
 	}
-	if c.stage.step.Service {
-		c.measureSpread(schedulable)
-	}
+	s.measureSpread(c, schedulable)
 	for _, in := range s.instances.sorted {
 		if in.Pool != c.job.pool {
 			continue
@@ -50,7 +50,7 @@
 		v := verdict{instance: in, ruledOut: s.ruleOut(c, in)}
 		if v.ruledOut == "" {
 			v.takes = in.roomFor(c.stage)
-			v.score = math.Round(100*in.score(c, &task{})) / 100
+			v.score = math.Round(100*s.score(in, c, &task{})) / 100
 		}
 		list = append(list, v)
 	}
@@ -77,6 +77,10 @@
 		return ruledOutReserved
 	case c.job.adviceConfig != nil && c.job.ID != "" && c.job.ticketFor(workload.NewPosition(c.occurrence, c.stage.stepIndex, 0), in) == "":
 		return ruledOutTicket
+	case !step.Service && in.reservation != nil && in.reservation.stage != c.stage:
+		return ruledOutLarge
+	case s.tooSlow(in, c):
+		return ruledOutSlow
 	default:
 		return ""
 	}
--- a/internal/scorer/scorer.go
+++ b/internal/scorer/scorer.go
@@ -13,6 +13,11 @@
 	weightRackSpread      = 0.5   // the loss of a rack should not stop all tasks of a service step
 	weightPacking         = 1.0   // packing leaves other instances empty for maintenance and moves
 	weightInstanceSpread  = 0.3   // the loss of an instance should not either; both spread weights are below the cost of another instance
+
+	weightTight          = 4.0 // on a slow instance a task makes its job late, which costs most of the worth of the job
+	weightSlow           = 1.5 // a slow instance is used once the others have no room; exceeds weightPacking
+	weightSpare          = 1.5 // work that loses nothing there leaves the others free; exceeds weightPacking
+	weightCustomerSpread = 0.1 // the loss of a rack should not stop all work of a customer; less than a task adds to the load of an instance
 )
 
 // maxFailures bounds the effect of failed runs, so that an instance can recover.
@@ -30,10 +35,30 @@
 	CrashRisk float64
 	// Load is the claimed part of the processors.
 	Load float64
+	// Slow is set on a slow instance, and Haste is what the longer run time there costs.
+	Slow  bool
+	Haste Haste
+	// CheckDue is set for a slow instance that has started nothing for so long that its speed has to be measured again.
+	CheckDue bool
+	// CustomerShare is the part of the customer's batch runs in the pool that are in the rack, zero if that is of no concern.
+	CustomerShare float64
 	// Service is nil for the tasks of batch steps.
 	Service *Service
 }
 
+// Haste is what a longer run time costs the job of a task.
+type Haste uint8
+
+// Kinds of haste.
+const (
+	// Indifferent work is late or best effort, and loses nothing.
+	Indifferent Haste = iota
+	// Slack work can be in time on any instance.
+	Slack
+	// Tight work becomes late by the longer run time on this instance.
+	Tight
+)
+
 // Service describes a place for a task of a service step.
 type Service struct {
 	// Interfering is the number of runs that the task and its neighbours slow down.
@@ -61,10 +86,30 @@
 	if p.AwaitsMaintenance {
 		score -= weightMaintenance
 	}
-	if p.Service == nil {
-		return score + weightPacking*p.Load
+	if p.Service != nil {
+		return p.Service.adjust(score, p.Load)
+	}
+	return p.adjust(score) + weightPacking*p.Load
+}
+
+// adjust completes the score of a place for a batch task, but for packing.
+func (p *Place) adjust(score float64) float64 {
+	if p.Slow {
+		score += p.slowScore()
+	}
+	return score - weightCustomerSpread*p.CustomerShare
+}
+
+// slowScore returns what a slow instance gains or loses for a batch task.
+func (p *Place) slowScore() float64 {
+	switch {
+	case p.Haste == Tight:
+		return -weightTight
+	case p.Haste == Indifferent || p.CheckDue:
+		return weightSpare
+	default:
+		return -weightSlow
 	}
-	return p.Service.adjust(score, p.Load)
 }
 
 // adjust completes the score of a place for a service task.
