--- a/internal/scheduler/crash_risk.go
+++ b/internal/scheduler/crash_risk.go
@@ -10,7 +10,7 @@
 	weightRival       = 8.0  // tasks with as many crashes are told apart only on different instances
 	weightStreak      = 8.0  // a crash under a task with two crashes or more ends its neighbours too
 	weightServiceRisk = 12.0 // a service task loses more by a crash than a batch task does
-	weightEmptiness   = 2.0  // of several instances without rivals the one with the fewest neighbours; exceeds weightPacking
+	weightEmptiness   = 2.0  // of several instances without rivals the one with the fewest neighbours; exceeds the weight of packing in the score
 	weightLot         = 2.0  // a choice by what has crashed before could keep innocent tasks where the next crash is due
 )
 
--- a/internal/scheduler/data_rack.go
+++ b/internal/scheduler/data_rack.go
@@ -1,10 +1,22 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/workload"
+)
+
+const (
+	// rackWaitMargin is how many times as long as the wait the run elsewhere has to be: jobs that are due earlier take some of the places that a
+	// task was to get. Without it a rack from which a third more is asked than it can do made more jobs late than no wait at all.
+	rackWaitMargin = 2
+	// maxRackWait bounds the wait of a stage whose places are always taken by others, in multiples of the longer run.
+	maxRackWait = 3
+	// maxRackSlots bounds the number of tasks that wait for one instance.
+	maxRackSlots = 16
 )
 
 // poolRack identifies the instances of a pool in one rack.
@@ -18,6 +30,8 @@
 	// slots are the times after which there is room for one more task each, and queued the number of tasks that wait for them.
 	slots  []time.Duration
 	queued int
+	// claim is that of the tasks; a smaller one needs another outlook.
+	claim workload.Resources
 }
 
 // waitsForRack reports whether the next task of a stage waits for the rack of its data, since the wait is shorter than the longer run elsewhere.
@@ -30,14 +44,12 @@
 	if o == nil || o.queued >= len(o.slots) {
 		return false
 	}
-	if c.stage.rackWaitSince == 0 {
-		c.stage.rackWaitSince = s.now
-	}
-	need := s.require(c)
-	longer := time.Duration(float64(need.typical) * (s.forecaster.RemoteFactor() - 1))
-	if s.now-c.stage.rackWaitSince+o.slots[o.queued] >= longer {
+	longer := time.Duration(float64(s.require(c).typical) * (s.forecaster.RemoteFactor() - 1))
+	since := cmp.Or(c.stage.rackWaitSince, s.now)
+	if o.slots[o.queued] >= longer/rackWaitMargin || s.now-since >= maxRackWait*longer {
 		return false
 	}
+	c.stage.rackWaitSince = since
 	o.queued++
 	return true
 }
@@ -45,10 +57,14 @@
 // rackOutlookOf returns the outlook of the rack of a stage's data, nil if there is room or the pool has no instances there.
 func (s *Scheduler) rackOutlookOf(c *candidate, instances []*instance) *rackOutlook {
 	k := poolRack{c.job.pool, c.stage.step.DataRack}
-	if o := s.rackOutlooks[k]; o != nil && o.queued > 0 {
-		return o
+	known := s.rackOutlooks[k]
+	if known != nil && c.stage.claim.Fits(known.claim) {
+		return known
+	}
+	o := &rackOutlook{claim: c.stage.claim}
+	if known != nil {
+		o.queued = known.queued
 	}
-	o := &rackOutlook{}
 	for _, in := range instances {
 		if in.Rack != k.rack || !in.accepts(c.stage) {
 			continue
@@ -66,6 +82,3 @@
 	s.rackOutlooks[k] = o
 	return o
 }
-
-// maxRackSlots bounds the number of tasks that wait for one instance.
-const maxRackSlots = 16
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -81,9 +81,12 @@
 		return
 	}
 	pool := c.job.account.capacity
-	if c.stage.step.Gang {
-		s.placeGang(c, s.advisedInstances(c, slices.Concat(r.instances, pool.instances)))
-	} else {
+	switch {
+	case c.stage.suspects > 0:
+		return
+	case c.stage.step.Gang:
+		s.placeGang(c, slices.Concat(r.instances, pool.instances))
+	default:
 		s.placeTasks(c, &poolCapacity{instances: r.instances})
 	}
 	if c.stage.waiting == 0 {
