--- a/internal/scheduler/placement_fleet_test.go
+++ b/internal/scheduler/placement_fleet_test.go
@@ -97,7 +97,6 @@
 	spread              float64
 	steps               int
 	customer, customers int // the first customer, and the number of them
-	tails               float64
 }
 
 // submitKind submits the jobs of a kind that arrive in one step of the simulation.
