--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -21,6 +21,11 @@
 	full []workload.Resources
 	// probations is the number of instances with runs on probation.
 	probations int
+	// reserved is the number of instances with reservations for waiting batch tasks, and withheld that of those that instances lacks.
+	reserved, withheld int
+	// runs is the number of batch runs on the instances, and claimed what they claim; both are zero until they are needed.
+	runs    int
+	claimed workload.Resources
 }
 
 type poolCapacities map[fleet.PoolID]*poolCapacity
@@ -65,7 +70,12 @@
 		s.unreconciledCapacity = s.unreconciledCapacity.Add(s.instances.byID[id].largestCapacity)
 	}
 	s.placeSuspects(lists)
-	for _, list := range lists {
+	s.keepReservations(pools)
+	clear(s.rackOutlooks)
+	for class, list := range lists {
+		if class == int(classPromoted) {
+			pools.withholdReserved()
+		}
 		for len(list) > 0 {
 			n := equalRankPrefix(list)
 			s.placeEqualRank(list[:n])
@@ -104,11 +114,16 @@
 		return
 	}
 	pool := c.job.account.capacity
+	s.placeOnReserved(c)
 	if c.stage.step.Gang {
-		if c.stage.suspects == 0 {
-			s.placeGang(c, s.advisedInstances(c, pool.instances))
+		if c.stage.suspects == 0 && !s.placeGang(c, s.advisedInstances(c, pool.instances)) {
+			s.reserveRoom(c, pool)
+		}
+	} else if !s.placeTasks(c, pool) {
+		if c.class != classService {
+			s.reserveRoom(c, pool)
+			return
 		}
-	} else if !s.placeTasks(c, pool) && c.class == classService {
 		d := s.demandOf(c.job.pool)
 		d.unplacedAt, d.unplaced = s.now, c.stage.waiting
 		pool.instances = withoutReserved(c, pool.instances)
@@ -184,6 +199,9 @@
 		if !s.withinLimit(c.job, c.stage.step.Resources) {
 			return true
 		}
+		if s.waitsForRack(c, instances) {
+			continue
+		}
 		if !pool.hasRoom(c.stage.claim) {
 			return false
 		}
@@ -197,7 +215,7 @@
 		id := workload.TaskID{Job: c.job.ID, Position: workload.NewPosition(c.occurrence, c.stage.stepIndex, i)}
 		r := &run{task: id, number: s.nextRunNumber()}
 		s.startRun(in, c.job, r)
-		s.logRunDecision("run placed", r, in, "room")
+		s.logRunDecision("run placed", r, in, in.roomReason())
 	}
 	return true
 }
@@ -209,9 +227,11 @@
 }
 
 // chooseInstance returns the instance with the highest score for a task, or nil. hasRoom reports whether the task's claim
-// fits on any of the instances.
+// fits on any of the instances. An instance that is too slow for the job is chosen only if no other could take the task.
 func (s *Scheduler) chooseInstance(c *candidate, t *task, instances []*instance) (best *instance, hasRoom bool) {
-	bestScore := 0.0
+	bestScore, measured := 0.0, false
+	var bestSlow *instance
+	slowScore := 0.0
 	for _, in := range instances {
 		if !in.free().Fits(c.stage.claim) {
 			continue
@@ -220,14 +240,24 @@
 		if !in.accepts(c.stage) {
 			continue
 		}
-		if best == nil && c.stage.step.Service {
-			c.measureSpread(instances)
+		if !measured {
+			measured = true
+			s.measureSpread(c, instances)
+		}
+		score := s.score(in, c, t)
+		if in.slowdown > 0 && s.tooSlow(in, c) {
+			if bestSlow == nil || score > slowScore {
+				bestSlow, slowScore = in, score
+			}
+			continue
 		}
-		score := in.score(c, t)
 		if best == nil || score > bestScore {
 			best, bestScore = in, score
 		}
 	}
+	if best == nil && bestSlow != nil && !c.awaitsUsualSpeed(instances) {
+		best = bestSlow
+	}
 	return best, hasRoom
 }
 
@@ -252,50 +282,6 @@
 	return step.MaxPerInstance == 0 || st.runCounts[in] < step.MaxPerInstance
 }
 
-// Weights of the placement score, in units of a fully used instance.
-const (
-	weightCold            = 500.0 // an instance gets nothing before it is warm if a warm one has room, whatever else speaks for it
-	weightDataRack        = 100.0 // away from its data a task takes two to three times as long
-	weightFailure         = 20.0  // an instance on which tasks failed recently is the last choice
-	weightLastInstance    = 10.0  // a task is retried on another instance after a lost or failed run
-	weightMaintenance     = 6.0   // a machine that a wave has yet to maintain must be emptied again, which costs a service task 1 s
-	weightInterference    = 5.0   // best-effort tasks and latency-sensitive service tasks slow each other down
-	weightServiceInstance = 4.0   // with service tasks on few instances, the others can go to standby when batch work ends
-	weightRackSpread      = 0.5   // the loss of a rack should not stop all tasks of a service step
-	weightPacking         = 1.0   // packing leaves other instances empty for maintenance and moves
-	weightInstanceSpread  = 0.3   // the loss of an instance should not either; both spread weights are below the cost of another instance
-)
-
-func (in *instance) score(c *candidate, t *task) float64 {
-	step := c.stage.step
-	score := 0.0
-	if in.cold {
-		score -= weightCold
-	}
-	if step.DataRack != "" && in.Rack == step.DataRack {
-		score += weightDataRack
-	}
-	score -= weightFailure * float64(min(in.recentFailures, 3))
-	score -= in.crashRisk(c, t)
-	if t.lastInstance == in.ID {
-		score -= weightLastInstance
-	}
-	if in.awaitsMaintenance {
-		score -= weightMaintenance
-	}
-	load := float64(in.claimed.Processors) / float64(max(1, in.Capacity.Processors))
-	if !step.Service {
-		return score + weightPacking*load
-	}
-	if step.TailLatencyTarget > 0 || step.BestEffort {
-		score -= weightInterference * float64(in.interferingRuns(step))
-	}
-	if in.serviceRuns > 0 || c.serviceInstances < minPoolInstances {
-		score += weightServiceInstance
-	}
-	return score + weightPacking*load - weightInstanceSpread*float64(c.stage.runCounts[in]) - weightRackSpread*float64(c.tasksPerRack[in.Rack])
-}
-
 // interferingRuns returns the number of runs that tasks of the step and their neighbours slow down.
 func (in *instance) interferingRuns(step *workload.Step) int {
 	n := 0
@@ -308,8 +294,13 @@
 	return n
 }
 
-// measureSpread counts the tasks of a service stage in each rack, and the instances that run service tasks.
-func (c *candidate) measureSpread(instances []*instance) {
+// measureSpread sets the spread of the customer's work for a batch stage. For a service stage it counts its tasks in each rack, and the instances
+// that run service tasks.
+func (s *Scheduler) measureSpread(c *candidate, instances []*instance) {
+	if !c.stage.step.Service {
+		c.spread = s.spreadOf(c)
+		return
+	}
 	c.serviceInstances, c.tasksPerRack = 0, map[string]int{}
 	for _, in := range instances {
 		if in.serviceRuns > 0 {
