Keep the runs of an instance that another address answers for

Callers could see a task run twice.

An instance that restarts under its ID, or that announces another address, is known by its ID. The response that another instance serves the address (Mismatched) named only the ID, so that one which arrived late removed the later boot or the one at the new address, with runs that it still had, and their tasks started elsewhere. Such a refusal of a poll also removed a later boot that had departed.

Orders and polls now carry the boot that the leader knew, which is not sent, and their failure counts only for this boot at the address to which they were sent. A start that the earlier address rejects stays uncertain until a stop is answered. HandlePollFailure takes the request instead of the ID for this; the tests pass the request of the poll that fails, as the supervisor does.

--- a/internal/scheduler/cordon_test.go
+++ b/internal/scheduler/cordon_test.go
@@ -14,8 +14,8 @@
 // failPolls makes an instance unreachable: two polls fail, and the cordon that follows is committed.
 func (f *testFleet) failPolls(id fleet.InstanceID) {
 	delete(f.runs, id)
-	f.scheduler.HandlePollFailure(f.now, id, scheduler.Uncertain)
-	f.scheduler.HandlePollFailure(f.now, id, scheduler.Uncertain)
+	f.failPoll(id, scheduler.Uncertain)
+	f.failPoll(id, scheduler.Uncertain)
 	f.advance(100 * time.Millisecond)
 }
 
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -235,7 +235,7 @@
 			delete(f.runs, id)
 			for range 80 {
 				f.play(100 * time.Millisecond)
-				f.scheduler.HandlePollFailure(f.now, id, scheduler.Refused)
+				f.failPoll(id, scheduler.Refused)
 			}
 			clear(runs) // their leases have expired
 			f.runs[id] = runs
--- a/internal/scheduler/crashing_fleet_test.go
+++ b/internal/scheduler/crashing_fleet_test.go
@@ -119,7 +119,7 @@
 	}
 	delete(f.runs, id)
 	delete(f.unackedEnds, id)
-	f.scheduler.HandlePollFailure(f.now, id, scheduler.Refused)
+	f.failPoll(id, scheduler.Refused)
 	f.returns = append(f.returns, returningBoot{at: f.now + f.downTime, address: f.addresses[id]})
 }
 
--- a/internal/scheduler/crossed_test.go
+++ b/internal/scheduler/crossed_test.go
@@ -63,7 +63,7 @@
 	f.runs[id] = nil
 	delete(f.runs, id)
 	f.addInstance("b", "p")
-	f.scheduler.HandlePollFailure(f.now, id, scheduler.Mismatched)
+	f.failPoll(id, scheduler.Mismatched)
 	f.advance(time.Second)
 	assert.Equal(t, len(f.startOrders), 2)
 	assert.Equal(t, f.startOrders[1].Checkpoint, "later")
--- a/internal/scheduler/enrolment_test.go
+++ b/internal/scheduler/enrolment_test.go
@@ -191,7 +191,7 @@
 	for name, supersede := range map[string]func(f *testFleet, in workload.Instance){
 		"deregistered": func(f *testFleet, in workload.Instance) {
 			for range 2 {
-				f.scheduler.HandlePollFailure(f.now, in.ID, scheduler.Uncertain)
+				f.failPoll(in.ID, scheduler.Uncertain)
 			}
 			f.advance(10 * time.Second) // the leases expire
 			_, enrolled := f.state.Workload.Enrolled[in.ID]
--- a/internal/scheduler/fleet_test.go
+++ b/internal/scheduler/fleet_test.go
@@ -205,7 +205,7 @@
 			continue
 		}
 		if f.cut != nil && f.cut(id) {
-			f.scheduler.HandlePollFailure(f.now, id, scheduler.Uncertain)
+			f.failPoll(id, scheduler.Uncertain)
 			continue
 		}
 		report := scheduler.StatusReport{Clock: time.Minute + f.now, Ended: slices.Clone(f.unackedEnds[id])}
@@ -217,6 +217,12 @@
 	}
 }
 
+// failPoll polls an instance and passes the failure of the poll to the scheduler.
+func (f *testFleet) failPoll(id fleet.InstanceID, outcome scheduler.Outcome) {
+	request, _ := f.scheduler.NextPoll(f.now, id, false)
+	f.scheduler.HandlePollFailure(f.now, request, outcome)
+}
+
 func (f *testFleet) progressOf(task workload.TaskID) int {
 	if f.percentOf != nil {
 		return f.percentOf(task)
--- a/internal/scheduler/large_fleet_test.go
+++ b/internal/scheduler/large_fleet_test.go
@@ -269,10 +269,10 @@
 	case !enrolled:
 		return
 	case in.gone:
-		f.scheduler.HandlePollFailure(f.now, in.ID, scheduler.Refused)
+		f.scheduler.HandlePollFailure(f.now, request, scheduler.Refused)
 		return
 	case in.cut:
-		f.scheduler.HandlePollFailure(f.now, in.ID, scheduler.Uncertain)
+		f.scheduler.HandlePollFailure(f.now, request, scheduler.Uncertain)
 		return
 	}
 	in.ended = slices.DeleteFunc(in.ended, func(e scheduler.ReportedEnd) bool { return e.Number <= request.AckedEnd })
--- a/internal/scheduler/malformed_test.go
+++ b/internal/scheduler/malformed_test.go
@@ -71,8 +71,10 @@
 	now := time.Hour
 	s := scheduler.New(now, now.Milliseconds(), scheduler.Options{Fence: 1, LeadingSince: now, LeaseDuration: 5 * time.Second}, committed)
 	var ids []fleet.InstanceID
-	for id := range committed.Enrolled {
+	polls := map[fleet.InstanceID]scheduler.PollRequest{}
+	for id, in := range committed.Enrolled {
 		ids = append(ids, id)
+		polls[id] = scheduler.PollRequest{Instance: id, Boot: in.Boot, Address: in.Address}
 	}
 	slices.Sort(ids)
 	for range 10 {
@@ -80,8 +82,9 @@
 		announced := anyValue[workload.Instance]().Draw(rt, "instance")
 		s.HandleAnnouncement(now, announced)
 		ids = append(ids, announced.ID)
+		polls[announced.ID] = scheduler.PollRequest{Instance: announced.ID, Boot: announced.Boot, Address: announced.Address}
 		s.HandleReport(now, rapid.SampledFrom(ids).Draw(rt, "reporting"), now, anyValue[scheduler.StatusReport]().Draw(rt, "report"))
-		s.HandlePollFailure(now, rapid.SampledFrom(ids).Draw(rt, "failing"), anyValue[scheduler.Outcome]().Draw(rt, "outcome"))
+		s.HandlePollFailure(now, polls[rapid.SampledFrom(ids).Draw(rt, "failing")], anyValue[scheduler.Outcome]().Draw(rt, "outcome"))
 		s.Tick(now, now.Milliseconds())
 		s.TakeOrders()
 		s.TakeEnds()
--- a/internal/scheduler/moves_test.go
+++ b/internal/scheduler/moves_test.go
@@ -72,7 +72,7 @@
 	assert.Equal(t, len(f.movesTo("off")), 0, "an instance moved to standby")
 	delete(f.runs, "i-0")
 	f.scheduler.HandleDeparture(f.now, "i-0", 0)
-	f.scheduler.HandlePollFailure(f.now, "i-0", scheduler.Refused)
+	f.failPoll("i-0", scheduler.Refused)
 	f.advance(time.Second)
 	assert.Assert(t, len(f.movesTo("p")) > 0, "no machine moves in for the fourth task")
 }
--- a/internal/scheduler/oracle_target_test.go
+++ b/internal/scheduler/oracle_target_test.go
@@ -189,13 +189,13 @@
 	sentAt := s.now
 	switch {
 	case in.crashed:
-		s.scheduler.HandlePollFailure(s.now, in.ID, scheduler.Refused)
+		s.scheduler.HandlePollFailure(s.now, request, scheduler.Refused)
 		return
 	case in.unreachable || rapid.IntRange(0, 9).Draw(s.t, "lost poll") == 0:
-		s.scheduler.HandlePollFailure(s.now, in.ID, scheduler.Uncertain)
+		s.scheduler.HandlePollFailure(s.now, request, scheduler.Uncertain)
 		return
 	case request.Fence < in.highestFence:
-		s.scheduler.HandlePollFailure(s.now, in.ID, scheduler.Fenced)
+		s.scheduler.HandlePollFailure(s.now, request, scheduler.Fenced)
 		return
 	}
 	in.highestFence = request.Fence
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -23,7 +23,7 @@
 	r.stopping = true
 	r.stopSentAt = s.now
 	s.orders = append(s.orders, Order{
-		Kind: Stop, Instance: in.ID, Address: in.Address, Task: r.task, Run: r.number, Fence: s.options.Fence, Reason: "stop",
+		Kind: Stop, Instance: in.ID, Boot: in.Boot, Address: in.Address, Task: r.task, Run: r.number, Fence: s.options.Fence, Reason: "stop",
 	})
 }
 
@@ -37,7 +37,7 @@
 	r.measured = t.checkpoint == "" && !in.warmingUp(s.now)
 	s.attachRun(in, r)
 	s.orders = append(s.orders, Order{
-		Kind: Start, Instance: in.ID, Address: in.Address, Task: r.task, Run: r.number, Spec: j.Spec, Checkpoint: t.checkpoint,
+		Kind: Start, Instance: in.ID, Boot: in.Boot, Address: in.Address, Task: r.task, Run: r.number, Spec: j.Spec, Checkpoint: t.checkpoint,
 		Deadline: s.nextDeadline(in), Fence: s.options.Fence, Ticket: j.ticketFor(r.task.Position, in), Reason: "placed", DataCentre: in.DataCentre,
 	})
 }
@@ -52,7 +52,7 @@
 	if in == nil {
 		return
 	}
-	if outcome == Mismatched {
+	if outcome == Mismatched && in.servedAt(order.Boot, order.Address) {
 		s.removeInstance(in, "another boot of the instance answered", in.lossByLaterBoot(workload.Instance{}))
 		return
 	}
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -25,6 +25,8 @@
 	Timeout time.Duration `cbor:"7,keyasint,omitempty"`
 	// DataCentre is where the instance is.
 	DataCentre fleet.DataCentreID `cbor:"-"`
+	// Boot is the one that the sender knows. The instance is not told, so that its next boot may answer.
+	Boot int64 `cbor:"-"`
 }
 
 // StatusReport is the response of an instance to a poll.
@@ -67,7 +69,7 @@
 		return PollRequest{}, false
 	}
 	in.advanceAckedEnd(s.committedBatch)
-	request := PollRequest{Instance: id, Address: in.Address, DataCentre: in.DataCentre, Fence: s.options.Fence, AckedEnd: in.ackedEnd}
+	request := PollRequest{Instance: id, Boot: in.Boot, Address: in.Address, DataCentre: in.DataCentre, Fence: s.options.Fence, AckedEnd: in.ackedEnd}
 	if in.clock > 0 && in.failedPolls == 0 {
 		request.Deadline = s.nextDeadline(in)
 	}
@@ -355,7 +357,7 @@
 		return nil
 	}
 	in.orphans[key] = s.now
-	s.orders = append(s.orders, Order{Kind: Stop, Instance: in.ID, Address: in.Address, Task: reported.Task, Run: reported.Run, Fence: s.options.Fence, Reason: "task needs no run"})
+	s.orders = append(s.orders, Order{Kind: Stop, Instance: in.ID, Boot: in.Boot, Address: in.Address, Task: reported.Task, Run: reported.Run, Fence: s.options.Fence, Reason: "task needs no run"})
 	return nil
 }
 
@@ -382,11 +384,15 @@
 	}
 }
 
-// HandlePollFailure records that a poll was not answered with a report.
-func (s *Scheduler) HandlePollFailure(now time.Duration, id fleet.InstanceID, outcome Outcome) {
+// HandlePollFailure records that a poll was not answered with a report. What the failure of a poll of an earlier boot or at an earlier address
+// shows is out of date, but for a higher fencing token.
+func (s *Scheduler) HandlePollFailure(now time.Duration, request PollRequest, outcome Outcome) {
 	s.now = now
-	in := s.instances.byID[id]
-	if in == nil {
+	if outcome == Fenced {
+		s.superseded = true
+	}
+	in := s.instances.byID[request.Instance]
+	if in == nil || !in.servedAt(request.Boot, request.Address) {
 		return
 	}
 	in.failedPolls++
@@ -395,10 +401,12 @@
 	if outcome == Refused {
 		s.markPending(in)
 	}
-	switch {
-	case outcome == Fenced:
-		s.superseded = true
-	case outcome == Mismatched, outcome == Refused && in.departed:
+	if outcome == Mismatched || outcome == Refused && in.departed {
 		s.removeInstance(in, outcome.String(), in.lossByLaterBoot(workload.Instance{}))
 	}
 }
+
+// servedAt reports whether the boot of the instance is the one that was known when a message was sent, at the address to which it was sent.
+func (in *instance) servedAt(boot int64, address string) bool {
+	return in.Boot == boot && in.Address == address
+}
--- a/internal/scheduler/rules_test.go
+++ b/internal/scheduler/rules_test.go
@@ -251,6 +251,6 @@
 	assert.Equal(t, f.scheduler.PollNeed(id), scheduler.PollAfterCommit)
 	f.advance(300 * time.Millisecond)
 	assert.Equal(t, f.scheduler.PollNeed(id), scheduler.PollForEnds)
-	f.scheduler.HandlePollFailure(f.now, id, scheduler.Uncertain)
+	f.failPoll(id, scheduler.Uncertain)
 	assert.Equal(t, f.scheduler.PollNeed(id), scheduler.PollToReconcile, "a poll failed")
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -49,6 +49,8 @@
 	Reason string `cbor:"-"`
 	// DataCentre is where the instance is.
 	DataCentre fleet.DataCentreID `cbor:"-"`
+	// Boot is the one that the sender knows. The instance is not told, so that its next boot may execute the order.
+	Boot int64 `cbor:"-"`
 }
 
 // Outcome is the result of an order or poll as far as the leader knows it.
--- a/internal/scheduler/throttle.go
+++ b/internal/scheduler/throttle.go
@@ -44,7 +44,7 @@
 		r.throttlePercent = in.throttlePercent
 		s.logRunDecision("run paced", r, in, "tail latency of a service task")
 		s.orders = append(s.orders, Order{
-			Kind: Throttle, Instance: in.ID, Address: in.Address, Task: r.task, Run: r.number, ThrottlePercent: in.throttlePercent, Fence: s.options.Fence,
+			Kind: Throttle, Instance: in.ID, Boot: in.Boot, Address: in.Address, Task: r.task, Run: r.number, ThrottlePercent: in.throttlePercent, Fence: s.options.Fence,
 		})
 	}
 }
--- a/internal/scheduler/uncommitted_ends_test.go
+++ b/internal/scheduler/uncommitted_ends_test.go
@@ -44,7 +44,7 @@
 	}{
 		{"draining", func(f *testFleet) { f.announceDraining("a", "p", time.Minute) }},
 		{"departed", func(f *testFleet) { f.scheduler.HandleDeparture(f.now, "i-a", f.bootMillis["i-a"]) }},
-		{"unreachable", func(f *testFleet) { f.scheduler.HandlePollFailure(f.now, "i-a", scheduler.Uncertain) }},
+		{"unreachable", func(f *testFleet) { f.failPoll("i-a", scheduler.Uncertain) }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			f := newTestFleet(t)
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -131,7 +131,7 @@
 		return nextPoll{}, false // the instance may be well
 	}
 	event.PollFailed.Info(t.options.Logger, zap.String("instance", string(id)), zap.Stringer("outcome", outcome), zap.NamedError("error", err))
-	t.post(func() { t.scheduler.HandlePollFailure(monotonicNow(), id, outcome) })
+	t.post(func() { t.scheduler.HandlePollFailure(monotonicNow(), request, outcome) })
 	return nextPoll{}, false
 }
 
