Stop the starts that a restarted instance may execute late

Orders name no boot, so the next boot executed the start, but the leader had dropped the run with the earlier boot and had started the task elsewhere.

The restart proves that what ran has ended. It proves nothing about orders without an answer, which may be carried out late. So the next boot takes over these runs as uncertain: they keep their room and their task until a stop prevents the start or a response shows that it was refused. The crash of the earlier boot counts for them as before. Runs that the instance has listed or confirmed are lost as before.

What cannot be prevented, as no message names the boot: an order that reaches a boot later than the next, or the next after the leader had stopped or polled the one to which it was sent.

TestLateStartReachesNextBoot failed before in all four cases: no stop prevents the start.

--- a/internal/scheduler/crossed_boot_test.go
+++ b/internal/scheduler/crossed_boot_test.go
@@ -10,6 +10,60 @@
 	"github.com/sapphiresail/sapphiresail/internal/workload"
 )
 
+// TestLateStartReachesNextBoot guards against a second run of one task: an instance restarts under its ID while a start is on its way to it.
+// Orders name no boot, so that the next boot may execute the start, and its task must not start elsewhere before a stop has prevented that.
+func TestLateStartReachesNextBoot(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// uncertain is set if the start is known to be unanswered before the restart, polled if a poll shows the next boot and not its announcement.
+		uncertain, polled bool
+	}{
+		{"announced before the response", false, false},
+		{"announced after the time-out", true, false},
+		{"polled before the response", false, true},
+		{"polled after the time-out", true, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newTestFleet(t)
+			f.addInstance("a", "p")
+			f.addInstance("b", "p")
+			f.advance(time.Second)
+			f.submitJob(workload.Step{Count: 1, Resources: workload.Resources{Processors: 1000}})
+			f.scheduler.Tick(f.now, f.now.Milliseconds())
+			start := f.scheduler.TakeOrders()[0]
+			id := start.Instance
+			if tc.uncertain {
+				f.scheduler.HandleOrderOutcome(f.now, start, scheduler.Uncertain)
+			}
+			f.now += 100 * time.Millisecond
+			next := f.state.Workload.Enrolled[id]
+			next.Boot = f.now.Milliseconds()
+			next.Clock = time.Second
+			if tc.polled {
+				f.scheduler.HandleReport(f.now, id, f.now-time.Millisecond, scheduler.StatusReport{Boot: next.Boot, Clock: next.Clock})
+			}
+			f.enrol(next)
+			f.scheduler.Tick(f.now, f.now.Milliseconds())
+			stopped := false
+			for _, o := range f.scheduler.TakeOrders() {
+				assert.Check(t, o.Kind != scheduler.Start, "started as run %d while run %d is on its way", o.Run, start.Run)
+			}
+			if !tc.uncertain {
+				f.scheduler.HandleOrderOutcome(f.now, start, scheduler.Uncertain)
+			}
+			f.now += 100 * time.Millisecond
+			f.scheduler.HandleReport(f.now, id, f.now-time.Millisecond, scheduler.StatusReport{Boot: next.Boot, Clock: next.Clock + 100*time.Millisecond})
+			for _, o := range f.scheduler.TakeOrders() {
+				stopped = stopped || o.Kind == scheduler.Stop && o.Run == start.Run
+				f.executeOrder(o)
+			}
+			assert.Assert(t, stopped, "no stop prevents the start")
+			f.advance(time.Second)
+			assert.Equal(t, len(f.startOrders), 1, "the task does not start again")
+		})
+	}
+}
+
 // TestLateAnswerOfOtherAddress guards against a second run of one task: the response that another instance serves the address of an instance
 // arrives after the instance is known at another address, or with a later boot, where it runs tasks.
 func TestLateAnswerOfOtherAddress(t *testing.T) {
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -189,7 +189,7 @@
 		if in == nil {
 			in = s.addInstance(announced)
 		} else {
-			in = s.replaceBoot(in, announced)
+			in = s.replaceBoot(in, announced, announced.Clock)
 			s.deregistrations = append(s.deregistrations, in.ID)
 		}
 		in.observeClock(now, announced.Clock)
@@ -212,16 +212,6 @@
 	return true
 }
 
-// replaceBoot replaces an instance by a later boot under the same ID. While it is unknown what earlier leaders started on the
-// instance, the later boot may have executed their orders, which name no boot.
-func (s *Scheduler) replaceBoot(in *instance, later workload.Instance) *instance {
-	s.dropRuns(in, "instance restarted", in.lossByLaterBoot(later))
-	s.cancelEnrolment(in)
-	replacement := s.addInstance(later)
-	replacement.inherited, replacement.cordonIndex = in.inherited, in.cordonIndex
-	return replacement
-}
-
 // supersedeBoots removes the other instances with an earlier boot at the same address or machine. It reports whether the
 // announced boot itself is older than a known one and must be ignored.
 func (s *Scheduler) supersedeBoots(announced workload.Instance) bool {
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -144,7 +144,7 @@
 		return
 	}
 	if report.Boot != 0 && in.Boot != 0 && report.Boot != in.Boot {
-		s.replaceRestarted(in, report.Boot)
+		s.replaceRestarted(in, report)
 		return
 	}
 	if report.Clock < in.reportedAt {
@@ -172,15 +172,15 @@
 
 // replaceRestarted replaces the state of an instance that restarted under the same ID. Its next announcement enrols the boot;
 // until then the committed state has the earlier one, so that a later leader polls the instance too.
-func (s *Scheduler) replaceRestarted(in *instance, boot int64) {
-	if boot < in.Boot {
+func (s *Scheduler) replaceRestarted(in *instance, report StatusReport) {
+	if report.Boot < in.Boot {
 		return
 	}
 	restarted := in.Instance
-	restarted.Boot = boot
+	restarted.Boot = report.Boot
 	restarted.Sequence = 0
 	restarted.Clock = 0
-	replacement := s.replaceBoot(in, restarted)
+	replacement := s.replaceBoot(in, restarted, report.Clock)
 	replacement.enrolled = in.enrolled
 	replacement.bootUncommitted = in.enrolled
 }
--- /dev/null
+++ b/internal/scheduler/restart.go
@@ -0,0 +1,44 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/sapphiresail/sapphiresail/internal/workload"
+)
+
+// replaceBoot replaces an instance by a later boot under the same ID, whose clock has reached the given value. While it is unknown what earlier
+// leaders started on the instance, the later boot may have executed their orders, which name no boot.
+func (s *Scheduler) replaceBoot(in *instance, later workload.Instance, clock time.Duration) *instance {
+	unanswered := in.unansweredStarts()
+	s.dropRuns(in, "instance restarted", in.lossByLaterBoot(later))
+	s.cancelEnrolment(in)
+	replacement := s.addInstance(later)
+	replacement.inherited, replacement.cordonIndex = in.inherited, in.cordonIndex
+	for _, r := range unanswered {
+		s.keepUnanswered(replacement, r, clock)
+	}
+	return replacement
+}
+
+// unansweredStarts returns the runs of which the start may still be executed. The later boot does not know of stops that the instance has accepted.
+func (in *instance) unansweredStarts() []*run {
+	var list []*run
+	for _, r := range in.runsInOrder() {
+		if r.status != statusRunning && !r.undelivered {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// keepUnanswered keeps a start that an earlier boot has not answered as one that the later boot may execute: its task starts elsewhere once
+// a stop prevents that. An order that is executed a lease after the restart gives the run another lease.
+func (s *Scheduler) keepUnanswered(in *instance, lost *run, clock time.Duration) {
+	r := &run{
+		task: lost.task, number: lost.number, job: lost.job, status: statusUncertain, claim: lost.claim, orderedAt: lost.orderedAt, startOutcomeAt: s.now,
+		throttlePercent: throttleUnset, checkpoint: lost.checkpoint,
+	}
+	in.maxDeadlineSent = clock + 2*s.options.LeaseDuration
+	s.attachRun(in, r)
+	s.logRunDecision("run uncertain", r, in, "a later boot may execute its start")
+}
