Move no running machine because of a late list of machines

The platform is slow at times, so that a list of machines may arrive 3 s after it was requested, and two reads overlap while a wave waits for machines on standby. Entries were held against the time at which the list was processed: a move that was ordered, carried out and over meanwhile was undone in the table of the leader, and the earlier of two lists replaced the later. A machine with an instance that ran tasks then counted as being on standby, and was moved to another pool without being emptied.

A list proves where machines were at some time after its request. So entries are ignored for machines of which a move was carried out since the request, a list is ignored if one that was requested later was applied, and a machine with an instance that serves a pool is on standby by no list: an order of an earlier leader may have been carried out after the list was read.

TestLateMachineListMovesNoRunningMachine (both cases) and TestOvertakenMachineListIsIgnored failed before: the machine is ordered to move.

--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -58,6 +58,8 @@
 	Machine
 	// backoffUntil is when the next order for the machine may be sent.
 	backoffUntil time.Duration
+	// movedAt is when this leader learned that its last move of the machine was carried out.
+	movedAt time.Duration
 }
 
 // refusedMove is a machine and a pool that the platform does not let it join.
@@ -75,13 +77,20 @@
 	return true
 }
 
-// SetMachines applies the platform's list of machines. A machine in transition counts as available after a backoff, so
-// that it is usable before the next read. Entries for machines with a recent order of this leader are older than that
-// order and are ignored.
-func (s *Scheduler) SetMachines(list []Machine) {
+// SetMachines applies the platform's list of machines as it is now.
+func (s *Scheduler) SetMachines(list []Machine) { s.applyMachineList(s.now, list) }
+
+// applyMachineList applies the platform's list of machines that was requested at the given time, unless a later one has overtaken it. A
+// machine in transition counts as available after a backoff, so that it is usable before the next read. An entry for a machine with an order of
+// this leader in flight, or that was carried out after the request, may be older than the order and is ignored.
+func (s *Scheduler) applyMachineList(requestedAt time.Duration, list []Machine) {
+	if requestedAt < s.machineListRequestedAt {
+		return
+	}
+	s.machineListRequestedAt = requestedAt
 	for _, m := range list {
 		known := s.machineOf(m.Name)
-		if s.moves[m.Name] != nil || s.now < known.backoffUntil {
+		if s.moves[m.Name] != nil || s.now < known.backoffUntil || requestedAt <= known.movedAt {
 			continue
 		}
 		known.Machine = m
@@ -106,7 +115,13 @@
 // standbyAvailable reports whether a machine is in a standby pool and can be moved or maintained.
 func (s *Scheduler) standbyAvailable(name string) bool {
 	m := s.machines[name]
-	return m != nil && m.Available && s.now >= m.backoffUntil && s.catalogue.IsStandby(m.Pool) && s.moves[name] == nil
+	return m != nil && m.Available && s.now >= m.backoffUntil && s.catalogue.IsStandby(m.Pool) && s.moves[name] == nil && !s.serves(name)
+}
+
+// serves reports whether an instance on the machine serves a pool, so that the machine has left standby since the list was read.
+func (s *Scheduler) serves(name string) bool {
+	in := s.instanceOn(name)
+	return in != nil && (in.polled || in.inherited) && !s.catalogue.IsStandby(in.Pool)
 }
 
 // TakeMachineOrders returns the machine orders issued since the last call.
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -193,6 +193,7 @@
 		moved.Pool = order.Pool
 		moved.Available = true
 		moved.backoffUntil = s.now + machineTransitionTime
+		moved.movedAt = s.now
 	case MachineBusy, MachineGone:
 		delete(s.moves, order.Machine)
 		moved.backoffUntil = s.now + refusedMoveBackoff
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -190,7 +190,9 @@
 	machineDataCentres map[string]fleet.DataCentreID
 	movesPlannedAt     time.Duration
 	machinesListedAt   time.Duration
-	forecaster         *forecaster.Forecaster
+	// machineListRequestedAt is when the latest list of machines that was applied was requested.
+	machineListRequestedAt time.Duration
+	forecaster             *forecaster.Forecaster
 	// finishes is kept to use its memory again.
 	finishes []time.Duration
 	// forecastError is why the committed summary of run times was ignored.
--- a/internal/scheduler/wave_returns.go
+++ b/internal/scheduler/wave_returns.go
@@ -65,7 +65,7 @@
 // maintenance had begun by then whether they are up again.
 func (s *Scheduler) HandleMachineList(now, requestedAt time.Duration, list []Machine) {
 	s.now = now
-	s.SetMachines(list)
+	s.applyMachineList(requestedAt, list)
 	listed := make(map[string]Machine, len(list))
 	for _, m := range list {
 		listed[m.Name] = m
