Time the shutdown of a draining instance on its own clock

Checkpointing tasks on a draining instance are stopped a second before it shuts down, and service tasks without regard to their budgets two seconds before. The time left was counted from the moment at which the announcement was processed, so that one that was long on its way, as while callers wait for a leader, made the stop late by as much. A new leader counted all of it anew from its own start, until the next announcement.

The announcement proves the time left at its own clock. So the time is counted on the clock of the instance, as that of a warm-up is, of which the reports give a lower bound; the time since the announcement arrived remains a bound too.

TestShutdownIsTimedOnClockOfInstance failed before in both cases (late announcement, lost leader): not stopped 600 ms before the shutdown.

--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -46,7 +46,7 @@
 		if !in.Draining || in.departed || in.failedPolls > 0 || !in.polled {
 			continue
 		}
-		remaining := in.TimeLeft - (s.now - in.announcedAt)
+		remaining := in.shutdownIn(s.now)
 		for _, r := range in.runs {
 			if r.stopping || r.status != statusRunning {
 				continue
@@ -63,6 +63,12 @@
 	}
 }
 
+// shutdownIn returns the time until a draining instance may shut down. It counts from the announcement, on the clock of the instance: the
+// announcement may have been long on its way, or have been handled by an earlier leader.
+func (in *instance) shutdownIn(now time.Duration) time.Duration {
+	return in.TimeLeft - max(now-in.announcedAt, in.minClockAt(now)-in.Clock)
+}
+
 // remainingTime estimates the time to the end of the run from its progress.
 func (r *run) remainingTime(now time.Duration) time.Duration {
 	if r.percent <= 0 {
--- a/internal/scheduler/drain_test.go
+++ b/internal/scheduler/drain_test.go
@@ -76,3 +76,44 @@
 	f.advance(2 * time.Second)
 	assert.Equal(t, len(f.startOrders), 1, "started on a draining instance")
 }
+
+// TestShutdownIsTimedOnClockOfInstance guards against work that is lost because a checkpointing task is stopped too late: the announcement of a
+// draining instance was long on its way, or the next leader reads the time left from the committed state.
+func TestShutdownIsTimedOnClockOfInstance(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		newLeader bool
+	}{
+		{"announcement arrives late", false},
+		{"leader is lost", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newTestFleet(t)
+			f.reportedPercent = 40
+			f.addInstance("a", "p")
+			f.advance(time.Second)
+			job := f.submitJob(workload.Step{Count: 1, Resources: workload.Resources{Processors: 5000}, Checkpointing: true})
+			f.advance(time.Second)
+			f.addInstance("b", "p")
+			draining := f.state.Workload.Enrolled["i-a"]
+			draining.Sequence++
+			draining.Draining, draining.TimeLeft, draining.Clock = true, 3*time.Second, time.Minute+f.now
+			if tc.newLeader {
+				f.commit(state.EnrolInstance{Instance: draining, KeepsCordon: true})
+			}
+			f.reportedPercent++ // progress, so that no run counts as stalled
+			f.advance(1200 * time.Millisecond)
+			if tc.newLeader {
+				f.startLeader()
+			} else {
+				f.scheduler.HandleAnnouncement(f.now, draining)
+			}
+			f.reportedPercent++
+			f.advance(600 * time.Millisecond)
+			assert.Equal(t, len(f.runs["i-a"]), 1, "stopped although time is left")
+			f.reportedPercent++
+			f.advance(600 * time.Millisecond)
+			assert.Equal(t, string(f.placements(job)[workload.TaskID{Job: job}]), "i-b", "not stopped 600 ms before the shutdown")
+		})
+	}
+}
