Judge adopted runs by the progress that this leader has seen

After a change of leader the remaining time of a run was its progress over the time since the new leader first saw it, so that a run of which most was done seemed to end at once. A checkpointing task on a draining instance was then not stopped before the shutdown and its work was lost, and a maintenance wave took machines with long tasks for those that are empty first.

An adopted run shows its pace only by the progress since its first report; until then the estimate of its step is used.

TestAdoptedRunIsStoppedBeforeShutdown failed before: not stopped 500 ms before the shutdown.

--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
@@ -71,8 +72,16 @@
 
 // remainingTime estimates the time to the end of the run from its progress.
 func (r *run) remainingTime(now time.Duration) time.Duration {
-	if r.percent <= 0 {
-		return now - r.orderedAt
+	elapsed, progress := now-r.orderedAt, r.percent
+	if r.adopted { // the run is older than this leader knows
+		elapsed, progress = r.progressedAt-r.listedAt, r.percent-r.listedPercent
 	}
-	return time.Duration(float64(now-r.orderedAt) * float64(100-r.percent) / float64(r.percent))
+	if progress > 0 {
+		return time.Duration(float64(elapsed) * float64(100-r.percent) / float64(progress))
+	}
+	if r.adopted {
+		estimate := cmp.Or(r.job.step(r.task.Position).Estimate, defaultStepEstimate)
+		return max(estimate*time.Duration(100-r.percent)/100, now-r.orderedAt)
+	}
+	return elapsed
 }
--- a/internal/scheduler/drain_test.go
+++ b/internal/scheduler/drain_test.go
@@ -117,3 +117,21 @@
 		})
 	}
 }
+
+// TestAdoptedRunIsStoppedBeforeShutdown guards against work that is lost after a change of leader: the next leader counts the age of a run from
+// its own first look at it, so that a run of which most is done seems to end at once.
+func TestAdoptedRunIsStoppedBeforeShutdown(t *testing.T) {
+	f := newTestFleet(t)
+	f.reportedPercent = 80
+	f.addInstance("a", "p")
+	f.advance(time.Second)
+	job := f.submitJob(workload.Step{Count: 1, Resources: workload.Resources{Processors: 5000}, Checkpointing: true, Estimate: 20 * time.Second})
+	f.advance(time.Second)
+	f.addInstance("b", "p")
+	draining := f.state.Workload.Enrolled["i-a"]
+	draining.Draining, draining.TimeLeft, draining.Clock = true, 900*time.Millisecond, time.Minute+f.now
+	f.commit(state.EnrolInstance{Instance: draining, KeepsCordon: true})
+	f.startLeader()
+	f.advance(400 * time.Millisecond)
+	assert.Equal(t, string(f.placements(job)[workload.TaskID{Job: job}]), "i-b", "not stopped 500 ms before the shutdown")
+}
