Keep the runs that the next boot of an instance has started

An instance may restart under its ID and execute a start that was sent to the boot before. Its response was taken for one of the earlier boot, so that the run was dropped when a report showed the restart, although the later boot ran it: the task started elsewhere and ran twice.

A response proves that the start was executed, not by which boot. Only a report names the boot, so a run is lost with a boot only if a report of that boot has listed it. All others are taken over by the next boot as uncertain.

TestStartAnsweredByNextBoot failed before: the run was forgotten.

--- a/internal/scheduler/crossed_boot_test.go
+++ b/internal/scheduler/crossed_boot_test.go
@@ -104,3 +104,33 @@
 		})
 	}
 }
+
+// TestStartAnsweredByNextBoot guards against a second run of one task: the boot that follows a restart under the ID executes and answers a start
+// before the leader knows of the restart, and its first report lists the run.
+func TestStartAnsweredByNextBoot(t *testing.T) {
+	f := newTestFleet(t)
+	f.addInstance("a", "p")
+	f.addInstance("b", "p")
+	f.advance(time.Second)
+	start := submitAndTakeStart(f)
+	f.scheduler.HandleOrderOutcome(f.now, start, scheduler.Accepted)
+	next := f.state.Workload.Enrolled[start.Instance]
+	next.Boot += 500
+	report := func() {
+		f.now += 10 * time.Millisecond
+		f.scheduler.HandleReport(f.now, start.Instance, f.now-time.Millisecond, scheduler.StatusReport{
+			Boot: next.Boot, Clock: f.now - time.Hour, Running: []scheduler.ReportedRun{{Task: start.Task, Run: start.Run, Percent: 1}},
+		})
+		f.scheduler.Tick(f.now, f.now.Milliseconds())
+	}
+	report()
+	next.Clock = f.now - time.Hour
+	f.enrol(next)
+	f.runs[start.Instance][start.Task] = start.Run
+	report()
+	for _, d := range f.scheduler.TakeDecisions() {
+		assert.Check(t, d.What != "run adopted", "the run was forgotten")
+	}
+	f.advance(time.Second)
+	assert.Equal(t, len(f.startOrders), 0, "the task starts again")
+}
--- a/internal/scheduler/restart.go
+++ b/internal/scheduler/restart.go
@@ -20,11 +20,12 @@
 	return replacement
 }
 
-// unansweredStarts returns the runs of which the start may still be executed. The later boot does not know of stops that the instance has accepted.
+// unansweredStarts returns the runs that a later boot may execute or have executed: no report of this boot has listed them, and a response does
+// not say which boot it is from. The later boot does not know of stops that the instance has accepted.
 func (in *instance) unansweredStarts() []*run {
 	var list []*run
 	for _, r := range in.runsInOrder() {
-		if r.status != statusRunning && !r.undelivered {
+		if !r.reported && !r.undelivered {
 			list = append(list, r)
 		}
 	}
