Outlive the leases of earlier leaders also after the first report

A new leader counts on leases of earlier leaders until its first report of an instance, and from then on only on those that it has extended itself. If a poll that was sent before the report failed after it, the lease of a listed run counted as over 250 ms after the report, and its task started elsewhere while it ran: twice, within the first 5.5 s of a leadership.

A report proves what runs and the clock; it proves nothing about leases. So what earlier leaders may have granted counts until a lease after the leadership began, whatever was reported. Instances that this leader has enrolled itself are not concerned.

--- a/internal/scheduler/crossed_boot_test.go
+++ b/internal/scheduler/crossed_boot_test.go
@@ -134,3 +134,29 @@
 	f.advance(time.Second)
 	assert.Equal(t, len(f.startOrders), 0, "the task starts again")
 }
+
+// TestFailedPollKeepsLeaseOfEarlierLeader guards against a second run of one task: a poll that was sent before the first report of an instance
+// fails after it, while a run that it lists has a lease of an earlier leader.
+func TestFailedPollKeepsLeaseOfEarlierLeader(t *testing.T) {
+	f := newTestFleet(t)
+	id := f.addInstance("a", "p")
+	f.addInstance("b", "p")
+	f.advance(time.Second)
+	job := f.submitJob(workload.Step{Count: 1, Resources: workload.Resources{Processors: 1000}, MaxPerInstance: 1})
+	f.advance(time.Second)
+	for _, on := range f.placements(job) {
+		id = on
+	}
+	f.startLeader()
+	since := f.now
+	overlapping, _ := f.scheduler.NextPoll(f.now, id, false)
+	f.pollAll()
+	f.scheduler.HandlePollFailure(f.now, overlapping, scheduler.Uncertain)
+	for f.now < since+5*time.Second {
+		f.now += 100 * time.Millisecond
+		f.scheduler.Tick(f.now, f.now.Milliseconds())
+		for _, d := range f.scheduler.TakeDecisions() {
+			assert.Assert(t, d.What != "run lost", "lost %s after the change of leader: %s", f.now-since, d.Reason)
+		}
+	}
+}
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -33,6 +33,8 @@
 	largestCapacity workload.Resources
 	// inherited is set for instances that an earlier leader enrolled, until the first report or lease expiry.
 	inherited bool
+	// earlierLeases is set if earlier leaders may have extended leases of the instance.
+	earlierLeases bool
 	// polled is set while this leader knows what runs there.
 	polled bool
 	// departed is set once the instance or its machine is shutting down.
@@ -264,7 +266,7 @@
 // leasesExpiredAt returns the time from which the leases of all runs on the instance have certainly expired.
 func (s *Scheduler) leasesExpiredAt(in *instance) time.Duration {
 	expired := in.clockReadAt + maxElapsed(in.maxDeadlineSent-in.clock)
-	if in.inherited && !in.polled {
+	if in.earlierLeases {
 		expired = max(expired, s.options.LeadingSince+maxElapsed(s.options.LeaseDuration))
 	}
 	return expired + leaseExpiryMargin
--- a/internal/scheduler/restart.go
+++ b/internal/scheduler/restart.go
@@ -13,7 +13,7 @@
 	s.dropRuns(in, "instance restarted", in.lossByLaterBoot(later))
 	s.cancelEnrolment(in)
 	replacement := s.addInstance(later)
-	replacement.inherited, replacement.cordonIndex = in.inherited, in.cordonIndex
+	replacement.inherited, replacement.earlierLeases, replacement.cordonIndex = in.inherited, in.earlierLeases, in.cordonIndex
 	for _, r := range unanswered {
 		s.keepUnanswered(replacement, r, clock)
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -256,7 +256,7 @@
 		in.committedCapacity = e.Capacity
 		in.committedWarmAt = e.WarmAt()
 		in.clockReadAt = options.LeadingSince
-		in.inherited = true
+		in.inherited, in.earlierLeases = true, true
 		in.fromCommitted = true
 		in.cordonIndex = committed.Cordoned[id]
 		in.cordoned = in.cordonIndex > 0
