Let no overtaken announcement enrol an instance

An announcement that a later one had overtaken was not applied, but enrolled an instance that had been deregistered meanwhile, as after failed polls. What is committed then is the announcement itself, so that the next leader started tasks by its capacity (or pool, or address) although the instance had announced another.

Only the latest announcement that is known says what the boot is like, so only it, or a repetition of it, enrols the boot.

TestOvertakenAnnouncementEnrolsNothing failed before.

--- a/internal/scheduler/crossed_boot_test.go
+++ b/internal/scheduler/crossed_boot_test.go
@@ -160,3 +160,23 @@
 		}
 	}
 }
+
+// TestOvertakenAnnouncementEnrolsNothing guards against a start beyond the capacity of an instance: an announcement that a later one has
+// overtaken enrols an instance that was deregistered, and the next leader reads what it says.
+func TestOvertakenAnnouncementEnrolsNothing(t *testing.T) {
+	f := newTestFleet(t)
+	id := f.addInstance("a", "p")
+	f.advance(time.Second)
+	earlier := f.state.Workload.Enrolled[id]
+	later := earlier
+	later.Sequence++
+	later.Capacity.Processors = 1000
+	f.scheduler.HandleAnnouncement(f.now, later)
+	delete(f.runs, id)
+	f.failPoll(id, scheduler.Uncertain)
+	f.advance(10 * time.Second)
+	_, enrolled := f.state.Workload.Enrolled[id]
+	assert.Assert(t, !enrolled, "the silent instance is deregistered")
+	assert.Assert(t, !f.scheduler.HandleAnnouncement(f.now, earlier), "an overtaken announcement is enrolled")
+	assert.Assert(t, f.scheduler.HandleAnnouncement(f.now, later), "the latest announcement is not enrolled")
+}
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -207,7 +207,7 @@
 		in.announcedAt = now
 		in.drainCommitted = in.drainCommitted && in.leaving()
 	}
-	if !in.needsEnrolment() {
+	if !in.needsEnrolment() || announced.Sequence < in.Sequence { // the caller commits the announcement
 		return false
 	}
 	s.beginEnrolment(in)
