Wait for the starts of an earlier leader before a drain is acknowledged

A drain is acknowledged once no start can be executed in the data centre later than 5 s after it: the leader waits for its own unanswered starts. Of those of the leader before it knows nothing. Right after a change of leader an instance that has not answered the new one may execute such a start until its lease is over, 5.4 s after the order.

An instance that answers this leader refuses the orders of earlier ones. So one that has not answered counts as having a start on its way, ordered when the leadership began. The acknowledgement waits for at most 0.5 s, as before.

TestDrainWaitsForStartsOfEarlierLeader failed before: no start is pending.

--- a/internal/scheduler/drained.go
+++ b/internal/scheduler/drained.go
@@ -41,6 +41,9 @@
 		if in.DataCentre != dataCentre {
 			continue
 		}
+		if in.inherited && !in.polled && now-s.options.LeadingSince < within {
+			return true
+		}
 		for _, r := range in.runs {
 			if (r.status == statusOrdered || r.status == statusUncertain) && now-r.orderedAt < within {
 				return true
