Send overlapping polls and reordered reports in the oracle of starts

Polls now overlap, are carried out and answered late, are held by the instance and overtake each other, under one leader, across a change of leader (a poll of a lost leader reaches the instance) and of boot (an instance restarts under its ID; its next boot announces itself or is first seen by a poll). Responses to starts and stops arrive late too, and so do copies of announcements. Orders are sent in a fixed order, since the scheduler iterates over maps and a seed has to repeat its case; deregistrations are committed before the enrolment that follows, as in the supervisor. The tolerance of two ticks after a fall of the capacity is replaced by the time at which the order was sent, which is stricter.

--- a/internal/scheduler/oracle_target_test.go
+++ b/internal/scheduler/oracle_target_test.go
@@ -1,7 +1,6 @@
 package scheduler_test
 
 import (
-	"slices"
 	"time"
 
 	"pgregory.net/rapid"
@@ -16,7 +15,7 @@
 	if o.Kind == scheduler.ImmediatePoll {
 		return
 	}
-	d := delivery{order: o, dueAt: s.now, outcomeKnown: true, issuerFence: s.fence}
+	d := delivery{order: o, sentAt: s.now, dueAt: s.now, outcomeKnown: true, issuerFence: s.fence}
 	switch rapid.IntRange(0, 9).Draw(s.t, "network") {
 	case 0: // lost
 		s.reportOutcome(d, scheduler.Uncertain)
@@ -25,6 +24,9 @@
 		d.outcomeKnown = false
 		d.dueAt += time.Duration(rapid.IntRange(1, 120).Draw(s.t, "late")) * tickInterval
 		s.reportOutcome(d, scheduler.Uncertain)
+	case 2, 3: // executed late, answered later
+		d.dueAt += s.drawDelay("order delay", maxMessageDelay)
+		d.answerDelay = s.drawDelay("response delay", maxMessageDelay)
 	}
 	s.inFlight = append(s.inFlight, d)
 }
@@ -38,26 +40,19 @@
 func (s *simulation) deliverDue() {
 	deliveries := s.inFlight
 	s.inFlight = nil
-	for _, d := range deliveries {
+	for _, i := range s.inAnyOrder(len(deliveries)) {
+		d := deliveries[i]
 		if d.dueAt > s.now {
 			s.inFlight = append(s.inFlight, d)
 			continue
 		}
-		in := s.instances[d.order.Instance]
-		switch {
+		switch in := s.instances[d.order.Instance]; {
 		case in == nil || in.crashed:
-			if d.outcomeKnown {
-				s.reportOutcome(d, scheduler.Refused)
-			}
-		case in.unreachable:
-			if d.outcomeKnown {
-				s.reportOutcome(d, scheduler.Uncertain)
-			}
+			s.answer(d, scheduler.Refused)
+		case in.unreachable || s.lostWithBoot(in, d):
+			s.answer(d, scheduler.Uncertain)
 		default:
-			outcome := s.executeOrder(in, d)
-			if d.outcomeKnown {
-				s.reportOutcome(d, outcome)
-			}
+			s.answer(d, s.executeOrder(in, d))
 		}
 	}
 }
@@ -131,7 +126,7 @@
 			}
 		}
 	}
-	orderedBeforeShrinking := in.shrunkAt > 0 && (!d.outcomeKnown || s.now-in.shrunkAt <= 2*tickInterval)
+	orderedBeforeShrinking := in.shrunkAt > 0 && d.sentAt <= in.shrunkAt
 	if !in.Capacity.Fits(instanceUsage) && !orderedBeforeShrinking {
 		s.t.Fatalf("the start of %s exceeds the capacity of %s: %+v", o.Task, in.ID, instanceUsage)
 	}
@@ -198,15 +193,8 @@
 		s.scheduler.HandlePollFailure(s.now, request, scheduler.Fenced)
 		return
 	}
-	in.highestFence = request.Fence
-	if request.Deadline > 0 {
-		in.leaseDeadline = max(in.leaseDeadline, min(request.Deadline, in.clock(s.now)+maxLeaseDuration))
-	}
-	s.acknowledgeEnds(in, request.AckedEnd)
-	report := scheduler.StatusReport{Boot: in.Boot, Clock: in.clock(s.now), Ended: slices.Clone(in.unackedEnds)}
-	for _, task := range sortedTasks(in.runs) {
-		report.Running = append(report.Running, scheduler.ReportedRun{Task: task, Run: in.runs[task], Percent: int(s.now/tickInterval) % 90})
-	}
+	s.carryOutPoll(in, request)
+	report := s.makeReport(in)
 	s.now += time.Millisecond
 	s.scheduler.HandleReport(s.now, in.ID, sentAt, report)
 }
--- a/internal/scheduler/oracle_test.go
+++ b/internal/scheduler/oracle_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -37,15 +38,26 @@
 	// deadlyTasks are the tasks that crash their instances.
 	deadlyTasks map[workload.TaskID]*deadlyTask
 	reboots     []reboot
+	// polls, responses and announcements are in flight.
+	polls         []*pollInFlight
+	responses     []responseInFlight
+	announcements []announcementInFlight
+	// reportCount is the number of reports that were made for polls in flight.
+	reportCount   int
+	latestReports map[fleet.InstanceID]latestReport
+	reorderings   *reorderings
 }
 
 // deadlyTask counts the starts of a task, and the leaders that were lost since it was submitted.
 type deadlyTask struct{ starts, lostLeaders int }
 
-// reboot is the return of a crashed instance with a new boot at the same address.
+// reboot is the return of a crashed instance with a new boot at the same address, under its ID if id is set. A silent one does not announce
+// itself at once.
 type reboot struct {
 	at      time.Duration
 	address string
+	id      fleet.InstanceID
+	silent  bool
 }
 
 // endBatch is a batch of ends that is not committed yet.
@@ -54,11 +66,14 @@
 	command state.RecordRunEnds
 }
 
-// delivery is an order in flight. outcomeKnown is set if its outcome reaches the scheduler that issued it.
+// delivery is an order in flight. outcomeKnown is set if its outcome reaches the scheduler that issued it, which is answerDelay after its
+// execution.
 type delivery struct {
 	order        scheduler.Order
+	sentAt       time.Duration
 	dueAt        time.Duration
 	outcomeKnown bool
+	answerDelay  time.Duration
 	issuerFence  uint64
 }
 
@@ -86,10 +101,11 @@
 	tickInterval     = 100 * time.Millisecond
 )
 
-func newSimulation(t *rapid.T) *simulation {
+func newSimulation(t *rapid.T, counts *reorderings) *simulation {
 	s := &simulation{
 		t: t, now: time.Hour, instances: map[fleet.InstanceID]*target{}, ackedDone: map[workload.TaskID]bool{},
 		ackedFailures: map[workload.TaskID]int{}, committed: *state.New(), deadlyTasks: map[workload.TaskID]*deadlyTask{},
+		latestReports: map[fleet.InstanceID]latestReport{}, reorderings: counts,
 	}
 	s.commit(state.PublishCatalogue{Source: []byte("x"), Catalogue: workload.Catalogue{
 		Version: 1,
@@ -132,23 +148,39 @@
 
 func (s *simulation) addInstanceAt(address string) {
 	s.instanceCount++
+	s.announce(s.boot(fleet.InstanceID(fmt.Sprintf("i%d", s.instanceCount)), address))
+}
+
+// boot starts an instance that has not announced itself.
+func (s *simulation) boot(id fleet.InstanceID, address string) *target {
 	in := &target{
 		Instance: workload.Instance{
-			ID: fleet.InstanceID(fmt.Sprintf("i%d", s.instanceCount)), Boot: s.wallMillis(), Pool: "p", Address: address,
+			ID: id, Boot: s.wallMillis(), Pool: "p", Address: address,
 			Capacity: workload.Resources{Processors: 4000, Memory: 4000}, Sequence: 1,
 		},
 		clockRate: 0.98 + 0.02*rapid.Float64Range(0, 1).Draw(s.t, "rate"), startedAt: s.now,
 		runs: map[workload.TaskID]workload.Run{}, rejectedUpTo: map[workload.TaskID]workload.Run{},
 	}
 	s.instances[in.ID] = in
-	s.announce(in)
+	return in
 }
 
+// announce announces an instance; a copy of the announcement may arrive late.
 func (s *simulation) announce(in *target) {
 	in.Sequence++
 	in.Clock = in.clock(s.now)
-	if s.scheduler.HandleAnnouncement(s.now, in.Instance) {
-		s.commit(state.EnrolInstance{Instance: in.Instance})
+	s.handleAnnouncement(in.Instance)
+	if delay := s.drawDelay("copy", maxMessageDelay); delay > 0 {
+		s.announcements = append(s.announcements, announcementInFlight{in.Instance, s.fence, s.now + delay})
+	}
+}
+
+// handleAnnouncement commits what follows from an announcement in the order of the supervisor.
+func (s *simulation) handleAnnouncement(in workload.Instance) {
+	enrol := s.scheduler.HandleAnnouncement(s.now, in)
+	s.commitDeregistrations()
+	if enrol {
+		s.commit(state.EnrolInstance{Instance: in})
 		s.scheduler.ConfirmEnrolled(in.ID)
 	}
 	if record, uncommitted := s.scheduler.UncommittedChange(in.ID); uncommitted {
@@ -176,10 +208,15 @@
 
 func (s *simulation) rebootDue() {
 	s.reboots = slices.DeleteFunc(s.reboots, func(r reboot) bool {
-		if s.now >= r.at {
+		switch {
+		case s.now < r.at:
+			return false
+		case r.id == "":
 			s.addInstanceAt(r.address)
+		default:
+			s.bootAgain(r)
 		}
-		return s.now >= r.at
+		return true
 	})
 }
 
@@ -240,7 +277,10 @@
 			}
 		}
 		s.deliverDue()
+		s.deliverResponses()
+		s.deliverPolls()
 		s.rebootDue()
+		s.deliverAnnouncements()
 		s.tick()
 	}
 }
@@ -264,16 +304,16 @@
 
 func (s *simulation) tick() {
 	s.scheduler.Tick(s.now, s.wallMillis())
-	for _, o := range s.scheduler.TakeOrders() {
+	orders := s.scheduler.TakeOrders()
+	slices.SortFunc(orders, compareOrders) // the scheduler iterates over maps, and a seed must repeat its case
+	for _, o := range orders {
 		s.send(o)
 	}
 	ends, failed, number := s.scheduler.TakeEnds()
 	if number != 0 {
 		s.uncommittedBatches = append(s.uncommittedBatches, endBatch{number, state.RecordRunEnds{Ends: ends, Failed: failed, Crashes: s.scheduler.TakeCrashes(), At: state.Timestamp(s.wallMillis())}})
 	}
-	for _, id := range s.scheduler.TakeDeregistrations() {
-		s.commit(state.DeregisterInstances{Instances: []fleet.InstanceID{id}})
-	}
+	s.commitDeregistrations()
 	if list := s.scheduler.TakeCordons(); len(list) > 0 {
 		s.commit(state.CordonInstances{Instances: list})
 	}
@@ -283,6 +323,16 @@
 	}
 }
 
+func compareOrders(a, b scheduler.Order) int {
+	return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Task.String(), b.Task.String()), cmp.Compare(a.Run, b.Run), cmp.Compare(a.Kind, b.Kind))
+}
+
+func (s *simulation) commitDeregistrations() {
+	for _, id := range s.scheduler.TakeDeregistrations() {
+		s.commit(state.DeregisterInstances{Instances: []fleet.InstanceID{id}})
+	}
+}
+
 // commitOldestBatch commits the oldest batch of ends.
 func (s *simulation) commitOldestBatch() {
 	if len(s.uncommittedBatches) == 0 {
@@ -294,14 +344,17 @@
 	s.scheduler.ConfirmEnds(batch.number)
 }
 
-// TestStartsKeepInvariants drives schedulers through lost, late and reordered orders, instances that crash, become
-// unreachable and join, changes of leader, cancellations and ends of runs, and checks the invariants at every start on
-// an instance.
+// TestStartsKeepInvariants drives schedulers through lost, late and reordered orders, polls and announcements, instances that
+// crash, restart under their ID, become unreachable and join, changes of leader, cancellations and ends of runs, and checks the
+// invariants at every start on an instance. It fails if too few messages are out of order.
 //
 // Actions are drawn from the sorted list of their names, so a changed name changes the cases that a seed generates.
 func TestStartsKeepInvariants(t *testing.T) {
+	var counts reorderings
+	cases := 0
 	rapid.Check(t, func(t *rapid.T) {
-		s := newSimulation(t)
+		cases++
+		s := newSimulation(t, &counts)
 		for range 4 {
 			s.addInstance()
 		}
@@ -355,13 +408,31 @@
 			"look":   func(*rapid.T) { s.pollAll() },
 			"settle": func(*rapid.T) { s.commitOldestBatch() },
 			"pass":   func(t *rapid.T) { s.advance(rapid.IntRange(1, 30).Draw(t, "steps")) },
+			"overlap": func(t *rapid.T) {
+				if in := s.drawInstance(); in != nil {
+					for range rapid.IntRange(2, 4).Draw(t, "polls") {
+						s.sendPoll(in)
+					}
+				}
+			},
+			"restart": func(*rapid.T) {
+				if in := s.drawInstance(); in != nil && !in.crashed {
+					s.restart(in)
+				}
+			},
 		})
 	})
+	t.Logf("%d cases, out of order: %+v", cases, counts)
+	counts.check(t, cases)
 }
 
 func (s *simulation) pollAll() {
 	for _, in := range s.sortedInstances() {
-		s.poll(in)
+		if rapid.IntRange(0, 3).Draw(s.t, "poll in flight") == 0 {
+			s.sendPoll(in)
+		} else {
+			s.poll(in)
+		}
 	}
 	s.advance(1)
 }
