--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
@@ -46,7 +47,7 @@
 		if !in.Draining || in.departed || in.failedPolls > 0 || !in.polled {
 			continue
 		}
-		remaining := in.TimeLeft - (s.now - in.announcedAt)
+		remaining := in.shutdownIn(s.now)
 		for _, r := range in.runs {
 			if r.stopping || r.status != statusRunning {
 				continue
@@ -63,10 +64,24 @@
 	}
 }
 
+// shutdownIn returns the time until a draining instance may shut down. It counts from the announcement, on the clock of the instance: the
+// announcement may have been long on its way, or have been handled by an earlier leader.
+func (in *instance) shutdownIn(now time.Duration) time.Duration {
+	return in.TimeLeft - max(now-in.announcedAt, in.minClockAt(now)-in.Clock)
+}
+
 // remainingTime estimates the time to the end of the run from its progress.
 func (r *run) remainingTime(now time.Duration) time.Duration {
-	if r.percent <= 0 {
-		return now - r.orderedAt
+	elapsed, progress := now-r.orderedAt, r.percent
+	if r.adopted { // the run is older than this leader knows
+		elapsed, progress = r.progressedAt-r.listedAt, r.percent-r.listedPercent
+	}
+	if progress > 0 {
+		return time.Duration(float64(elapsed) * float64(100-r.percent) / float64(progress))
+	}
+	if r.adopted {
+		estimate := cmp.Or(r.job.step(r.task.Position).Estimate, defaultStepEstimate)
+		return max(estimate*time.Duration(100-r.percent)/100, now-r.orderedAt)
 	}
-	return time.Duration(float64(now-r.orderedAt) * float64(100-r.percent) / float64(r.percent))
+	return elapsed
 }
--- a/internal/scheduler/drain_test.go
+++ b/internal/scheduler/drain_test.go
@@ -76,3 +76,62 @@
 	f.advance(2 * time.Second)
 	assert.Equal(t, len(f.startOrders), 1, "started on a draining instance")
 }
+
+// TestShutdownIsTimedOnClockOfInstance guards against work that is lost because a checkpointing task is stopped too late: the announcement of a
+// draining instance was long on its way, or the next leader reads the time left from the committed state.
+func TestShutdownIsTimedOnClockOfInstance(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		newLeader bool
+	}{
+		{"announcement arrives late", false},
+		{"leader is lost", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newTestFleet(t)
+			f.reportedPercent = 40
+			f.addInstance("a", "p")
+			f.advance(time.Second)
+			job := f.submitJob(workload.Step{Count: 1, Resources: workload.Resources{Processors: 5000}, Checkpointing: true})
+			f.advance(time.Second)
+			f.addInstance("b", "p")
+			draining := f.state.Workload.Enrolled["i-a"]
+			draining.Sequence++
+			draining.Draining, draining.TimeLeft, draining.Clock = true, 3*time.Second, time.Minute+f.now
+			if tc.newLeader {
+				f.commit(state.EnrolInstance{Instance: draining, KeepsCordon: true})
+			}
+			f.reportedPercent++ // progress, so that no run counts as stalled
+			f.advance(1200 * time.Millisecond)
+			if tc.newLeader {
+				f.startLeader()
+			} else {
+				f.scheduler.HandleAnnouncement(f.now, draining)
+			}
+			f.reportedPercent++
+			f.advance(600 * time.Millisecond)
+			assert.Equal(t, len(f.runs["i-a"]), 1, "stopped although time is left")
+			f.reportedPercent++
+			f.advance(600 * time.Millisecond)
+			assert.Equal(t, string(f.placements(job)[workload.TaskID{Job: job}]), "i-b", "not stopped 600 ms before the shutdown")
+		})
+	}
+}
+
+// TestAdoptedRunIsStoppedBeforeShutdown guards against work that is lost after a change of leader: the next leader counts the age of a run from
+// its own first look at it, so that a run of which most is done seems to end at once.
+func TestAdoptedRunIsStoppedBeforeShutdown(t *testing.T) {
+	f := newTestFleet(t)
+	f.reportedPercent = 80
+	f.addInstance("a", "p")
+	f.advance(time.Second)
+	job := f.submitJob(workload.Step{Count: 1, Resources: workload.Resources{Processors: 5000}, Checkpointing: true, Estimate: 20 * time.Second})
+	f.advance(time.Second)
+	f.addInstance("b", "p")
+	draining := f.state.Workload.Enrolled["i-a"]
+	draining.Draining, draining.TimeLeft, draining.Clock = true, 900*time.Millisecond, time.Minute+f.now
+	f.commit(state.EnrolInstance{Instance: draining, KeepsCordon: true})
+	f.startLeader()
+	f.advance(400 * time.Millisecond)
+	assert.Equal(t, string(f.placements(job)[workload.TaskID{Job: job}]), "i-b", "not stopped 500 ms before the shutdown")
+}
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -33,6 +33,8 @@
 	largestCapacity workload.Resources
 	// inherited is set for instances that an earlier leader enrolled, until the first report or lease expiry.
 	inherited bool
+	// earlierLeases is set if earlier leaders may have extended leases of the instance.
+	earlierLeases bool
 	// polled is set while this leader knows what runs there.
 	polled bool
 	// departed is set once the instance or its machine is shutting down.
@@ -202,7 +204,7 @@
 		if in == nil {
 			in = s.addInstance(announced)
 		} else {
-			in = s.replaceBoot(in, announced)
+			in = s.replaceBoot(in, announced, announced.Clock)
 			s.deregistrations = append(s.deregistrations, in.ID)
 		}
 		in.observeClock(now, announced.Clock)
@@ -219,23 +221,13 @@
 		in.announcedAt = now
 		in.drainCommitted = in.drainCommitted && in.leaving()
 	}
-	if !in.needsEnrolment() {
+	if !in.needsEnrolment() || announced.Sequence < in.Sequence { // the caller commits the announcement
 		return false
 	}
 	s.beginEnrolment(in)
 	return true
 }
 
-// replaceBoot replaces an instance by a later boot under the same ID. While it is unknown what earlier leaders started on the
-// instance, the later boot may have executed their orders, which name no boot.
-func (s *Scheduler) replaceBoot(in *instance, later workload.Instance) *instance {
-	s.dropRuns(in, "instance restarted", in.lossByLaterBoot(later))
-	s.cancelEnrolment(in)
-	replacement := s.addInstance(later)
-	replacement.inherited, replacement.cordonIndex = in.inherited, in.cordonIndex
-	return replacement
-}
-
 // supersedeBoots removes the other instances with an earlier boot at the same address or machine. It reports whether the
 // announced boot itself is older than a known one and must be ignored.
 func (s *Scheduler) supersedeBoots(announced workload.Instance) bool {
@@ -288,7 +280,7 @@
 // leasesExpiredAt returns the time from which the leases of all runs on the instance have certainly expired.
 func (s *Scheduler) leasesExpiredAt(in *instance) time.Duration {
 	expired := in.clockReadAt + maxElapsed(in.maxDeadlineSent-in.clock)
-	if in.inherited && !in.polled {
+	if in.earlierLeases {
 		expired = max(expired, s.options.LeadingSince+maxElapsed(s.options.LeaseDuration))
 	}
 	return expired + leaseExpiryMargin
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -50,6 +50,8 @@
 	Reason string `cbor:"-"`
 	// DataCentre is where the instance is.
 	DataCentre fleet.DataCentreID `cbor:"-"`
+	// Boot is the one that the sender knows. The instance is not told, so that its next boot may execute the order.
+	Boot int64 `cbor:"-"`
 }
 
 // Outcome is the result of an order or poll as far as the leader knows it.
@@ -191,7 +193,9 @@
 	machineDataCentres map[string]fleet.DataCentreID
 	movesPlannedAt     time.Duration
 	machinesListedAt   time.Duration
-	forecaster         *forecaster.Forecaster
+	// machineListRequestedAt is when the latest list of machines that was applied was requested.
+	machineListRequestedAt time.Duration
+	forecaster             *forecaster.Forecaster
 	// finishes is kept to use its memory again.
 	finishes []time.Duration
 	// forecastError is why the committed summary of run times was ignored.
@@ -269,7 +273,7 @@
 		in.committedCapacity = e.Capacity
 		in.committedWarmAt = e.WarmAt()
 		in.clockReadAt = options.LeadingSince
-		in.inherited = true
+		in.inherited, in.earlierLeases = true, true
 		in.fromCommitted = true
 		in.cordonIndex = committed.Cordoned[id]
 		in.cordoned = in.cordonIndex > 0
