Release a reserved instance once it has got a task of its stage

Cause: the rest of a stage kept an instance that had just been filled. Change: the other tasks reserve anew. The new fields of an instance are behind those that each planning run reads.

--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -78,14 +78,6 @@
 	// not, and reservedClaim what those claim in the current decision.
 	reservedUntil time.Duration
 	reservedClaim workload.Resources
-	// reservation keeps batch tasks of other stages off the instance, nil if there is none.
-	reservation *reservation
-	// slowdown is the part by which tasks take longer than on an instance of usual speed, zero unless the instance is slow.
-	slowdown float64
-	// rackIndex is the index of the rack in the spreads of customers.
-	rackIndex int
-	// startedAt is when a task was started here last.
-	startedAt time.Duration
 	// fromCommitted is set for instances that this leader found in the committed state.
 	fromCommitted bool
 	// consolidating is set while the service tasks of a surplus instance are relocated.
@@ -108,6 +100,14 @@
 	expiredRuns []crashedRun
 	// markedPending is set once the runs at their start are committed, until the next report.
 	markedPending bool
+	// reservation keeps batch tasks of other stages off the instance, nil if there is none.
+	reservation *reservation
+	// slowdown is the part by which tasks take longer than on an instance of usual speed, zero unless the instance is slow.
+	slowdown float64
+	// rackIndex is the index of the rack in the spreads of customers.
+	rackIndex int
+	// startedAt is when a task was started here last.
+	startedAt time.Duration
 }
 
 // pendingEnd is a reported end that is acknowledged once its batch is committed.
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -10,9 +10,6 @@
 	"github.com/sapphiresail/sapphiresail/internal/workload"
 )
 
-// largeFactor is the multiple of the mean claim of the batch runs in a pool from which on a task is large: the end of one or two runs leaves no room
-// for it.
-
 // largeFactor is the multiple of the mean claim of the batch runs in a pool from which on a task is large: the end of one or two runs leaves no room
 // for it.
 const largeFactor = 2
@@ -32,7 +29,7 @@
 	instances []*instance
 }
 
-// keepReservations drops the reservations that are not needed any more and the instances that were lost, and keeps batch tasks off the others.
+// keepReservations drops the reservations that are not needed any more and the instances that were lost, and counts the others.
 func (s *Scheduler) keepReservations(pools poolCapacities) {
 	s.reservations = slices.DeleteFunc(s.reservations, func(r *reservation) bool {
 		r.instances = slices.DeleteFunc(r.instances, func(in *instance) bool {
@@ -89,8 +86,15 @@
 	default:
 		s.placeTasks(c, &poolCapacity{instances: r.instances})
 	}
-	if c.stage.waiting == 0 {
-		r.release()
+	// The other tasks of the stage reserve anew, since an instance that has got one is not the one that will be free soonest.
+	r.instances = slices.DeleteFunc(r.instances, func(in *instance) bool {
+		if c.stage.waiting == 0 || in.startedAt == s.now {
+			in.reservation = nil
+			return true
+		}
+		return false
+	})
+	if len(r.instances) == 0 {
 		s.reservations = slices.DeleteFunc(s.reservations, func(other *reservation) bool { return other == r })
 	}
 }
