--- a/soak/proxy/stream.go
+++ b/soak/proxy/stream.go
@@ -10,12 +10,13 @@
 // Stream is a proxy of TCP connections.
 type Stream struct {
 	link
-	address, target string
-	goroutines      sync.WaitGroup
-	connMutex       sync.Mutex
-	listener        net.Listener
-	conns           map[net.Conn]bool
-	closing         bool
+	target     string
+	goroutines sync.WaitGroup
+	connMutex  sync.Mutex
+	address    string
+	listener   net.Listener
+	conns      map[net.Conn]bool
+	closing    bool
 }
 
 // NewStream starts a proxy that listens on an address and connects to target.
@@ -25,10 +26,14 @@
 }
 
 // Address returns the address at which the proxy listens.
-func (s *Stream) Address() string { return s.address }
+func (s *Stream) Address() string {
+	s.connMutex.Lock()
+	defer s.connMutex.Unlock()
+	return s.address
+}
 
 func (s *Stream) listen() error {
-	listener, err := net.Listen("tcp", s.address)
+	listener, err := net.Listen("tcp", s.Address())
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
