--- a/soak/checker/checker.go
+++ b/soak/checker/checker.go
@@ -58,7 +58,7 @@
 // Checker holds the observations; its methods may be called by several goroutines.
 type Checker struct {
 	mutex      sync.Mutex
-	limits     map[string]int64
+	limits     Limits
 	jobs       map[string]*job
 	running    map[string]Run
 	done       map[string]bool
@@ -79,9 +79,12 @@
 	version uint64
 }
 
-// New returns a checker. limits holds the processors, in thousandths, that the running tasks of a customer may use; a customer without an
-// entry has no limit.
-func New(limits map[string]int64) *Checker {
+// Limits returns the processors, in thousandths, that the running tasks of a customer may use in a version of the configuration; zero
+// sets no limit.
+type Limits func(customer string, version uint64) int64
+
+// New returns a checker.
+func New(limits Limits) *Checker {
 	return &Checker{
 		limits: limits, jobs: map[string]*job{}, running: map[string]Run{}, done: map[string]bool{}, doneAcked: map[string]bool{},
 		usage: map[string]int64{}, drains: map[string]drain{},
--- a/soak/checker/checker_test.go
+++ b/soak/checker/checker_test.go
@@ -17,7 +17,9 @@
 
 // newChecker returns a checker that knows the job j of the customer c, with two tasks and a limit of one task at a time.
 func newChecker() *checker.Checker {
-	c := checker.New(map[string]int64{"c": 1000})
+	c := checker.New(func(_ string, version uint64) int64 { return 2000 - 1000*int64(version%2) })
+	c.Publish(1)
+	c.Published(-10*s, 1)
 	c.Submit("j", "c", 2)
 	return c
 }
@@ -40,15 +42,21 @@
 		}},
 		"ended job runs again": {checker.JobEnds, func(c *checker.Checker) {
 			c.Answer(s, "j", checker.Acknowledged)
+			c.Start(s, run("j.0", "i", 1))
+			c.End("j.0", "j", 1, checker.Broken)
 			c.Inspect(s, 2*s, "j", checker.Failed)
 			c.Inspect(3*s, 4*s, "j", "running")
 		}},
 		"job is complete without its work": {checker.JobEnds, func(c *checker.Checker) {
 			c.Answer(s, "j", checker.Acknowledged)
 			c.Start(s, run("j.0", "i", 1))
-			c.End("j.0", 1, true)
+			c.End("j.0", "j", 1, checker.Done)
 			c.Inspect(s, 2*s, "j", checker.Completed)
 		}},
+		"job fails without a failed run": {checker.JobEnds, func(c *checker.Checker) {
+			c.Answer(s, "j", checker.Acknowledged)
+			c.Inspect(s, 2*s, "j", checker.Failed)
+		}},
 		"job is cancelled by nobody": {checker.JobEnds, func(c *checker.Checker) {
 			c.Answer(s, "j", checker.Acknowledged)
 			c.Inspect(s, 2*s, "j", checker.Cancelled)
@@ -59,12 +67,12 @@
 		}},
 		"late end of an earlier run hides the second": {checker.RunsOnce, func(c *checker.Checker) {
 			c.Start(s, run("j.0", "i", 2))
-			c.End("j.0", 1, false)
+			c.End("j.0", "j", 1, checker.Stopped)
 			c.Start(s, run("j.0", "k", 3))
 		}},
 		"task runs again after its acknowledged end": {checker.RunsOnce, func(c *checker.Checker) {
 			c.Start(s, run("j.0", "i", 1))
-			c.End("j.0", 1, true)
+			c.End("j.0", "j", 1, checker.Done)
 			c.AcknowledgeDone("j.0")
 			c.Start(s, run("j.0", "i", 2))
 		}},
@@ -83,19 +91,26 @@
 			c.Start(s, run("j.0", "i", 1))
 			c.Start(s, run("j.1", "i", 2))
 		}},
+		"customer is beyond its lowered limit": {checker.LimitKept, func(c *checker.Checker) {
+			c.Publish(2)
+			c.Published(s, 2)
+			c.Publish(3)
+			c.Start(2*s, run("j.0", "i", 1))
+			c.Start(2*s, run("j.1", "i", 2))
+			c.Published(3*s, 3)
+			c.End("j.1", "j", 2, checker.Stopped)
+			c.Start(9*s, run("j.1", "i", 3))
+		}},
 		"withdrawn key is accepted": {checker.KeyWithdrawn, func(c *checker.Checker) {
 			c.Publish(3)
 			c.Published(s, 3)
 			c.UseKey(7*s, 8*s, passing, true)
 		}},
 		"new key is refused": {checker.ConfigurationInForce, func(c *checker.Checker) {
-			c.Publish(1)
-			c.Published(s, 1)
 			c.UseKey(7*s, 8*s, passing, false)
 		}},
 		"earlier configuration after 5 s": {checker.ConfigurationInForce, func(c *checker.Checker) {
 			c.Publish(2)
-			c.Published(s, 1)
 			c.Published(2*s, 2)
 			c.Read(8*s, 8*s, 1)
 		}},
@@ -133,14 +148,14 @@
 	k.Answer(2*s, "j", checker.Refused)
 	k.Drain(s, "d")
 	k.Start(5*s, run("j.0", "i", 1)) // within the time that a drain has
-	k.End("j.0", 1, false)
+	k.End("j.0", "j", 1, checker.Stopped)
 	k.Resume("d")
 	k.Start(8*s, run("j.0", "k", 2)) // again after a run that was lost
-	k.End("j.0", 2, true)
+	k.End("j.0", "j", 2, checker.Done)
 	k.Start(9*s, run("j.0", "k", 3)) // again after an end that nobody acknowledged
-	k.End("j.0", 3, true)
+	k.End("j.0", "j", 3, checker.Done)
 	k.Start(9*s, run("j.1", "k", 4))
-	k.End("j.1", 4, true)
+	k.End("j.1", "j", 4, checker.Done)
 	k.Answer(9*s, "j", checker.Acknowledged)
 	k.Inspect(9*s, 10*s, "j", "running")
 	k.Inspect(9*s, 11*s, "j", checker.Completed)
--- a/soak/checker/jobs.go
+++ b/soak/checker/jobs.go
@@ -35,6 +35,8 @@
 	tasks    int
 	doneTask int
 	started  bool
+	// broken is set once a run of the job has failed or was lost with its instance.
+	broken bool
 	// open is set while a submission may have been accepted without its caller knowing.
 	open, refused, acknowledged bool
 	cancelled                   bool
@@ -87,6 +89,9 @@
 	if p == Completed {
 		c.check(at, JobEnds, j.doneTask >= j.tasks, "job %s is told to be complete with %d of %d tasks done", id, j.doneTask, j.tasks)
 	}
+	if p == Failed {
+		c.check(at, JobEnds, j.broken, "job %s is told to have failed, and none of its runs has", id)
+	}
 	if p == Cancelled {
 		c.check(at, JobEnds, j.cancelled, "job %s is told to be cancelled, and nobody cancelled it", id)
 	}
--- a/soak/checker/runs.go
+++ b/soak/checker/runs.go
@@ -30,13 +30,39 @@
 	j.started = true
 	c.check(at, RefusalTrue, !j.refused || j.open || j.acknowledged, "task %s starts on %s, and its job was refused as not run", r.Task, r.Instance)
 	c.usage[j.customer] += r.Processors
-	if limit, limited := c.limits[j.customer]; limited {
-		c.check(at, LimitKept, c.usage[j.customer] <= limit, "customer %s uses %d with task %s, limit %d", j.customer, c.usage[j.customer], r.Task, limit)
+	if limit := c.limitOf(at, j.customer); limit > 0 {
+		c.check(at, LimitKept, c.usage[j.customer] <= limit, "customer %s uses %d with task %s on %s, limit %d", j.customer, c.usage[j.customer], r.Task, r.Instance, limit)
 	}
 }
 
-// End records that a run has ended on its instance, or was lost with it; done is set if it did its work.
-func (c *Checker) End(task string, number uint64, done bool) {
+// limitOf returns the largest limit of a customer in the versions that may be in force, or zero if it has none in one of them.
+func (c *Checker) limitOf(at time.Duration, customer string) int64 {
+	var largest int64
+	for version := max(1, latest(c.acked, at-EffectBound)); version <= c.sent; version++ {
+		limit := c.limits(customer, version)
+		if limit == 0 {
+			return 0
+		}
+		largest = max(largest, limit)
+	}
+	return largest
+}
+
+// Ending is how a run ended.
+type Ending uint8
+
+// Endings of a run.
+const (
+	// Done means that the run did its work.
+	Done Ending = iota + 1
+	// Broken means that the run failed, or was lost with its instance.
+	Broken
+	// Stopped means that the run was stopped, or outlived its lease.
+	Stopped
+)
+
+// End records that a run has ended.
+func (c *Checker) End(task, jobID string, number uint64, e Ending) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	r, runs := c.running[task]
@@ -44,11 +70,14 @@
 		delete(c.running, task)
 		c.remove(r)
 	}
-	if done && !c.done[task] {
+	j := c.jobs[jobID]
+	switch {
+	case j == nil:
+	case e == Broken:
+		j.broken = true
+	case e == Done && !c.done[task]:
 		c.done[task] = true
-		if j := c.jobs[r.Job]; j != nil {
-			j.doneTask++
-		}
+		j.doneTask++
 	}
 }
 
--- a/soak/scenario/callers.go
+++ b/soak/scenario/callers.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sapphiresail/sapphiresail/soak/checker"
@@ -15,18 +16,32 @@
 
 // Load and patience of callers.
 const (
-	callers         = 6
-	submitInterval  = 500 * time.Millisecond // six callers hand in twelve jobs a second
+	callers         = 8
+	submitInterval  = 400 * time.Millisecond // eight callers hand in up to twenty jobs a second, of 0.7 processor-seconds each
 	requestTimeout  = 3 * time.Second        // processes answer callers within 2.6 s
 	maxAttempts     = 4
 	retryPause      = 300 * time.Millisecond
 	inspectInterval = 100 * time.Millisecond
+	maxServiceTime  = 8 * time.Second
 )
 
-// limits of the customers, in thousandths of a processor; the third has none.
-var limits = map[string]int64{"a": 3000, "b": 8000}
+// customers and how they share the jobs of callers.
+var (
+	customers = []string{"a", "b", "c"}
+	shares    = []string{"a", "b", "b", "c", "c", "c"}
+)
 
-var customers = []string{"a", "b", "c"}
+// limitOf returns the limit of a customer in a version of the configuration; it changes with each version, and the third customer has none.
+func limitOf(customer string, version uint64) int64 {
+	lowered := int64(version%2) * 1000
+	switch customer {
+	case "a":
+		return 4000 - lowered
+	case "b":
+		return 8000 - 2*lowered
+	}
+	return 0
+}
 
 // customersAt returns the customers of a version of the configuration. Each has a permanent key, and one that is in force in two versions.
 func customersAt(version uint64) []standin.Customer {
@@ -36,7 +51,7 @@
 		if version > 1 {
 			keys = append(keys, passingKey(name, version-1).Name)
 		}
-		list = append(list, standin.Customer{Name: name, Keys: keys, Limit: limits[name]})
+		list = append(list, standin.Customer{Name: name, Keys: keys, Limit: limitOf(name, version)})
 	}
 	return list
 }
@@ -59,10 +74,17 @@
 	jobs     int
 	// open are the acknowledged jobs that have not ended, ended some of the others.
 	open, ended []submitted
+	// services are the open jobs that run until they are cancelled.
+	services []service
 }
 
 type submitted struct{ id, customer string }
 
+type service struct {
+	submitted
+	cancelAt time.Time
+}
+
 func (s *scenario) newCaller(i int) *caller {
 	return &caller{
 		scenario: s, number: i, random: rand.New(rand.NewPCG(s.options.Seed, uint64(100+i))), entry: i,
@@ -79,6 +101,7 @@
 			next = time.Now().Add(time.Duration(float64(submitInterval) * (0.5 + c.random.Float64())))
 			c.submit(submitting)
 		}
+		c.cancelServices(ctx, submitting.Err() != nil)
 		c.inspectOne(ctx)
 		pause(ctx, inspectInterval)
 	}
@@ -116,18 +139,15 @@
 
 // submit hands a job in until it is answered, and cancels some.
 func (c *caller) submit(ctx context.Context) {
-	customer := customers[c.random.IntN(len(customers))]
+	customer := shares[c.random.IntN(len(shares))]
 	c.jobs++
 	id := fmt.Sprintf("%04x%04x%08x", c.number, c.jobs, c.random.Uint32())
-	counts := []int{1 + c.random.IntN(4)}
-	if c.random.IntN(3) == 0 {
-		counts = append(counts, 1+c.random.IntN(2))
-	}
+	work, counts := c.drawWork()
 	total := 0
 	for _, n := range counts {
 		total += n
 	}
-	body := standin.JobBody(standin.Work{Millis: 100 + c.random.Int64N(900), Processors: 500 * (1 + c.random.Int64N(2))}, counts)
+	body := standin.JobBody(work, counts)
 	c.scenario.checker.Submit(id, customer, total)
 	for range maxAttempts {
 		key := c.drawKey(customer)
@@ -137,11 +157,7 @@
 		c.scenario.checker.Answer(c.scenario.now(), id, answer)
 		switch answer {
 		case checker.Acknowledged:
-			c.open = append(c.open, submitted{id, customer})
-			if c.random.IntN(12) == 0 {
-				c.scenario.checker.Cancel(id)
-				c.request(ctx, http.MethodDelete, id, permanentKey(customer).Name, nil)
-			}
+			c.keep(submitted{id, customer}, work.Service)
 			return
 		case checker.Refused:
 			return // the id is never used again, so that nothing of it may start
@@ -150,6 +166,46 @@
 	}
 }
 
+// drawWork draws what the tasks of a job do, and how many each step has.
+func (c *caller) drawWork() (standin.Work, []int) {
+	w := standin.Work{Millis: 100 + c.random.Int64N(600), Processors: 500 * (1 + c.random.Int64N(2))}
+	counts := []int{1 + c.random.IntN(3)}
+	switch c.random.IntN(10) {
+	case 0:
+		w.Service, w.Millis = true, time.Hour.Milliseconds()
+	case 1:
+		w.FailsEvery = 3
+	case 2, 3, 4:
+		counts = append(counts, 1+c.random.IntN(2))
+	}
+	return w, counts
+}
+
+// keep keeps an acknowledged job, and cancels some at once and services later.
+func (c *caller) keep(j submitted, isService bool) {
+	c.open = append(c.open, j)
+	switch {
+	case isService:
+		c.services = append(c.services, service{j, time.Now().Add(time.Duration(c.random.Int64N(int64(maxServiceTime))))})
+	case c.random.IntN(12) == 0:
+		c.services = append(c.services, service{j, time.Now()})
+	}
+}
+
+// cancelServices cancels the jobs whose time has come, or all, until each cancellation is acknowledged.
+func (c *caller) cancelServices(ctx context.Context, all bool) {
+	for i, j := range c.services {
+		if !all && time.Now().Before(j.cancelAt) {
+			continue
+		}
+		c.scenario.checker.Cancel(j.id)
+		if status, _ := c.request(ctx, http.MethodDelete, j.id, permanentKey(j.customer).Name, nil); status == http.StatusOK {
+			c.services = slices.Delete(c.services, i, i+1)
+		}
+		return
+	}
+}
+
 // observe tells the checker what a status says about a key, and returns what it says about a submission.
 func (s *scenario) observe(sentAt time.Duration, key checker.Key, status int) checker.Answer {
 	s.statuses.add(status)
--- a/soak/scenario/inject.go
+++ b/soak/scenario/inject.go
@@ -39,6 +39,9 @@
 	}
 	m := s.deployment.members[f.target]
 	switch f.kind {
+	case killKeepers:
+		s.killKeepers(ctx, end)
+		return
 	case suspendProcess:
 		m.process.Signal(syscall.SIGSTOP)
 	case terminateProcess:
@@ -59,6 +62,19 @@
 	s.startProcess(f.target)
 }
 
+// killKeepers kills all keepers at once, as a loss of power does, and starts them again.
+func (s *scenario) killKeepers(ctx context.Context, end time.Duration) {
+	keepers := s.deployment.members[:s.options.Keepers]
+	for _, m := range keepers {
+		m.process.Signal(syscall.SIGKILL)
+	}
+	s.sleepUntil(ctx, end)
+	for i, m := range keepers {
+		m.process.Kill()
+		s.startProcess(i)
+	}
+}
+
 func (s *scenario) startProcess(i int) {
 	if err := s.deployment.members[i].process.Start(); err != nil {
 		s.printf("%v", err)
--- a/soak/scenario/operators.go
+++ b/soak/scenario/operators.go
@@ -97,8 +97,9 @@
 		sentAt := o.scenario.now()
 		if status, body := o.send(ctx, http.MethodGet, standin.ReadPath, nil); status == http.StatusOK {
 			version, err := standin.ConfigurationVersion(body)
-			if err != nil {
-				o.scenario.printf("%v", err)
+			if err != nil || !bytes.Equal(body, standin.ConfigurationBody(version, customersAt(version))) {
+				o.scenario.printf("answered with a configuration that differs from version %d: %v", version, err)
+				version = 0 // the checker reports it
 			}
 			o.scenario.checker.Read(sentAt, o.scenario.now(), version)
 		}
--- a/soak/scenario/plan.go
+++ b/soak/scenario/plan.go
@@ -18,6 +18,7 @@
 	terminateProcess
 	suspendProcess
 	emptyDataFolder
+	killKeepers
 	disturbPeers
 	isolateProcess
 	crashInstance
@@ -27,7 +28,7 @@
 
 // String returns the name that the report uses.
 func (k kind) String() string {
-	return [...]string{"SIGKILL", "SIGTERM", "SIGSTOP", "SIGKILL and empty folder", "peer link", "all peer links", "instance crashes", "instance silent", "instance link"}[k]
+	return [...]string{"SIGKILL", "SIGTERM", "SIGSTOP", "SIGKILL, empty folder", "SIGKILL of all keepers", "peer link", "all peer links", "instance crashes", "instance silent", "instance link"}[k]
 }
 
 // fault is one fault of the plan. It begins at a time since the start of the scenario and is undone after duration.
@@ -91,7 +92,7 @@
 
 func (p *planner) keeperFault(at time.Duration) fault {
 	f := fault{target: p.random.IntN(p.keepers)}
-	f.kind = []kind{killProcess, killProcess, terminateProcess, suspendProcess, suspendProcess, emptyDataFolder}[p.random.IntN(6)]
+	f.kind = []kind{killProcess, killProcess, terminateProcess, suspendProcess, suspendProcess, emptyDataFolder, killKeepers}[p.random.IntN(7)]
 	if f.kind == emptyDataFolder {
 		if p.emptyings == p.maxEmpty || at-p.emptied < emptyInterval {
 			f.kind = killProcess
--- a/soak/scenario/scenario.go
+++ b/soak/scenario/scenario.go
@@ -81,7 +81,7 @@
 
 // Run runs a scenario. Everything that it started is gone when it returns, also if ctx ends early.
 func Run(ctx context.Context, o Options) (*Result, error) {
-	s := &scenario{options: o, started: time.Now(), checker: checker.New(limits)}
+	s := &scenario{options: o, started: time.Now(), checker: checker.New(limitOf)}
 	var err error
 	s.deployment, err = newDeployment(o, func(keepers []string) (string, error) {
 		if s.fleet, err = standin.NewFleet(s.checker, keepers, s.started); err != nil {
--- a/soak/standin/fleet.go
+++ b/soak/standin/fleet.go
@@ -27,7 +27,7 @@
 // observer takes what happens on instances; the checker implements it.
 type observer interface {
 	Start(at time.Duration, r checker.Run)
-	End(task string, number uint64, done bool)
+	End(task, job string, number uint64, e checker.Ending)
 	AcknowledgeDone(task string)
 }
 
@@ -124,8 +124,11 @@
 	slices.SortFunc(list, func(a, b due) int { return int(a.at - b.at) })
 	for _, d := range list {
 		how := endedDone
-		if d.in.leaseEnd < d.r.endsAt {
+		switch {
+		case d.in.leaseEnd < d.r.endsAt:
 			how = endedLapsed
+		case d.r.fails:
+			how = endedFailed
 		}
 		d.in.end(d.r, how)
 	}
--- a/soak/standin/instance.go
+++ b/soak/standin/instance.go
@@ -15,6 +15,7 @@
 // Ways in which a run ends.
 const (
 	endedDone    = "done"
+	endedFailed  = "failed"
 	endedStopped = "stopped"
 	endedLapsed  = "lapsed"
 )
@@ -49,6 +50,7 @@
 type run struct {
 	checker.Run
 	endsAt time.Duration
+	fails  bool
 }
 
 // end is an end of a run that the leader has not acknowledged yet.
@@ -85,7 +87,14 @@
 	in.rejected[r.Task] = max(in.rejected[r.Task], r.Number)
 	in.endsNumber++
 	in.ends = append(in.ends, end{in.endsNumber, r.Task, r.Number, how})
-	in.fleet.observer.End(r.Task, r.Number, how == endedDone)
+	ending := checker.Stopped
+	switch how {
+	case endedDone:
+		ending = checker.Done
+	case endedFailed:
+		ending = checker.Broken
+	}
+	in.fleet.observer.End(r.Task, r.Job, r.Number, ending)
 	in.wake()
 }
 
@@ -97,7 +106,7 @@
 	in.fleet.advance()
 	in.crashed = true
 	for _, r := range in.runs {
-		in.fleet.observer.End(r.Task, r.Number, false)
+		in.fleet.observer.End(r.Task, r.Job, r.Number, checker.Broken)
 	}
 	in.runs = map[string]*run{}
 	in.wake()
@@ -202,7 +211,7 @@
 	job, _, _ := bytes.Cut([]byte(m.Task), []byte("."))
 	r := &run{
 		Run:    checker.Run{Task: m.Task, Job: string(job), Instance: in.ID, DataCentre: in.DataCentre, Number: m.Run, Processors: work.Processors},
-		endsAt: now + time.Duration(work.Millis)*time.Millisecond,
+		endsAt: now + time.Duration(work.Millis)*time.Millisecond, fails: work.FailsEvery > 0 && m.Run%work.FailsEvery == 0,
 	}
 	in.runs[m.Task] = r
 	in.fleet.starts++
--- a/soak/standin/wire.go
+++ b/soak/standin/wire.go
@@ -14,6 +14,10 @@
 	Millis int64 `json:"ms"`
 	// Processors are those that the task uses, in thousandths.
 	Processors int64 `json:"processors"`
+	// FailsEvery makes the runs fail whose number it divides; zero lets none fail.
+	FailsEvery uint64 `json:"fails-every,omitempty"`
+	// Service marks tasks that run until their job is cancelled.
+	Service bool `json:"-"`
 }
 
 // orderMessage is an order to an instance, or a poll.
@@ -104,6 +108,7 @@
 	MemMB        int64   `json:"memMb"`
 	EstRuntimeMS float64 `json:"estRuntimeMs"`
 	After        []int   `json:"after,omitempty"`
+	LongRunning  bool    `json:"longRunning,omitempty"`
 }
 
 // JobBody returns the body of a job whose steps have the given numbers of tasks, each step after the one before.
@@ -111,7 +116,7 @@
 	spec, _ := json.Marshal(w)
 	steps := make([]stepMessage, len(counts))
 	for i, n := range counts {
-		steps[i] = stepMessage{Count: n, CPU: w.Processors, MemMB: 1, EstRuntimeMS: float64(w.Millis)}
+		steps[i] = stepMessage{Count: n, CPU: w.Processors, MemMB: 1, EstRuntimeMS: float64(w.Millis), LongRunning: w.Service}
 		if i > 0 {
 			steps[i].After = []int{i - 1}
 		}
