--- a/soak/proxy/datagram.go
+++ b/soak/proxy/datagram.go
@@ -3,37 +3,33 @@
 import (
 	"errors"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
-// Datagram is a proxy of UDP packets.
+// Datagram is a proxy of the UDP packets of one client.
 type Datagram struct {
-	mode           atomic.Pointer[Mode]
-	conn           *net.UDPConn
-	source, target *net.UDPAddr
-	goroutines     sync.WaitGroup
-	mutex          sync.Mutex
-	closed         bool
-	sessions       map[string]*net.UDPConn // to the target, by client
+	mode       atomic.Pointer[Mode]
+	conns      [2]*net.UDPConn // to the client and to the target
+	goroutines sync.WaitGroup
 }
 
-// NewDatagram starts a proxy that listens on an address and sends to target from the address source, so that the target sees the
-// host of the client.
-func NewDatagram(address, target, source string) (*Datagram, error) {
-	local, err := net.ResolveUDPAddr("udp", address)
-	remote, targetErr := net.ResolveUDPAddr("udp", target)
-	if err = errors.Join(err, targetErr); err != nil {
+// NewDatagram starts a proxy that listens on an address for packets of client and sends them to target from the host of the client.
+func NewDatagram(address, client, target netip.AddrPort) (*Datagram, error) {
+	listening, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
 		return nil, err
 	}
-	conn, err := net.ListenUDP("udp", local)
+	sending, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(client.Addr(), 0)))
 	if err != nil {
-		return nil, err
+		return nil, errors.Join(err, listening.Close())
 	}
-	d := &Datagram{conn: conn, target: remote, source: &net.UDPAddr{IP: net.ParseIP(source)}, sessions: map[string]*net.UDPConn{}}
+	d := &Datagram{conns: [2]*net.UDPConn{listening, sending}}
 	d.Set(Mode{})
-	d.goroutines.Go(d.forward)
+	d.goroutines.Go(func() { d.pump(listening, sending, target, func(m *Mode) bool { return m.CutForward || m.Reset }) })
+	d.goroutines.Go(func() { d.pump(sending, listening, client, func(m *Mode) bool { return m.CutBackward || m.Reset }) })
 	return d, nil
 }
 
@@ -42,68 +38,26 @@
 
 // Close stops the proxy and waits for its goroutines.
 func (d *Datagram) Close() error {
-	err := d.conn.Close()
-	d.mutex.Lock()
-	d.closed = true
-	for _, s := range d.sessions {
-		_ = s.Close()
-	}
-	d.mutex.Unlock()
+	err := errors.Join(d.conns[0].Close(), d.conns[1].Close())
 	d.goroutines.Wait()
 	return err
 }
 
-func (d *Datagram) forward() {
-	buffer := make([]byte, 64<<10)
-	for {
-		n, client, err := d.conn.ReadFromUDP(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if m := d.mode.Load(); err == nil && !m.CutForward && !m.Reset {
-			if s := d.session(client); s != nil {
-				deliver(m.Delay, buffer[:n], func(packet []byte) { _, _ = s.Write(packet) })
-			}
-		}
-	}
-}
-
-// deliver writes a packet, after a delay if there is one.
-func deliver(delay time.Duration, packet []byte, write func([]byte)) {
-	if delay == 0 {
-		write(packet)
-		return
-	}
-	late := append([]byte(nil), packet...)
-	time.AfterFunc(delay, func() { write(late) })
-}
-
-// session returns the connection to the target for the packets of a client, or nil if there can be none.
-func (d *Datagram) session(client *net.UDPAddr) *net.UDPConn {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if s := d.sessions[client.String()]; s != nil || d.closed {
-		return s
-	}
-	s, err := net.DialUDP("udp", d.source, d.target)
-	if err != nil {
-		return nil
-	}
-	d.sessions[client.String()] = s
-	d.goroutines.Go(func() { d.backward(s, client) })
-	return s
-}
-
-func (d *Datagram) backward(s *net.UDPConn, client *net.UDPAddr) {
-	buffer := make([]byte, 64<<10)
-	for {
-		n, err := s.Read(buffer)
+// pump passes the packets of one direction on.
+func (d *Datagram) pump(from, to *net.UDPConn, address netip.AddrPort, cut func(*Mode) bool) {
+	for buffer := make([]byte, 64<<10); ; {
+		n, err := from.Read(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		// Other errors are refused packets: the target is down.
-		if m := d.mode.Load(); err == nil && !m.CutBackward && !m.Reset {
-			deliver(m.Delay, buffer[:n], func(packet []byte) { _, _ = d.conn.WriteToUDP(packet, client) })
+		m := d.mode.Load()
+		switch {
+		case err != nil || cut(m):
+		case m.Delay == 0:
+			_, _ = to.WriteToUDPAddrPort(buffer[:n], address)
+		default:
+			late := append([]byte(nil), buffer[:n]...)
+			time.AfterFunc(m.Delay, func() { _, _ = to.WriteToUDPAddrPort(late, address) })
 		}
 	}
 }
--- a/soak/proxy/stream.go
+++ b/soak/proxy/stream.go
@@ -20,25 +20,23 @@
 
 // Stream is a proxy of TCP connections.
 type Stream struct {
-	mode       atomic.Pointer[Mode]
-	closed     atomic.Bool
-	address    string
-	target     string
-	goroutines sync.WaitGroup
-	mutex      sync.Mutex
-	listener   net.Listener
-	conns      map[net.Conn]bool
+	mode            atomic.Pointer[Mode]
+	closed          atomic.Bool
+	address, target string
+	goroutines      sync.WaitGroup
+	mutex           sync.Mutex
+	listener        net.Listener
+	conns           map[net.Conn]bool
 }
 
 // NewStream starts a proxy that listens on a free port and connects to target.
 func NewStream(target string) (*Stream, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	s := &Stream{target: target, address: "127.0.0.1:0", conns: map[net.Conn]bool{}}
+	s.mode.Store(&Mode{})
+	if err := s.listen(); err != nil {
 		return nil, err
 	}
-	s := &Stream{target: target, address: listener.Addr().String(), conns: map[net.Conn]bool{}}
-	s.mode.Store(&Mode{})
-	s.serve(listener)
+	s.address = s.listener.Addr().String()
 	return s, nil
 }
 
@@ -53,14 +51,9 @@
 	if m.Reset && !before.Reset {
 		s.breakAll()
 	}
-	if m.Reset || !before.Reset || s.closed.Load() {
-		return nil
-	}
-	listener, err := net.Listen("tcp", s.address)
-	if err != nil {
-		return err
+	if before.Reset && !m.Reset && !s.closed.Load() {
+		return s.listen()
 	}
-	s.serve(listener)
 	return nil
 }
 
@@ -83,17 +76,18 @@
 	return nil
 }
 
-func (s *Stream) serve(listener net.Listener) {
+func (s *Stream) listen() error {
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return err
+	}
 	s.listener = listener
 	s.goroutines.Go(func() {
-		for {
-			client, err := listener.Accept()
-			if err != nil {
-				return
-			}
+		for client, err := listener.Accept(); err == nil; client, err = listener.Accept() {
 			s.goroutines.Go(func() { s.connect(client) })
 		}
 	})
+	return nil
 }
 
 // add registers a connection, or closes it if the proxy accepts none.
@@ -134,8 +128,7 @@
 // pump copies one direction until it ends. What was read before a cut is passed on after it, also if its sender is gone: a request that was
 // given up arrives late.
 func (s *Stream) pump(from, to net.Conn, cut func(*Mode) bool) {
-	buffer := make([]byte, 64<<10)
-	for {
+	for buffer := make([]byte, 64<<10); ; {
 		n, err := from.Read(buffer)
 		for n > 0 && cut(s.mode.Load()) && !s.closed.Load() {
 			time.Sleep(holdInterval)
--- a/soak/scenario/deployment.go
+++ b/soak/scenario/deployment.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"time"
@@ -21,94 +22,83 @@
 var dataCentres = []string{"d1", "d2", "d3"}
 
 // member is a process of the deployment, a keeper or an entry. Each has an address and a peer port of its own. It dials every peer at that
-// peer's address and its own port, where the proxy of the link between the two listens.
+// peer's address and its own port, where the proxy of the link between the two listens. It serves operators or callers at the address served.
 type member struct {
-	*process
-	address, data string
-	peerPort      int
+	process
+	address  netip.Addr
+	peerPort uint16
+	served   string
+	data     string
 }
 
 // deployment is the processes, keepers first, and the links between them by the indices of the members that dial and are dialled.
 type deployment struct {
 	launcher         *launcher
 	members          []*member
-	keepers, entries []string // the addresses for operators and instances, and for callers
+	keepers, entries []string // addresses served
 	links            map[[2]int]*proxy.Datagram
 }
 
-// newDeployment starts the proxies and writes the settings of the processes. The process i has the address 127.0.0.(11+i).
+// newDeployment starts the proxies. The process i has the address 127.0.0.(11+i).
 func newDeployment(o Options) (*deployment, error) {
 	d := &deployment{launcher: newLauncher(), links: map[[2]int]*proxy.Datagram{}}
-	var addresses []string
-	for i := range o.Keepers + o.Entries {
-		addresses = append(addresses, fmt.Sprintf("127.0.0.%d", 11+i))
-	}
-	ports, err := freePorts(addresses, len(addresses)+1)
+	count := o.Keepers + o.Entries
+	ports, err := freePorts(count + 1)
 	if err != nil {
 		return d, err
 	}
-	for i, a := range addresses {
-		served := fmt.Sprintf("%s:%d", a, ports[len(addresses)])
-		m := &member{address: a, peerPort: ports[i], data: filepath.Join(o.Folder, fmt.Sprintf("data-%d", i))}
-		role := "keeper"
+	for i := range count {
+		address := netip.AddrFrom4([4]byte{127, 0, 0, byte(11 + i)})
+		m := &member{address: address, peerPort: ports[i], served: netip.AddrPortFrom(address, ports[count]).String(), data: filepath.Join(o.Folder, fmt.Sprintf("data-%d", i))}
+		role := "entry"
 		if i < o.Keepers {
-			d.keepers = append(d.keepers, served)
+			role = "keeper"
+			d.keepers = append(d.keepers, m.served)
 		} else {
-			role = "entry"
-			d.entries = append(d.entries, served)
+			d.entries = append(d.entries, m.served)
 		}
-		file := filepath.Join(o.Folder, fmt.Sprintf("%s-%d", role, i))
-		m.process = &process{name: filepath.Base(file), log: file + ".log", program: o.Program, arguments: []string{role, "--settings", file + ".yaml"}, launcher: d.launcher}
+		m.name, m.launcher = fmt.Sprintf("%s-%d", role, i), d.launcher
+		m.log = filepath.Join(o.Folder, m.name+".log")
+		m.arguments = []string{o.Program, role, "--settings", filepath.Join(o.Folder, m.name+".yaml")}
 		d.members = append(d.members, m)
 	}
-	for from := range d.members {
-		for to := range d.members {
-			err = errors.Join(err, d.link(from, to))
+	for from, client := range d.members {
+		for to, server := range d.members {
+			if from != to {
+				link, linkErr := proxy.NewDatagram(netip.AddrPortFrom(server.address, client.peerPort), client.peerAddress(), server.peerAddress())
+				if err = errors.Join(err, linkErr); linkErr == nil {
+					d.links[[2]int{from, to}] = link
+				}
+			}
 		}
 	}
 	return d, err
 }
 
-// freePorts returns ports below the ephemeral ones that are free on all addresses for TCP and UDP.
-func freePorts(addresses []string, count int) (ports []int, err error) {
+func (m *member) peerAddress() netip.AddrPort { return netip.AddrPortFrom(m.address, m.peerPort) }
+
+// freePorts returns ports below the ephemeral ones that are free for TCP and UDP on all addresses.
+func freePorts(count int) (ports []uint16, err error) {
 	first := 12000 + rand.IntN(18000)
 	for port := first; port < first+1000 && len(ports) < count; port++ {
-		free := true
-		for _, a := range addresses {
-			address := fmt.Sprintf("%s:%d", a, port)
-			udp, udpErr := net.ListenPacket("udp", address)
-			tcp, tcpErr := net.Listen("tcp", address)
-			if udpErr == nil {
-				_ = udp.Close()
-			}
-			if tcpErr == nil {
-				_ = tcp.Close()
-			}
-			free = free && udpErr == nil && tcpErr == nil
+		udp, udpErr := net.ListenPacket("udp", fmt.Sprintf("0.0.0.0:%d", port))
+		tcp, tcpErr := net.Listen("tcp", fmt.Sprintf("0.0.0.0:%d", port))
+		if udpErr == nil {
+			_ = udp.Close()
+		}
+		if tcpErr == nil {
+			_ = tcp.Close()
 		}
-		if free {
-			ports = append(ports, port)
+		if udpErr == nil && tcpErr == nil {
+			ports = append(ports, uint16(port))
 		}
 	}
 	if len(ports) < count {
-		return nil, fmt.Errorf("no %d ports are free on %v", count, addresses)
+		return nil, fmt.Errorf("found %d free ports, want %d", len(ports), count)
 	}
 	return ports, nil
 }
 
-// link starts the proxy by which one member reaches another.
-func (d *deployment) link(from, to int) error {
-	if from == to {
-		return nil
-	}
-	client, server := d.members[from], d.members[to]
-	link, err := proxy.NewDatagram(fmt.Sprintf("%s:%d", server.address, client.peerPort), fmt.Sprintf("%s:%d", server.address, server.peerPort), client.address)
-	if err == nil {
-		d.links[[2]int{from, to}] = link
-	}
-	return err
-}
-
 // startAll writes the settings of all processes and starts them.
 func (d *deployment) startAll(o Options, platformAddress string) error {
 	for i, m := range d.members {
@@ -118,12 +108,12 @@
 			"fleet-key": fmt.Sprintf("%064x", o.Seed+1),
 		}
 		if i < o.Keepers {
-			settings["control"], settings["first-start"], settings["data-folder"], settings["platform-address"] = d.keepers[i], true, m.data, platformAddress
+			settings["control"], settings["first-start"], settings["data-folder"], settings["platform-address"] = m.served, true, m.data, platformAddress
 		} else {
-			settings["callers"] = d.entries[i-o.Keepers]
+			settings["callers"] = m.served
 		}
 		text, err := json.Marshal(settings) // JSON is YAML
-		if err = errors.Join(err, os.WriteFile(m.arguments[len(m.arguments)-1], text, 0o600)); err != nil {
+		if err = errors.Join(err, os.WriteFile(m.arguments[3], text, 0o600)); err != nil {
 			return err
 		}
 		if err := m.start(); err != nil {
--- a/soak/scenario/inject.go
+++ b/soak/scenario/inject.go
@@ -60,7 +60,7 @@
 			m.signal(syscall.SIGSTOP)
 		case terminateProcess:
 			m.signal(syscall.SIGTERM)
-			if !m.wait(grace + stopMargin) {
+			if !m.endsWithin(grace + stopMargin) {
 				s.fail(m.name + " has not stopped in time after SIGTERM")
 			}
 		default:
--- a/soak/scenario/process.go
+++ b/soak/scenario/process.go
@@ -35,12 +35,12 @@
 
 // process is a process that may be started several times. Its output is appended to the file log.
 type process struct {
-	name, log, program string
-	arguments          []string
-	launcher           *launcher
-	mutex              sync.Mutex
-	cmd                *exec.Cmd
-	exited             chan struct{} // nil before the first start
+	name, log string
+	arguments []string
+	launcher  *launcher
+	mutex     sync.Mutex
+	cmd       *exec.Cmd     // nil unless it runs
+	exited    chan struct{} // closed when the last start has ended
 	// ending is set once the soak has asked the process to end; unasked counts the other exits.
 	ending  bool
 	unasked int
@@ -50,7 +50,7 @@
 func (p *process) start() error {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.running() {
+	if p.cmd != nil {
 		return nil
 	}
 	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -58,7 +58,7 @@
 		return err
 	}
 	defer func() { _ = out.Close() }()
-	cmd := exec.Command(p.program, p.arguments...)
+	cmd := exec.Command(p.arguments[0], p.arguments[1:]...)
 	// Two threads each keep the processes of a scenario from taking all cores of the machine.
 	cmd.Env = append(os.Environ(), "GOMAXPROCS=2", "QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING=true")
 	cmd.Stdout, cmd.Stderr = out, out
@@ -69,54 +69,38 @@
 	if err := <-result; err != nil {
 		return err
 	}
-	exited := make(chan struct{})
-	p.cmd, p.exited, p.ending = cmd, exited, false
-	p.launcher.goroutines.Go(func() {
-		_ = cmd.Wait()
-		p.mutex.Lock()
-		defer p.mutex.Unlock()
-		if !p.ending {
-			p.unasked++
-		}
-		close(exited)
-	})
+	p.cmd, p.exited, p.ending = cmd, make(chan struct{}), false
+	p.launcher.goroutines.Go(p.await)
 	return nil
 }
 
-func (p *process) running() bool {
-	if p.exited == nil {
-		return false
-	}
-	select {
-	case <-p.exited:
-		return false
-	default:
-		return true
+func (p *process) await() {
+	_ = p.cmd.Wait()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if !p.ending {
+		p.unasked++
 	}
+	p.cmd = nil
+	close(p.exited)
 }
 
 // signal sends a signal if the process runs.
 func (p *process) signal(s syscall.Signal) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.running() {
+	if p.cmd != nil {
 		p.ending = p.ending || s == syscall.SIGKILL || s == syscall.SIGTERM
 		_ = p.cmd.Process.Signal(s)
 	}
 }
 
-// kill kills the process and waits until it is gone.
-func (p *process) kill() {
-	p.signal(syscall.SIGKILL)
-	p.wait(time.Minute)
-}
-
-// wait waits until the process is gone, at most for a time, and reports whether it is.
-func (p *process) wait(limit time.Duration) bool {
+// endsWithin waits until a process that was started is gone, at most for a time, and reports whether it is.
+func (p *process) endsWithin(limit time.Duration) bool {
 	p.mutex.Lock()
-	exited := p.exited
+	cmd, exited := p.cmd, p.exited
 	p.mutex.Unlock()
-	if exited == nil {
+	if cmd == nil {
 		return true
 	}
 	select {
@@ -127,9 +111,8 @@
 	}
 }
 
-// unaskedExits returns how often the process ended by itself.
-func (p *process) unaskedExits() int {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	return p.unasked
+// kill kills the process and waits until it is gone.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	p.endsWithin(time.Minute)
 }
--- a/soak/scenario/scenario.go
+++ b/soak/scenario/scenario.go
@@ -161,7 +161,10 @@
 // report prints and returns the result.
 func (s *scenario) report() *Result {
 	for _, m := range s.deployment.members {
-		if m.unaskedExits() > 0 {
+		m.mutex.Lock()
+		unasked := m.unasked
+		m.mutex.Unlock()
+		if unasked > 0 {
 			s.fail(m.name + " ended by itself")
 		}
 	}
