--- a/soak/checker/runs.go
+++ b/soak/checker/runs.go
@@ -14,9 +14,9 @@
 
 // Endings of a run.
 const (
-	Done Ending = iota + 1
+	Stopped Ending = iota
+	Done
 	Broken
-	Stopped
 )
 
 // Start records that an instance starts a run.
--- a/soak/scenario/callers.go
+++ b/soak/scenario/callers.go
@@ -67,8 +67,7 @@
 }
 
 func (s *scenario) newCaller(i int) *caller {
-	client := &http.Client{Timeout: requestTimeout, Transport: &http.Transport{}}
-	return &caller{scenario: s, number: i, random: rand.New(rand.NewPCG(s.options.Seed, uint64(100+i))), entry: i, client: client}
+	return &caller{scenario: s, number: i, random: s.newRandom(100 + i), entry: i, client: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{}}}
 }
 
 // run hands in jobs until submitting ends, and asks for them until ctx ends.
@@ -89,7 +88,9 @@
 	entry := c.deployment.entries[c.entry%len(c.deployment.entries)]
 	sentAt := c.now()
 	status, answer = exchange(ctx, c.client, method, "http://"+entry+standin.Prefix+id, standin.Authorization(key.Name), body)
-	c.count(status)
+	c.mutex.Lock()
+	c.statuses[status]++
+	c.mutex.Unlock()
 	switch status {
 	case 0:
 		c.entry++
@@ -191,11 +192,11 @@
 	} else if len(c.open) > 0 {
 		j := c.open[0]
 		c.open = c.open[1:]
+		list := &c.open
 		if c.inspect(ctx, j) {
-			c.ended = append(c.ended, j)
-		} else {
-			c.open = append(c.open, j)
+			list = &c.ended
 		}
+		*list = append(*list, j)
 	}
 }
 
--- a/soak/scenario/operators.go
+++ b/soak/scenario/operators.go
@@ -30,8 +30,13 @@
 	client *http.Client
 }
 
-func (s *scenario) newOperator(number uint64) *operator {
-	return &operator{scenario: s, random: rand.New(rand.NewPCG(s.options.Seed, number)), client: &http.Client{Timeout: operatorTimeout}}
+func (s *scenario) newOperator(number int) *operator {
+	return &operator{scenario: s, random: s.newRandom(number), client: &http.Client{Timeout: operatorTimeout}}
+}
+
+// newRandom returns the source of random numbers of one caller or operator.
+func (s *scenario) newRandom(number int) *rand.Rand {
+	return rand.New(rand.NewPCG(s.options.Seed, uint64(number)))
 }
 
 func (o *operator) pause(ctx context.Context, low, high time.Duration) {
@@ -89,8 +94,7 @@
 }
 
 func (o *operator) publishLoop(ctx context.Context) {
-	for ctx.Err() == nil {
-		o.pause(ctx, minPublishPause, maxPublishPause)
+	for o.pause(ctx, minPublishPause, maxPublishPause); ctx.Err() == nil; o.pause(ctx, minPublishPause, maxPublishPause) {
 		o.publish(ctx)
 	}
 }
--- a/soak/scenario/process.go
+++ b/soak/scenario/process.go
@@ -9,6 +9,9 @@
 	"time"
 )
 
+// exitInterval is how often a process that is to end is looked at.
+const exitInterval = 5 * time.Millisecond
+
 // launcher starts processes from one thread, which lives as long as the launcher: the kernel kills the processes when that thread ends, so
 // that none outlives the soak however it ends.
 type launcher struct {
@@ -39,8 +42,7 @@
 	arguments []string
 	launcher  *launcher
 	mutex     sync.Mutex
-	cmd       *exec.Cmd     // nil unless it runs
-	exited    chan struct{} // closed when the last start has ended
+	cmd       *exec.Cmd // nil unless it runs
 	// ending is set once the soak has asked the process to end; unasked counts the other exits.
 	ending  bool
 	unasked int
@@ -69,7 +71,7 @@
 	if err := <-result; err != nil {
 		return err
 	}
-	p.cmd, p.exited, p.ending = cmd, make(chan struct{}), false
+	p.cmd, p.ending = cmd, false
 	p.launcher.goroutines.Go(p.await)
 	return nil
 }
@@ -82,7 +84,6 @@
 		p.unasked++
 	}
 	p.cmd = nil
-	close(p.exited)
 }
 
 // signal sends a signal if the process runs.
@@ -95,20 +96,21 @@
 	}
 }
 
-// endsWithin waits until a process that was started is gone, at most for a time, and reports whether it is.
-func (p *process) endsWithin(limit time.Duration) bool {
+// state reports whether the process runs, and how often it ended by itself.
+func (p *process) state() (running bool, unasked int) {
 	p.mutex.Lock()
-	cmd, exited := p.cmd, p.exited
-	p.mutex.Unlock()
-	if cmd == nil {
-		return true
-	}
-	select {
-	case <-exited:
-		return true
-	case <-time.After(limit):
-		return false
+	defer p.mutex.Unlock()
+	return p.cmd != nil, p.unasked
+}
+
+// endsWithin waits until the process is gone, at most for a time, and reports whether it is.
+func (p *process) endsWithin(limit time.Duration) bool {
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(exitInterval) {
+		if running, _ := p.state(); !running {
+			return true
+		}
 	}
+	return false
 }
 
 // kill kills the process and waits until it is gone.
--- a/soak/scenario/scenario.go
+++ b/soak/scenario/scenario.go
@@ -5,8 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,9 +55,9 @@
 	mutex    sync.Mutex
 	failures []string
 	statuses map[int]int // answers to callers
-	// stalls counts the timers that were late by more than stallThreshold; stalled is by how much in all, longest the most that any was late.
-	stalls           int
-	stalled, longest time.Duration
+	// stalls counts the timers that were late by more than stallThreshold, and longest is the most that any was late.
+	stalls  int
+	longest time.Duration
 }
 
 // Run runs a scenario. Everything that it started is gone when it returns, also if ctx ends early.
@@ -87,8 +85,8 @@
 			return err
 		}
 	}
-	starting, cancel := context.WithTimeout(ctx, startLimit)
-	defer cancel()
+	starting, endStart := context.WithTimeout(ctx, startLimit)
+	defer endStart()
 	if !s.newOperator(10).publish(starting) {
 		return fmt.Errorf("no configuration was acknowledged within %s of the start", startLimit)
 	}
@@ -145,26 +143,15 @@
 		s.longest = max(s.longest, late)
 		if late > stallThreshold {
 			s.stalls++
-			s.stalled += late
 		}
 		s.mutex.Unlock()
 	}
 }
 
-// count counts an answer to a caller.
-func (s *scenario) count(status int) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.statuses[status]++
-}
-
 // report prints and returns the result.
 func (s *scenario) report() *Result {
 	for _, m := range s.deployment.members {
-		m.mutex.Lock()
-		unasked := m.unasked
-		m.mutex.Unlock()
-		if unasked > 0 {
+		if _, unasked := m.state(); unasked > 0 {
 			s.fail(m.name + " ended by itself")
 		}
 	}
@@ -175,17 +162,14 @@
 		s.write("%8.3f s  VIOLATED %s: %s", v.At.Seconds(), v.Guarantee, v.Detail)
 	}
 	submitted, acked, refused, failed, unended := s.checker.Totals()
-	s.write("seed %d: %d jobs handed in, %d acknowledged, %d refused as not run, %d failed, %d not ended; %d runs started; %d configurations",
-		s.options.Seed, submitted, acked, refused, failed, unended, s.fleet.Starts(), s.version.Load())
-	for _, status := range slices.Sorted(maps.Keys(s.statuses)) {
-		s.write("  status %3d: %d answers", status, s.statuses[status])
-	}
+	s.write("seed %d: %d jobs handed in, %d acknowledged, %d refused as not run, %d failed, %d not ended; %d configurations; answers to callers by status: %v",
+		s.options.Seed, submitted, acked, refused, failed, unended, s.version.Load(), s.statuses)
 	for _, g := range checker.Guarantees {
 		s.write("  %-24s %7d checks, %d violated", g, s.checker.Checks(g), violated[g])
 	}
 	s.write("  machine: longest delay of a timer %s", s.longest.Round(time.Millisecond))
 	if s.stalls > 0 {
-		s.write("  MACHINE STALLED: %d timers were late by more than %s, by %s in all; bounds of time may be broken by the machine", s.stalls, stallThreshold, s.stalled.Round(time.Millisecond))
+		s.write("  MACHINE STALLED: %d timers were late by more than %s; bounds of time may be broken by the machine", s.stalls, stallThreshold)
 	}
 	return r
 }
--- a/soak/standin/fleet.go
+++ b/soak/standin/fleet.go
@@ -42,7 +42,6 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
-	starts     int
 	// PlatformAddress is where the platform takes orders and lists machines.
 	PlatformAddress string
 }
@@ -75,8 +74,7 @@
 	in.boot()
 	// An order is for the boot that accepted its connection.
 	address, err := f.serve(&http.Server{Handler: in, ReadHeaderTimeout: MaxLease, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
-		f.mutex.Lock()
-		defer f.mutex.Unlock()
+		defer f.lock()()
 		return context.WithValue(ctx, bootKey{}, in.boots)
 	}})
 	if err != nil {
@@ -85,25 +83,22 @@
 	if in.link, err = proxy.NewStream(address); err != nil {
 		return err
 	}
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
+	defer f.lock()()
 	f.instances = append(f.instances, in)
 	f.goroutines.Go(in.announceLoop)
 	return nil
 }
 
-// Instances returns the instances.
-func (f *Fleet) Instances() []*Instance {
+// lock locks the fleet and returns the function that unlocks it.
+func (f *Fleet) lock() (unlock func()) {
 	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return slices.Clone(f.instances)
+	return f.mutex.Unlock
 }
 
-// Starts returns how many runs were started.
-func (f *Fleet) Starts() int {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return f.starts
+// Instances returns the instances.
+func (f *Fleet) Instances() []*Instance {
+	defer f.lock()()
+	return slices.Clone(f.instances)
 }
 
 // servePlatform lists the machines; orders to move or maintain one are refused for now.
@@ -119,9 +114,9 @@
 func (f *Fleet) endLoop() {
 	for f.ctx.Err() == nil {
 		time.Sleep(endInterval)
-		f.mutex.Lock()
+		unlock := f.lock()
 		f.advance()
-		f.mutex.Unlock()
+		unlock()
 	}
 }
 
--- a/soak/standin/instance.go
+++ b/soak/standin/instance.go
@@ -22,9 +22,8 @@
 	fleet          *Fleet
 	processors     int64
 	link           *proxy.Stream
-
-	boots    int
-	bootedAt time.Time
+	boots          int
+	bootedAt       time.Time
 	// A muted instance does not announce itself.
 	crashed, muted              bool
 	sequence, fence, endsNumber uint64
@@ -67,21 +66,13 @@
 	in.rejected[r.Task] = max(in.rejected[r.Task], r.Number)
 	in.endsNumber++
 	in.ends = append(in.ends, end{r.Run, in.endsNumber, how})
-	ending := checker.Stopped
-	switch how {
-	case endedDone:
-		ending = checker.Done
-	case endedFailed:
-		ending = checker.Broken
-	}
-	in.fleet.observer.End(r.Run, ending)
+	in.fleet.observer.End(r.Run, map[string]checker.Ending{endedDone: checker.Done, endedFailed: checker.Broken}[how])
 	in.wake()
 }
 
 // Crash ends the boot with all its runs; connections are refused until Return.
 func (in *Instance) Crash() error {
-	in.fleet.mutex.Lock()
-	defer in.fleet.mutex.Unlock()
+	defer in.fleet.lock()()
 	in.fleet.advance()
 	in.crashed = true
 	for _, r := range in.runs {
@@ -94,8 +85,7 @@
 
 // Return starts the next boot after a crash.
 func (in *Instance) Return() error {
-	in.fleet.mutex.Lock()
-	defer in.fleet.mutex.Unlock()
+	defer in.fleet.lock()()
 	if in.crashed {
 		in.boot()
 	}
@@ -104,8 +94,7 @@
 
 // Disturb sets the mode of the link to the instance unless it has crashed.
 func (in *Instance) Disturb(m proxy.Mode, muted bool) error {
-	in.fleet.mutex.Lock()
-	defer in.fleet.mutex.Unlock()
+	defer in.fleet.lock()()
 	in.muted = muted
 	if in.crashed {
 		return nil
@@ -120,8 +109,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	in.fleet.mutex.Lock()
-	defer in.fleet.mutex.Unlock()
+	defer in.fleet.lock()()
 	status, body := in.execute(r, o)
 	if in.crashed || r.Context().Value(bootKey{}) != in.boots {
 		panic(http.ErrAbortHandler)
@@ -184,7 +172,6 @@
 		endsAt: now + time.Duration(w.Millis)*time.Millisecond, fails: w.FailsEvery > 0 && o.Run%w.FailsEvery == 0,
 	}
 	in.runs[o.Task] = r
-	in.fleet.starts++
 	in.fleet.observer.Start(now, r.Run)
 	return true
 }
