Bound the backlog of the soak, and let it cancel services whose acceptance is unknown

The traces show that the product was right: customer a used its whole limit all the time. The bound of 30 s assumes a backlog of seconds. Callers now hand in no more than six jobs ahead and cancel services whose acceptance they do not know. Stand-in instances reported a constant progress, so that the leader stopped long runs as standing still; they report the real one now.

--- a/soak/scenario/callers.go
+++ b/soak/scenario/callers.go
@@ -14,9 +14,11 @@
 
 // Load and patience of callers.
 const (
-	callers         = 8
-	submitInterval  = 400 * time.Millisecond // eight callers hand in up to twenty jobs a second, of 0.7 processor-seconds each
-	requestTimeout  = 3 * time.Second        // processes answer callers within 2.6 s
+	callers        = 8
+	submitInterval = 400 * time.Millisecond // eight callers hand in up to twenty jobs a second, of 0.8 processor-seconds each
+	// maxOpen bounds the backlog at the end of the faults: 48 jobs take less than settleLimit within the smallest limit of a customer.
+	maxOpen         = 6
+	requestTimeout  = 3 * time.Second // processes answer callers within 2.6 s
 	maxAttempts     = 4
 	retryPause      = 300 * time.Millisecond
 	inspectInterval = 100 * time.Millisecond
@@ -27,7 +29,7 @@
 var customers = []string{"a", "a", "b", "b", "c"}
 
 // limitOf returns the limit of a customer in a version of the configuration, which changes with each version; the third customer has none.
-// Without faults, the first one hands in about as much as its limit allows.
+// The first one would hand in about as much as its limit allows.
 func limitOf(customer string, version uint64) int64 {
 	lowered := int64(version%2) * 1000
 	return map[string]int64{"a": 3000 - lowered, "b": 6000 - 2*lowered}[customer]
@@ -74,7 +76,7 @@
 func (c *caller) run(ctx, submitting context.Context) {
 	defer c.client.CloseIdleConnections()
 	for next := c.now(); ctx.Err() == nil; pause(ctx, inspectInterval) {
-		if submitting.Err() == nil && c.now() > next {
+		if submitting.Err() == nil && c.now() > next && len(c.open) < maxOpen {
 			next = c.now() + time.Duration(float64(submitInterval)*(0.5+c.random.Float64()))
 			c.submit(submitting)
 		}
@@ -147,6 +149,9 @@
 		}
 		pause(ctx, retryPause)
 	}
+	if work.Service {
+		c.toCancel = append(c.toCancel, j) // it may run, and would use the limit of its customer for ever
+	}
 }
 
 // answerOf returns what a status says about a submission.
@@ -179,9 +184,10 @@
 		return
 	}
 	j := c.toCancel[i]
+	c.toCancel = slices.Delete(c.toCancel, i, i+1)
 	c.checker.Cancel(j.id)
-	if status, _ := c.request(ctx, http.MethodDelete, j.id, permanentKey(j.customer), nil); status == http.StatusOK {
-		c.toCancel = slices.Delete(c.toCancel, i, i+1)
+	if status, _ := c.request(ctx, http.MethodDelete, j.id, permanentKey(j.customer), nil); status != http.StatusOK {
+		c.toCancel = append(c.toCancel, j) // also if the job is not known: a submission without an answer may be on its way
 	}
 }
 
--- a/soak/standin/instance.go
+++ b/soak/standin/instance.go
@@ -36,8 +36,16 @@
 
 type run struct {
 	checker.Run
-	endsAt time.Duration
-	fails  bool
+	startedAt, endsAt time.Duration
+	fails             bool
+}
+
+// percent returns the progress of the run. A service, which has none, reports that it is ready.
+func (r *run) percent(now time.Duration) int {
+	if r.endsAt-r.startedAt > MaxLease {
+		return 100
+	}
+	return int(100 * (now - r.startedAt) / (r.endsAt - r.startedAt))
 }
 
 type end struct {
@@ -143,9 +151,9 @@
 	case pollPath:
 		in.extendLease(now, o.Deadline)
 		in.acknowledge(o.AckedEnd)
-		in.awaitEnd(r.Context(), time.Duration(o.Wait)*time.Millisecond)
+		now = in.awaitEnd(r.Context(), now, time.Duration(o.Wait)*time.Millisecond)
 	}
-	return http.StatusOK, in.report()
+	return http.StatusOK, in.report(now)
 }
 
 // extendLease extends the lease to a deadline on the clock of the instance, in milliseconds.
@@ -168,8 +176,8 @@
 	in.extendLease(now, o.Deadline)
 	job, _, _ := strings.Cut(o.Task, ".")
 	r := &run{
-		Run:    checker.Run{Task: o.Task, Job: job, Instance: in.ID, DataCentre: in.DataCentre, Number: o.Run, Processors: w.Processors},
-		endsAt: now + time.Duration(w.Millis)*time.Millisecond, fails: w.FailsEvery > 0 && o.Run%w.FailsEvery == 0,
+		Run:       checker.Run{Task: o.Task, Job: job, Instance: in.ID, DataCentre: in.DataCentre, Number: o.Run, Processors: w.Processors},
+		startedAt: now, endsAt: now + time.Duration(w.Millis)*time.Millisecond, fails: w.FailsEvery > 0 && o.Run%w.FailsEvery == 0,
 	}
 	in.runs[o.Task] = r
 	in.fleet.observer.Start(now, r.Run)
@@ -185,10 +193,10 @@
 	}
 }
 
-// awaitEnd waits until there is an end to report, for a time at most. It releases the mutex of the fleet meanwhile.
-func (in *Instance) awaitEnd(ctx context.Context, wait time.Duration) {
+// awaitEnd waits until there is an end to report, for a time at most, and returns the time. It releases the mutex of the fleet meanwhile.
+func (in *Instance) awaitEnd(ctx context.Context, now, wait time.Duration) time.Duration {
 	if len(in.ends) > 0 || wait <= 0 {
-		return
+		return now
 	}
 	changed := in.changed
 	in.fleet.mutex.Unlock()
@@ -198,7 +206,7 @@
 	case <-ctx.Done():
 	}
 	in.fleet.mutex.Lock()
-	in.fleet.advance()
+	return in.fleet.advance()
 }
 
 // announceLoop announces the instance to the keeper that the last answer named, or to the next one.
--- a/soak/standin/wire.go
+++ b/soak/standin/wire.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/json"
 	"strings"
+	"time"
 )
 
 // This file implements the wire format of the users' platform. No other file of the soak uses its names.
@@ -130,10 +131,10 @@
 func announceTo(answer []byte) string { return text(answer, "heartbeatAddr") }
 
 // report returns the status report of an instance.
-func (in *Instance) report() []byte {
+func (in *Instance) report(now time.Duration) []byte {
 	running, ended := [][]any{}, [][]any{}
 	for _, r := range in.runs {
-		running = append(running, []any{r.Task, r.Number, "", 50})
+		running = append(running, []any{r.Task, r.Number, "", r.percent(now)})
 	}
 	for _, e := range in.ends {
 		ended = append(ended, []any{e.number, e.Task, e.Number, e.how, ""})
