--- a/soak/scenario/callers.go
+++ b/soak/scenario/callers.go
@@ -147,11 +147,11 @@
 		if answer != checker.Unknown {
 			return
 		}
+		if work.Service {
+			c.toCancel = append(c.toCancel, j) // it may run, whatever is answered later, and use the limit of its customer for ever
+		}
 		pause(ctx, retryPause)
 	}
-	if work.Service {
-		c.toCancel = append(c.toCancel, j) // it may run, and would use the limit of its customer for ever
-	}
 }
 
 // answerOf returns what a status says about a submission.
