Report a job as cancelled or failed also after its last run has ended as done

The run was in progress at the cancellation (its instance did not respond), ended as done, and the committed end completed the record; inspectJob looked at that first. Cancelled and Failed are set only on a job that is active, so they come first in the log and win now.

TestEndedJobKeepsItsPhase fails before (completed instead of cancelled, and instead of failed) and passes now.

--- a/internal/supervisor/requests.go
+++ b/internal/supervisor/requests.go
@@ -202,12 +202,12 @@
 		}
 		response.Outcome = forwarder.Done
 		switch {
-		case r.Complete():
-			response.Phase = workload.Completed
 		case r.Failed:
 			response.Phase = workload.Failed
 		case r.Cancelled:
 			response.Phase = workload.Cancelled
+		case r.Complete(): // not before the others: the last run of a job that has failed or was cancelled may end as done
+			response.Phase = workload.Completed
 		default:
 			active = true
 		}
--- a/internal/supervisor/requests_test.go
+++ b/internal/supervisor/requests_test.go
@@ -72,6 +72,26 @@
 	assert.Equal(t, handleWhenLeading(t, s, inspect).Phase, workload.Completed, "a cancellation does not change a completed job")
 }
 
+// TestEndedJobKeepsItsPhase guards against a caller that is told that a job was cancelled or has failed, and later that it is completed: its last
+// run may end as done after that.
+func TestEndedJobKeepsItsPhase(t *testing.T) {
+	for phase, end := range map[workload.Phase]state.Command{
+		workload.Cancelled: state.CancelJob{Job: jobID, At: 1},
+		workload.Failed:    state.RecordRunEnds{Failed: []workload.JobID{jobID}, At: 1},
+	} {
+		t.Run(string(phase), func(t *testing.T) {
+			s, r := startWithQueue(t)
+			inspect := forwarder.Request{Operation: forwarder.InspectJob, Host: "h", Path: "/q/" + string(jobID)}
+			assert.Equal(t, handleWhenLeading(t, s, inspect).Outcome, forwarder.UnknownJob)
+			r.commit(t, state.SubmitJob{Job: workload.Job{ID: jobID, Steps: []workload.Step{{Count: 1}}}, Queue: "q", At: 1})
+			r.commit(t, end)
+			assert.Equal(t, handleWhenLeading(t, s, inspect).Phase, phase)
+			r.commit(t, state.RecordRunEnds{Ends: []state.RunEnd{{Task: workload.TaskID{Job: jobID}, Run: 1}}, At: 1})
+			assert.Equal(t, handleWhenLeading(t, s, inspect).Phase, phase)
+		})
+	}
+}
+
 // TestWaveIsCompletedOnceMaintenanceOfAllMachinesHasStarted checks the state of a wave that operators read while its machines
 // are maintained one after the other.
 func TestWaveIsCompletedOnceMaintenanceOfAllMachinesHasStarted(t *testing.T) {
