--- a/soak/proxy/stream.go
+++ b/soak/proxy/stream.go
@@ -2,6 +2,8 @@
 package proxy
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -18,6 +20,9 @@
 // holdInterval is how often a direction that is held looks whether it is open again.
 const holdInterval = 2 * time.Millisecond
 
+// portAttempts bounds the search for a free port.
+const portAttempts = 100
+
 // Stream is a proxy of TCP connections.
 type Stream struct {
 	mode            atomic.Pointer[Mode]
@@ -29,15 +34,18 @@
 	conns           map[net.Conn]bool
 }
 
-// NewStream starts a proxy that listens on a free port and connects to target.
-func NewStream(target string) (*Stream, error) {
-	s := &Stream{target: target, address: "127.0.0.1:0", conns: map[net.Conn]bool{}}
+// NewStream starts a proxy that listens on a free port and connects to target. The port is below the ephemeral ones, so that no other
+// connection takes it while the proxy refuses connections.
+func NewStream(target string) (s *Stream, err error) {
+	s = &Stream{target: target, conns: map[net.Conn]bool{}}
 	s.mode.Store(&Mode{})
-	if err := s.listen(); err != nil {
-		return nil, err
+	for range portAttempts {
+		s.address = fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(18000))
+		if err = s.listen(); err == nil {
+			return s, nil
+		}
 	}
-	s.address = s.listener.Addr().String()
-	return s, nil
+	return nil, err
 }
 
 // Address returns the address at which the proxy listens.
