Add accounts of what customers use of the fleet

Cause: a customer is compared with its share of one pool at one moment only. A burst of one customer raises the demand of its pool like any other, and nothing remembers who got more over the last seconds.

Change: package accountant has one account for each customer. While customers ask for more than there is, each has a weighted maximin share; use beyond it is a debt, in seconds of the share, and waiting below it a credit.

--- a/internal/scheduler/allocation.go
+++ b/internal/scheduler/allocation.go
@@ -9,7 +9,8 @@
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
 )
 
-// allocate reduces what the pools desire to what there is: first what cannot wait, then other timely work, then late work. Jobs of short steps
+// allocate reduces what the pools desire to what there is: first what cannot wait, then other timely work within the shares of its customers,
+// then that beyond them, then late work. Jobs of short steps
 // have to start within a second or two, while those of long steps can wait as long without being late. No pool gives away what it needs for its
 // service tasks and its availability.
 func (s *Scheduler) allocate() {
@@ -20,6 +21,9 @@
 		d := s.demands[pool]
 		claims[i] = allocator.Claim{Floor: d.floor, Wanted: max(d.floor, d.desiredNow)}
 	}
+	for i, n := range allocator.Allocate(machines, claims) {
+		claims[i] = allocator.Claim{Floor: n, Wanted: max(n, s.demands[pools[i]].desiredWithin)}
+	}
 	for i, n := range allocator.Allocate(machines, claims) {
 		claims[i] = allocator.Claim{Floor: n, Wanted: max(n, s.demands[pools[i]].desired)}
 	}
--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/sapphiresail/sapphiresail/internal/accountant"
 	"github.com/sapphiresail/sapphiresail/internal/triager"
 )
 
@@ -26,6 +27,8 @@
 	occurrence int
 	stage      *stage
 	class      class
+	// level is set for timely stages only.
+	level accountant.Level
 	// serviceInstances is the number of schedulable instances that run service tasks, and tasksPerRack the number of tasks
 	// of the stage in each rack. Both are set for service stages only.
 	serviceInstances int
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -26,6 +26,8 @@
 	batch         float64 // claimed by batch tasks of timely jobs that could run now
 	urgent        float64 // the part of batch that has to run now, so that all of it is in time
 	late          float64 // claimed by the batch tasks of late jobs that have to run at a time
+	excess        float64 // the part of batch that is beyond the shares of its customers while others wait
+	excessPeak    float64
 	batchPeak     float64
 	batchSlope    float64
 	sampledBatch  float64
@@ -40,6 +42,8 @@
 	evacuating int
 	// floor is the number of instances that the pool needs whatever other pools want.
 	floor int
+	// desiredWithin is the number of instances of desired that the pool needs without the excess.
+	desiredWithin int
 	// desiredNow is the number of instances of desired that the pool needs now, so that no timely job becomes late.
 	desiredNow int
 	// desiredLate is the number of instances that late batch tasks could use beside desired.
@@ -55,20 +59,24 @@
 // updateDemand computes the desired and available instances of each pool.
 func (s *Scheduler) updateDemand(elapsed time.Duration) {
 	for _, d := range s.demands {
-		*d = demand{batchPeak: d.batchPeak, sampledBatch: d.sampledBatch, sampledAt: d.sampledAt, batchSlope: d.batchSlope, surplusSince: d.surplusSince, loggedDesired: d.loggedDesired, unplacedAt: d.unplacedAt, unplaced: d.unplaced}
+		*d = demand{batchPeak: d.batchPeak, excessPeak: d.excessPeak, sampledBatch: d.sampledBatch, sampledAt: d.sampledAt, batchSlope: d.batchSlope, surplusSince: d.surplusSince, loggedDesired: d.loggedDesired, unplacedAt: d.unplacedAt, unplaced: d.unplaced}
 	}
 	for _, q := range s.catalogue.Queues {
 		s.demandOf(q.Pool).queueCount++
 	}
 	capacity := s.meanCapacity()
+	s.resetDemands()
 	for _, j := range s.activeJobs.sorted() {
 		s.addJobDemand(j, capacity)
 	}
+	for pool, d := range s.demands {
+		d.available = s.availableInstances(pool) + s.arrivingMachines(pool)
+	}
+	s.settleAccounts(capacity)
 	decay := math.Exp(-float64(elapsed) / float64(peakDecayTime))
 	for pool, d := range s.demands {
 		d.updateTrend(s.now, decay)
 		arriving := s.arrivingMachines(pool)
-		d.available = s.availableInstances(pool) + arriving
 		d.evacuating = s.evacuatingInstances(pool)
 		d.desired = d.desiredInstances()
 		d.desiredLate = max(0, d.neededInstances(d.batch+d.late)-d.desired)
@@ -76,7 +84,8 @@
 			d.desired = max(d.desired, d.available-arriving+d.unplaced)
 		}
 		d.floor = min(d.desired, d.neededInstances(0))
-		d.desiredNow = min(d.desired, d.neededInstances(demandMargin*d.urgent))
+		d.desiredWithin = d.withinShares()
+		d.desiredNow = min(d.desiredWithin, d.neededInstances(demandMargin*d.urgent))
 	}
 	s.allocate()
 	for pool, d := range s.demands {
@@ -123,7 +132,9 @@
 			case unfinished > 0 && o.ready(j, st.stepIndex) && timely:
 				claimed := unfinished * capacity.DominantShare(step.Claim())
 				d.batch += claimed
-				d.urgent += claimed * s.rateWithin(j, st, s.timelinessOf(j).state.Slack())
+				urgent := claimed * s.rateWithin(j, st, s.timelinessOf(j).state.Slack())
+				d.urgent += urgent
+				s.accountOf(j).addDemand(claimed, urgent)
 			case unfinished > 0 && o.ready(j, st.stepIndex):
 				d.late += unfinished * capacity.DominantShare(step.Claim()) * s.lateRate(j, st)
 			}
@@ -153,6 +164,7 @@
 		d.sampledBatch, d.sampledAt = d.batch, now
 	}
 	d.batchPeak = max(d.batch, d.batchPeak*decay)
+	d.excessPeak = max(d.excess, d.excessPeak*decay)
 }
 
 // desiredInstances returns the number of instances of mean capacity that the pool needs.
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/sapphiresail/sapphiresail/internal/accountant"
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
 	"github.com/sapphiresail/sapphiresail/internal/state"
 	"github.com/sapphiresail/sapphiresail/internal/workload"
@@ -19,6 +20,8 @@
 	pools    []fleet.PoolID
 	customer fleet.CustomerID
 	account  *account
+	// level is that of the customer when the job was begun, or the better one that it has reached since.
+	level accountant.Level
 	// customerUsage is what all runs of the customer use.
 	customerUsage *workload.Resources
 	priority      int
--- a/internal/scheduler/large_fleet_test.go
+++ b/internal/scheduler/large_fleet_test.go
@@ -36,6 +36,11 @@
 	// completed, if set, is called for jobs that are complete once their ends are committed.
 	completed        func(jobs []scheduler.CompletedJob)
 	machineOrderRate float64
+	// oneCustomer lets all jobs be of one customer, and load, if set, is a factor on the rate of jobs.
+	oneCustomer bool
+	load        float64
+	// ignoreFleetShares is handed to the scheduler.
+	ignoreFleetShares bool
 	// varied adds the kinds of work that the site lacks: see vary.
 	varied bool
 	jobs   []workload.JobID
@@ -72,7 +77,12 @@
 }
 
 func newLargeFleet(seed int64, extraQueues int) *largeFleet {
-	f := &largeFleet{random: rand.New(rand.NewSource(seed)), start: time.Hour, now: time.Hour, state: state.New(), byID: map[fleet.InstanceID]*simulatedInstance{}}
+	return newLargeFleetSharing(seed, extraQueues, false)
+}
+
+// newLargeFleetSharing returns a fleet whose leader may ignore the shares of customers over the fleet.
+func newLargeFleetSharing(seed int64, extraQueues int, ignoreFleetShares bool) *largeFleet {
+	f := &largeFleet{ignoreFleetShares: ignoreFleetShares, random: rand.New(rand.NewSource(seed)), start: time.Hour, now: time.Hour, state: state.New(), byID: map[fleet.InstanceID]*simulatedInstance{}}
 	f.commit(state.PublishCatalogue{Source: []byte("x"), Catalogue: largeFleetCatalogue(extraQueues)})
 	f.startLeader()
 	number := 0
@@ -91,7 +101,7 @@
 
 // startLeader replaces the scheduler by one that starts from the committed state.
 func (f *largeFleet) startLeader() {
-	f.scheduler = scheduler.New(f.now, f.now.Milliseconds(), scheduler.Options{Fence: f.index + 1, LeaseDuration: 3 * time.Second, LeadingSince: f.now, MachineOrderRate: f.machineOrderRate}, &f.state.Workload)
+	f.scheduler = scheduler.New(f.now, f.now.Milliseconds(), scheduler.Options{Fence: f.index + 1, LeaseDuration: 3 * time.Second, LeadingSince: f.now, MachineOrderRate: f.machineOrderRate, IgnoreFleetShares: f.ignoreFleetShares}, &f.state.Workload)
 	f.listMachines()
 }
 
@@ -175,7 +185,7 @@
 		if i == turn {
 			rate = p.rate * 5
 		}
-		if f.random.Float64() >= rate*largeFleetStep.Seconds() {
+		if f.random.Float64() >= rate*cmp.Or(f.load, 1)*largeFleetStep.Seconds() {
 			continue
 		}
 		var steps []workload.Step
@@ -202,6 +212,9 @@
 
 func (f *largeFleet) submitID(queue fleet.QueueID, customer fleet.CustomerID, steps ...workload.Step) workload.JobID {
 	id := workload.JobID(fmt.Sprintf("%016x", f.index))
+	if f.oneCustomer {
+		customer = customerName(0)
+	}
 	f.commit(state.SubmitJob{Job: workload.Job{ID: id, Steps: steps}, Queue: queue, Customer: customer, At: state.Timestamp(f.now.Milliseconds())})
 	f.jobs = append(f.jobs, id)
 	start := time.Now()
--- a/internal/scheduler/overload_test.go
+++ b/internal/scheduler/overload_test.go
@@ -23,6 +23,13 @@
 	error      float64
 }
 
+var overloadedQueues = []overloadedQueue{
+	{"counter", 90, 3100, 640 * time.Millisecond, 2, 0.65},
+	{"events", 14.2, 6700, 2100 * time.Millisecond, 2, 0.4},
+	{"rush", 115, 3100, 640 * time.Millisecond, 2, 0.65},
+	{"studio", 11.6, 6700, 2100 * time.Millisecond, 2, 0.4},
+}
+
 // overloadedFleet measures which part of the work of a load is complete within its objective.
 type overloadedFleet struct {
 	*largeFleet
@@ -32,13 +39,21 @@
 	// asked and timely are in processor-seconds.
 	asked, timely float64
 	tails         float64
+	// pickCustomer draws the customer of a job.
+	pickCustomer func() fleet.CustomerID
 }
 
 type submittedJob struct {
-	at      time.Duration
-	chain   time.Duration
-	value   float64
-	lengths [][]time.Duration
+	at       time.Duration
+	customer fleet.CustomerID
+	chain    time.Duration
+	value    float64
+	lengths  [][]time.Duration
+}
+
+// inTime reports whether the job was complete within its objective.
+func (j submittedJob) inTime(elapsed time.Duration) bool {
+	return elapsed <= time.Duration(1.6*float64(j.chain))+600*time.Millisecond
 }
 
 const (
@@ -53,13 +68,9 @@
 func newOverloadedFleet(seed int64, factor, tails float64) *overloadedFleet {
 	f := &overloadedFleet{largeFleet: newLargeFleet(seed, 0), jobRandom: rand.New(rand.NewSource(seed)), submitted: map[workload.JobID]submittedJob{}, tails: tails}
 	f.machineOrderRate = 200
+	f.pickCustomer = func() fleet.CustomerID { return customerName(min(f.jobRandom.Intn(20), f.jobRandom.Intn(20))) }
 	f.startLeader()
-	queues := []overloadedQueue{
-		{"counter", 90, 3100, 640 * time.Millisecond, 2, 0.65},
-		{"events", 14.2, 6700, 2100 * time.Millisecond, 2, 0.4},
-		{"rush", 115, 3100, 640 * time.Millisecond, 2, 0.65},
-		{"studio", 11.6, 6700, 2100 * time.Millisecond, 2, 0.4},
-	}
+	queues := overloadedQueues
 	f.workload = func(elapsed time.Duration) {
 		if elapsed >= overloadDuration {
 			return
@@ -81,7 +92,7 @@
 	}
 	f.completed = func(jobs []scheduler.CompletedJob) {
 		for _, c := range jobs {
-			if j := f.submitted[c.Job]; c.Elapsed <= time.Duration(1.6*float64(j.chain))+600*time.Millisecond {
+			if j := f.submitted[c.Job]; j.inTime(c.Elapsed) {
 				f.timely += j.value
 			}
 		}
@@ -124,7 +135,8 @@
 		steps = append(steps, step)
 	}
 	f.asked += j.value
-	f.submitted[f.submitID(fleet.QueueID(q.pool), customerName(min(f.jobRandom.Intn(20), f.jobRandom.Intn(20))), steps...)] = j
+	j.customer = f.pickCustomer()
+	f.submitted[f.submitID(fleet.QueueID(q.pool), j.customer, steps...)] = j
 }
 
 // play returns the part of the work that is complete in time.
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -74,8 +74,18 @@
 	}
 }
 
-// placeEqualRank places the candidates of customers below their fair share before the others.
+// placeEqualRank places the candidates of one class and priority, those of customers that got least of the fleet over the last seconds first.
 func (s *Scheduler) placeEqualRank(list []candidate) {
+	s.sortByLevel(list)
+	for len(list) > 0 {
+		n := equalLevelPrefix(list)
+		s.placeEqualLevel(list[:n])
+		list = list[n:]
+	}
+}
+
+// placeEqualLevel places the candidates of customers below their fair share of the pool before the others.
+func (s *Scheduler) placeEqualLevel(list []candidate) {
 	var overShare []*candidate
 	for i := range list {
 		c := &list[i]
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -6,6 +6,7 @@
 	"maps"
 	"time"
 
+	"github.com/sapphiresail/sapphiresail/internal/accountant"
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
 	"github.com/sapphiresail/sapphiresail/internal/forecaster"
 	"github.com/sapphiresail/sapphiresail/internal/namer"
@@ -117,6 +118,8 @@
 	MachineOrderRate float64
 	// DrainedDataCentres are the data centres on whose instances nothing is started.
 	DrainedDataCentres map[fleet.DataCentreID]bool
+	// IgnoreFleetShares turns off the shares of customers over the whole fleet, so that a test can measure what they change.
+	IgnoreFleetShares bool
 }
 
 // Scheduler places the tasks of all jobs. It is not safe for concurrent use.
@@ -135,9 +138,14 @@
 	// poolSizes are the numbers of schedulable instances in the planning run before.
 	poolSizes map[fleet.PoolID]int
 	// newlyEnrolled are the instances whose enrolment was confirmed since TakeEnrolled.
-	newlyEnrolled   []*instance
-	customerUsage   map[fleet.CustomerID]*workload.Resources
-	accounts        map[poolCustomer]*account
+	newlyEnrolled []*instance
+	customerUsage map[fleet.CustomerID]*workload.Resources
+	accounts      map[poolCustomer]*account
+	// accountant holds the accounts over the whole fleet, and fleetUsages what is charged to them.
+	accountant  *accountant.Accountant
+	fleetUsages map[fleet.CustomerID]*fleetUsage
+	// sortedByLevel is kept to use its memory again.
+	sortedByLevel   []candidate
 	placementRound  uint64
 	runCounter      uint64
 	orders          []Order
@@ -227,6 +235,8 @@
 		jobs:             map[workload.JobID]*job{},
 		customerUsage:    map[fleet.CustomerID]*workload.Resources{},
 		accounts:         map[poolCustomer]*account{},
+		accountant:       accountant.New(now),
+		fleetUsages:      map[fleet.CustomerID]*fleetUsage{},
 		enrolling:        map[fleet.InstanceID][]*instance{},
 		unreconciled:     map[fleet.InstanceID]bool{},
 		waves:            map[uint64]*wave{},
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -23,13 +23,19 @@
 	weighedIn, activeIn uint64
 	weight              float64
 	capacity            *poolCapacity
+	// demand is what timely batch tasks of the customer claim in the pool, and urgent the part that has to run now, in instances of mean
+	// capacity, as of the last demand estimate.
+	demand, urgent float64
+	// usage is that of the customer over the whole fleet.
+	usage *fleetUsage
 }
 
 func (s *Scheduler) account(pool fleet.PoolID, customer fleet.CustomerID) *account {
 	k := poolCustomer{pool, customer}
 	a := s.accounts[k]
 	if a == nil {
-		a = &account{poolCustomer: k}
+		a = &account{poolCustomer: k, usage: s.fleetUsageOf(customer)}
+		a.usage.add(a)
 		s.accounts[k] = a
 	}
 	return a
@@ -87,6 +93,7 @@
 	if !r.job.step(r.task.Position).Service {
 		r.account = s.account(in.Pool, r.job.customer)
 		r.account.used = r.account.used.Add(r.claim)
+		r.account.usage.used = r.account.usage.used.Add(r.claim)
 	}
 }
 
@@ -94,5 +101,6 @@
 func (s *Scheduler) releaseUsage(r *run) {
 	if r.account != nil {
 		r.account.used = r.account.used.Sub(r.claim)
+		r.account.usage.used = r.account.usage.used.Sub(r.claim)
 	}
 }
--- a/internal/scheduler/waiting.go
+++ b/internal/scheduler/waiting.go
@@ -156,7 +156,11 @@
 		Task: workload.TaskID{Job: j.ID, Position: p}, Class: s.classOf(j, c.stage).String(), Waited: s.now - w.since, Inherited: j.inherited, Tasks: w.tasks,
 		Pool: j.pool, Free: pool.free, Total: pool.total,
 	}
-	explained.Reason = s.reasonForWaiting(c, p, pool) + s.describeBacklog(j.pool)
+	explained.Reason = s.reasonForWaiting(c, p, pool)
+	if !c.stage.step.Service {
+		explained.Reason += "; level " + s.describeLevel(j)
+	}
+	explained.Reason += s.describeBacklog(j.pool)
 	return explained
 }
 
--- a/internal/scheduler/where.go
+++ b/internal/scheduler/where.go
@@ -36,8 +36,10 @@
 	// Share is the part of the pool that the customer uses, and Entitled the part to which its weight entitles it now.
 	Share    float64 `json:"share"`
 	Entitled float64 `json:"entitled"`
-	Usage    string  `json:"usage"`
-	Limit    string  `json:"limit"`
+	// Level is that of the job by what its customer got of the fleet over the last seconds, and why.
+	Level string `json:"level"`
+	Usage string `json:"usage"`
+	Limit string `json:"limit"`
 	// Ahead is the number of waiting tasks of the pool that are placed before those of the job.
 	Ahead int             `json:"ahead"`
 	Steps []StepPlacement `json:"steps"`
@@ -140,6 +142,7 @@
 	}
 	p.Class = class.String()
 	p.Share, p.Entitled = s.shareIn(j.pool, j.customer)
+	p.Level = s.describeLevel(j)
 	p.Ahead = s.tasksAhead(j, class, j.acceptedAt+objective)
 	s.describeSteps(&p, j, o, class, whole)
 	return p
@@ -183,7 +186,7 @@
 	return used, weight / max(active, weight)
 }
 
-// tasksAhead returns the number of waiting tasks of the pool that come before those of a job by class, priority and due time.
+// tasksAhead returns the number of waiting tasks of the pool that come before those of a job by class, priority, level and due time.
 func (s *Scheduler) tasksAhead(j *job, class class, dueAt time.Duration) int {
 	n := 0
 	for _, other := range s.activeJobs.jobs {
@@ -192,7 +195,7 @@
 		}
 		for _, o := range other.occurrences {
 			for _, st := range o.stages {
-				if st.waiting > 0 && o.dueMillis <= s.wallMillis && o.ready(other, st.stepIndex) && comesBefore(other, st, j, class, dueAt) {
+				if st.waiting > 0 && o.dueMillis <= s.wallMillis && o.ready(other, st.stepIndex) && s.comesBefore(other, st, j, class, dueAt) {
 					n += st.waiting
 				}
 			}
@@ -202,7 +205,7 @@
 }
 
 // comesBefore compares a stage with a job, by the rank of the last planning run.
-func comesBefore(other *job, st *stage, j *job, class class, dueAt time.Duration) bool {
+func (s *Scheduler) comesBefore(other *job, st *stage, j *job, class class, dueAt time.Duration) bool {
 	its := classOfRank(other.timeliness.rank)
 	if st.step.Service {
 		its = classService
@@ -210,7 +213,11 @@
 			its = classBestEffort
 		}
 	}
-	return cmp.Or(cmp.Compare(its, class), cmp.Compare(other.priority, j.priority), cmp.Compare(other.dueAt, dueAt), cmp.Compare(other.ID, j.ID)) < 0
+	levels := 0
+	if class == classOnTime {
+		levels = cmp.Compare(s.levelOf(other), s.levelOf(j))
+	}
+	return cmp.Or(cmp.Compare(its, class), cmp.Compare(other.priority, j.priority), levels, cmp.Compare(other.dueAt, dueAt), cmp.Compare(other.ID, j.ID)) < 0
 }
 
 // describeSteps describes the steps of an occurrence, and the instances for the first that may run now.
--- a/internal/supervisor/instruments.go
+++ b/internal/supervisor/instruments.go
@@ -22,6 +22,7 @@
 	planDuration   metrics.Timer
 	postDelay      metrics.Timer
 	jobsWaiting    metrics.Gauge
+	customersAhead metrics.Gauge
 	wavesCompleted metrics.Counter
 	machinesLate   metrics.Counter
 	machinesLeft   metrics.Gauge
@@ -54,6 +55,7 @@
 		planDuration:   metrics.GetOrRegisterTimer("plan", r),
 		postDelay:      metrics.GetOrRegisterTimer("post-delay", r),
 		jobsWaiting:    metrics.GetOrRegisterGauge("jobs-waiting", r),
+		customersAhead: metrics.GetOrRegisterGauge("customers-ahead", r),
 		wavesCompleted: metrics.GetOrRegisterCounter("waves-completed", r),
 		machinesLate:   metrics.GetOrRegisterCounter("wave-machines-late", r),
 		machinesLeft:   metrics.GetOrRegisterGauge("wave-machines-left", r),
@@ -79,6 +81,7 @@
 // resetGauges sets the gauges of a leader to zero.
 func (m *instruments) resetGauges() {
 	m.jobsWaiting.Update(0)
+	m.customersAhead.Update(0)
 	m.machinesLeft.Update(0)
 	m.machinesDown.Update(0)
 	m.drained.Update(0)
--- a/internal/supervisor/load.go
+++ b/internal/supervisor/load.go
@@ -169,5 +169,6 @@
 			zap.Bool("inherited", w.Inherited), zap.Int("tasks", w.Tasks), zap.String("reason", w.Reason), zap.String("pool", string(w.Pool)), zap.Stringer("free", w.Free), zap.Stringer("total", w.Total))
 	}
 	t.instruments.jobsWaiting.Update(int64(total))
+	t.instruments.customersAhead.Update(int64(t.scheduler.CustomersAhead()))
 	return total
 }
