Give customers their share of the fleet over the last seconds

Cause: a customer that sends seven times its usual raises the demand of its pool like any other, so that its pool takes machines from pools of others, and its jobs come first in each pool of which it uses little at the moment.

The part of a pool's demand that is beyond the shares of its customers gets machines after all other timely demand, and timely jobs of customers that are ahead of their share come after the others of the same class and priority.

--- a/internal/scheduler/fairness_test.go
+++ b/internal/scheduler/fairness_test.go
@@ -1,15 +1,19 @@
 package scheduler_test
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
 
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
 	"github.com/sapphiresail/sapphiresail/internal/scheduler"
+	"github.com/sapphiresail/sapphiresail/internal/state"
+	"github.com/sapphiresail/sapphiresail/internal/workload"
 )
 
 // burst is a load of four pools with their turns one after the other, in which one of twenty customers of unequal size, who has a tenth of all jobs,
@@ -134,3 +138,49 @@
 	assert.Assert(t, with.timelyJobs >= without.timelyJobs, "more jobs late")
 	assert.Assert(t, with.worstTenth() > without.worstTenth(), "the worst-served customers are not served better")
 }
+
+// TestFleetSharesAcrossPools guards against an order that sees only the pool of a job, explanations that do not name the level, and a new leader or a
+// removed customer that keeps a debt. Load: "large" fills pool o and asks for four times as much, and has the older job in pool p, which "other" fills.
+func TestFleetSharesAcrossPools(t *testing.T) {
+	f := newTestFleet(t)
+	f.taskTime = 20 * time.Second
+	f.addInstance("a", "p")
+	f.addInstance("x", "o")
+	f.advance(time.Second)
+	submit := func(customer fleet.CustomerID, queue fleet.QueueID, tasks int) workload.JobID {
+		id := workload.JobID(fmt.Sprint(customer, "-", queue))
+		step := workload.Step{Count: tasks, Resources: workload.Resources{Processors: 8000}, Estimate: 20 * time.Second}
+		f.commit(state.SubmitJob{Job: workload.Job{ID: id, Steps: []workload.Step{step}}, Queue: queue, Customer: customer, At: state.Timestamp(f.now.Milliseconds())})
+		f.scheduler.AddJob(f.now, f.now.Milliseconds(), f.state.Workload.Jobs[id], false)
+		f.advance(100 * time.Millisecond)
+		return id
+	}
+	submit("other", "q", 8)
+	submit("large", "other", 32)
+	older := submit("large", "q", 8)
+	younger := submit("small", "q", 8)
+	f.advance(8 * time.Second)
+	where, ok := f.scheduler.WhereWaiting(older)
+	assert.Assert(t, ok)
+	assert.Assert(t, is.Regexp(`^ahead; customer "large" has a balance of \+1\.\d s of its share of the fleet, \d+ % of what it asks for is within its share$`, where.Level))
+	assert.Equal(t, where.Ahead, 8, "the tasks of the younger job")
+	waiting, _ := f.scheduler.ExplainWaiting(f.now, 9)
+	reasons := map[workload.JobID]string{}
+	for _, w := range waiting {
+		reasons[w.Task.Job] = w.Reason
+	}
+	assert.Assert(t, is.Contains(reasons[older], "; level ahead; customer"))
+	assert.Assert(t, is.Contains(reasons[younger], "; level even; customer"))
+	for task := range f.runs["i-a"] {
+		f.endRun("i-a", task, workload.EndedDone)
+	}
+	f.advance(300 * time.Millisecond)
+	assert.Equal(t, f.runningByCustomer()["small"], 8, "the older job is of the customer that got more of the fleet")
+	assert.Assert(t, f.scheduler.CustomersAhead() > 0)
+	f.startLeader()
+	f.advance(time.Second)
+	assert.Equal(t, f.scheduler.CustomersAhead(), 0, "a new leader starts with neutral accounts")
+	where, ok = f.scheduler.WhereWaiting(older)
+	assert.Assert(t, ok)
+	assert.Assert(t, is.Contains(where.Level, "even;"))
+}
