--- a/internal/scheduler/large_fleet_test.go
+++ b/internal/scheduler/large_fleet_test.go
@@ -40,6 +40,11 @@
 	decided func(list []scheduler.Decision)
 	// withoutCriteria are the placement criteria that do not apply.
 	withoutCriteria scheduler.Criteria
+	// oneCustomer lets all jobs be of one customer, and load, if set, is a factor on the rate of jobs.
+	oneCustomer bool
+	load        float64
+	// fleetShares is handed to the scheduler.
+	fleetShares bool
 	// varied adds the kinds of work that the site lacks: see vary.
 	varied bool
 	jobs   []workload.JobID
@@ -76,12 +81,12 @@
 }
 
 func newLargeFleet(seed int64, extraQueues int) *largeFleet {
-	return newLargeFleetWithout(seed, extraQueues, 0)
+	return newLargeFleetWith(seed, extraQueues, 0, false)
 }
 
-// newLargeFleetWithout returns a fleet in which some placement criteria do not apply.
-func newLargeFleetWithout(seed int64, extraQueues int, without scheduler.Criteria) *largeFleet {
-	f := &largeFleet{withoutCriteria: without, random: rand.New(rand.NewSource(seed)), start: time.Hour, now: time.Hour, state: state.New(), byID: map[fleet.InstanceID]*simulatedInstance{}}
+// newLargeFleetWith returns a fleet in which some placement criteria do not apply, with or without shares of customers over the fleet.
+func newLargeFleetWith(seed int64, extraQueues int, without scheduler.Criteria, fleetShares bool) *largeFleet {
+	f := &largeFleet{withoutCriteria: without, fleetShares: fleetShares, random: rand.New(rand.NewSource(seed)), start: time.Hour, now: time.Hour, state: state.New(), byID: map[fleet.InstanceID]*simulatedInstance{}}
 	f.commit(state.PublishCatalogue{Source: []byte("x"), Catalogue: largeFleetCatalogue(extraQueues)})
 	f.startLeader()
 	number := 0
@@ -100,7 +105,7 @@
 
 // startLeader replaces the scheduler by one that starts from the committed state.
 func (f *largeFleet) startLeader() {
-	f.scheduler = scheduler.New(f.now, f.now.Milliseconds(), scheduler.Options{Fence: f.index + 1, LeaseDuration: 3 * time.Second, LeadingSince: f.now, MachineOrderRate: f.machineOrderRate, WithoutCriteria: f.withoutCriteria}, &f.state.Workload)
+	f.scheduler = scheduler.New(f.now, f.now.Milliseconds(), scheduler.Options{Fence: f.index + 1, LeaseDuration: 3 * time.Second, LeadingSince: f.now, MachineOrderRate: f.machineOrderRate, WithoutCriteria: f.withoutCriteria, FleetShares: f.fleetShares}, &f.state.Workload)
 	f.listMachines()
 }
 
@@ -184,7 +189,7 @@
 		if i == turn {
 			rate = p.rate * 5
 		}
-		if f.random.Float64() >= rate*largeFleetStep.Seconds() {
+		if f.random.Float64() >= rate*cmp.Or(f.load, 1)*largeFleetStep.Seconds() {
 			continue
 		}
 		var steps []workload.Step
@@ -211,6 +216,9 @@
 
 func (f *largeFleet) submitID(queue fleet.QueueID, customer fleet.CustomerID, steps ...workload.Step) workload.JobID {
 	id := workload.JobID(fmt.Sprintf("%016x", f.index))
+	if f.oneCustomer {
+		customer = customerName(0)
+	}
 	f.commit(state.SubmitJob{Job: workload.Job{ID: id, Steps: steps}, Queue: queue, Customer: customer, At: state.Timestamp(f.now.Milliseconds())})
 	f.jobs = append(f.jobs, id)
 	start := time.Now()
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -84,8 +84,22 @@
 	}
 }
 
-// placeEqualRank places the candidates of customers below their fair share before the others.
+// placeEqualRank places the candidates of one class and priority, with shares of the fleet those of customers that are ahead last.
 func (s *Scheduler) placeEqualRank(list []candidate) {
+	if !s.options.FleetShares {
+		s.placeEqualLevel(list)
+		return
+	}
+	s.sortByLevel(list)
+	for len(list) > 0 {
+		n := equalLevelPrefix(list)
+		s.placeEqualLevel(list[:n])
+		list = list[n:]
+	}
+}
+
+// placeEqualLevel places the candidates of customers below their fair share of the pool before the others.
+func (s *Scheduler) placeEqualLevel(list []candidate) {
 	var overShare []*candidate
 	for i := range list {
 		c := &list[i]
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -23,6 +23,11 @@
 	weighedIn, activeIn uint64
 	weight              float64
 	capacity            *poolCapacity
+	// demand is what timely batch tasks of the customer claim in the pool, and urgent the part that has to run now, in instances of mean
+	// capacity, as of the last demand estimate.
+	demand, urgent float64
+	// usage is that of the customer over the whole fleet. It is nil without shares of the fleet.
+	usage *fleetUsage
 }
 
 func (s *Scheduler) account(pool fleet.PoolID, customer fleet.CustomerID) *account {
@@ -30,6 +35,10 @@
 	a := s.accounts[k]
 	if a == nil {
 		a = &account{poolCustomer: k}
+		if s.options.FleetShares {
+			a.usage = s.fleetUsageOf(customer)
+			a.usage.add(a)
+		}
 		s.accounts[k] = a
 	}
 	return a
@@ -87,6 +96,9 @@
 	if !r.job.step(r.task.Position).Service {
 		r.account = s.account(in.Pool, r.job.customer)
 		r.account.used = r.account.used.Add(r.claim)
+		if u := r.account.usage; u != nil {
+			u.used = u.used.Add(r.claim)
+		}
 	}
 }
 
@@ -94,5 +106,8 @@
 func (s *Scheduler) releaseUsage(r *run) {
 	if r.account != nil {
 		r.account.used = r.account.used.Sub(r.claim)
+		if u := r.account.usage; u != nil {
+			u.used = u.used.Sub(r.claim)
+		}
 	}
 }
--- a/internal/scheduler/waiting.go
+++ b/internal/scheduler/waiting.go
@@ -157,7 +157,11 @@
 		Task: workload.TaskID{Job: j.ID, Position: p}, Class: c.class.String(), Waited: s.now - w.since, Inherited: j.inherited, Tasks: w.tasks,
 		Pool: j.pool, Free: pool.free, Total: pool.total,
 	}
-	explained.Reason = s.reasonForWaiting(c, p, pool) + s.describeBacklog(j.pool)
+	explained.Reason = s.reasonForWaiting(c, p, pool)
+	if level := s.describeLevel(j); level != "" && !c.stage.step.Service {
+		explained.Reason += "; level " + level
+	}
+	explained.Reason += s.describeBacklog(j.pool)
 	return explained
 }
 
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -167,6 +167,7 @@
 		maps.Copy(t.loggedDrains, drained)
 		t.scheduler = scheduler.New(now, wallMillis(), scheduler.Options{
 			Fence: t.number, LeaseDuration: t.options.Lease, LeadingSince: now, MachineOrderRate: t.options.MachineOrderRate, DrainedDataCentres: drained,
+			FleetShares: t.options.FleetShares,
 		}, &s.Workload)
 		t.ready.Store(s.Workload.Catalogue.Version > 0)
 		jobs, instances, forecastBytes = len(s.Workload.Jobs), len(s.Workload.Enrolled), len(s.Workload.Forecast)
