--- a/internal/scheduler/fleet_test.go
+++ b/internal/scheduler/fleet_test.go
@@ -27,6 +27,8 @@
 	lastEndNumbers map[fleet.InstanceID]uint64
 	startOrders    []scheduler.Order
 	machineOrders  []scheduler.MachineOrder
+	// fleetShares is handed to the scheduler.
+	fleetShares bool
 	// reportedPercent is the progress of every run in status reports.
 	reportedPercent int
 	// percentOf replaces reportedPercent if it is set.
@@ -67,7 +69,7 @@
 // startLeader replaces the scheduler by one that starts from the committed state, as a new leader does.
 func (f *testFleet) startLeader() {
 	f.scheduler = scheduler.New(f.now, f.now.Milliseconds(), scheduler.Options{
-		Fence: f.index + 1, LeaseDuration: 5400 * time.Millisecond, LeadingSince: f.now, DrainedDataCentres: f.drainedDataCentres(),
+		Fence: f.index + 1, LeaseDuration: 5400 * time.Millisecond, LeadingSince: f.now, DrainedDataCentres: f.drainedDataCentres(), FleetShares: f.fleetShares,
 	}, &f.state.Workload)
 }
 
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -69,6 +69,8 @@
 	DataCentres []fleet.DataCentreID
 	// RefuseHopelessJobs has jobs refused that can certainly not be complete while they are worth anything.
 	RefuseHopelessJobs bool
+	// FleetShares gives customers their share of the fleet over the last seconds.
+	FleetShares bool
 	// JobRetention is how long the record of a job is kept after its end.
 	JobRetention time.Duration
 	Logger       *zap.Logger
