--- a/internal/scheduler/fairness_test.go
+++ b/internal/scheduler/fairness_test.go
@@ -130,6 +130,7 @@
 // usage did, and against a burst of one customer that takes the machines of all others. Load: a burst at twice the usual rate, at which
 // the fleet can't serve everything. The work in time is logged only: over nine seeds it is 0.3 % less, since the jobs of the burst are large.
 func TestBurstOfOneCustomerLeavesOthersTheirShares(t *testing.T) {
+	t.Parallel()
 	load := burst{factor: 2, seeds: 2}
 	var without, with *burstOutcome
 	var group sync.WaitGroup
--- a/internal/scheduler/large_fleet_decisions_test.go
+++ b/internal/scheduler/large_fleet_decisions_test.go
@@ -25,6 +25,7 @@
 //
 // On these days customers ask for more than the fleet has: "shared" is with their shares of the fleet (docs/design/fairness.md), "want" without them.
 func TestLargeFleetDecisionsAreUnchanged(t *testing.T) {
+	t.Parallel()
 	const notOnThirdDay = scheduler.CustomerSpreadCriterion | scheduler.ReservationCriterion | scheduler.DataRackCriterion
 	days := []struct {
 		seed       int64
--- a/internal/scheduler/overload_test.go
+++ b/internal/scheduler/overload_test.go
@@ -154,6 +154,7 @@
 // A turn's first jobs wait 1.5 s for machines, and instances are packed to about 85 %: of what an overload asks, two thirds can be served. A few of
 // the long runs end after the test.
 func TestOverloadIsServedInTime(t *testing.T) {
+	t.Parallel()
 	for name, tc := range map[string]struct{ factor, tails, served float64 }{
 		"usual load":            {1, 0, 0.9},
 		"usual load, long runs": {1, 0.03, 0.75},
--- a/internal/scheduler/placement_test.go
+++ b/internal/scheduler/placement_test.go
@@ -51,6 +51,7 @@
 // that counts as slow for good. Load: every third instance is half as fast in a turn of short and long jobs, and as fast as the others after
 // it. The load is six tenths of the capacity, seven tenths in the turn, so that a tenth at most may be late.
 func TestSlowInstancesCostLittle(t *testing.T) {
+	t.Parallel()
 	usual := map[fleet.InstanceID]bool{}
 	c := compare(t, scheduler.SpeedCriterion, func(f *placementFleet) float64 {
 		clear(usual)
@@ -87,6 +88,7 @@
 // and against reservations of more than a tenth of the pool. Load: the whole capacity of the pool, of which small tasks ask for nine tenths.
 // Starved is work of which less than half as much is in time as of the small tasks. No more than the reserved tenth may be lost in total.
 func TestSmallTasksDoNotStarveWideOnes(t *testing.T) {
+	t.Parallel()
 	most := 0
 	c := compare(t, scheduler.ReservationCriterion, func(f *placementFleet) float64 {
 		probe := workload.Job{Steps: []workload.Step{{Count: 1, Resources: workload.Resources{Processors: 1}}}}
@@ -133,6 +135,7 @@
 // for it longer than that costs. Load: 60 % of the jobs want one rack of three for 5 s, which asks for about 0.9, 1.3 or 1.7 times what it can do.
 // In the first case the pool has room for all, so that a tenth at most may be late.
 func TestWantedRackIsWaitedFor(t *testing.T) {
+	t.Parallel()
 	for _, rate := range []float64{12, 18, 24} {
 		c := compare(t, scheduler.DataRackCriterion, func(f *placementFleet) float64 {
 			data := kind("data", rate, 3100, 4000, 8, 700*time.Millisecond)
@@ -147,6 +150,7 @@
 // TestLossOfRackIsShared guards against one customer that loses most of its work with one rack. Load: a third of the capacity from four customers; after
 // 4 s the rack with most runs is lost. The worst served customer has to be served better than without the spread.
 func TestLossOfRackIsShared(t *testing.T) {
+	t.Parallel()
 	worst := [2]float64{}
 	for i, without := range []scheduler.Criteria{scheduler.CustomerSpreadCriterion, 0} {
 		for seed := range 3 * placementSeeds {
--- a/internal/scheduler/wave_test.go
+++ b/internal/scheduler/wave_test.go
@@ -161,6 +161,7 @@
 // TestWaveNeverExceedsItsPlaces guards against more machines that are down than the wave allows: a third of the orders is not answered
 // although half of them is carried out, and answers take up to 1 s. A platform may carry out a repeated order again, or answer it only.
 func TestWaveNeverExceedsItsPlaces(t *testing.T) {
+	t.Parallel()
 	for name, again := range map[string]bool{"repeated orders are carried out": true, "repeated orders are answered": false} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range int64(5) {
