--- a/internal/supervisor/pause_test.go
+++ b/internal/supervisor/pause_test.go
@@ -93,7 +93,7 @@
 			assert.Assert(t, paused.ctx.Err() == nil)
 			change(s)
 			s.waitFor("the end of the paused term", func() bool { return paused.ctx.Err() != nil })
-			s.waitFor("the next session", func() bool { return s.term.Load() != nil })
+			s.waitFor("the next session", func() bool { next := s.term.Load(); return next != nil && next != paused })
 			next := s.term.Load()
 			assert.Equal(t, next.number, uint64(2))
 			s.submit(submission(otherID, "/q/"))
