Stop a run that outlasts a wave if its job loses nothing by it

Cause: a task without checkpoints that takes seven times its expected time, begun on a machine of a wave 10 s before the wave's time limit, kept the machine until after the limit.

Change: in a hurry, a run whose progress shows that it ends too late for the maintenance of its machine is stopped if its job is late anyway, or has slack for the work that starts again. Jobs that would be late only because of the stop keep their runs.

--- a/internal/maintainer/maintainer.go
+++ b/internal/maintainer/maintainer.go
@@ -51,6 +51,9 @@
 // Deadline returns when the maintenance of every machine should have begun.
 func (m *Maintainer) Deadline() time.Duration { return m.startedAt + m.limit }
 
+// LatestOrder returns when the maintenance of the last machine has to be ordered to be begun in time.
+func (m *Maintainer) LatestOrder() time.Duration { return m.Deadline() - finalMargin }
+
 // View is what a decision depends on.
 type View struct {
 	Now time.Duration
@@ -95,7 +98,7 @@
 				plan.Hurry = append(plan.Hurry, c.index)
 			}
 		case c.Empty || c.Doubtful:
-		case due <= v.Now+m.lead(c, steps) && (steps.take(c.Candidate) || v.Now+m.lead(c, steps) > m.Deadline()-finalMargin):
+		case due <= v.Now+m.lead(c, steps) && (steps.take(c.Candidate) || v.Now+m.lead(c, steps) > m.LatestOrder()):
 			plan.Evacuate = append(plan.Evacuate, c.index)
 		}
 	}
@@ -124,5 +127,5 @@
 // deadline.
 func (m *Maintainer) latest(ahead, left int) time.Duration {
 	rounds := max(0, left-1-ahead) / m.maxConcurrent
-	return m.Deadline() - finalMargin - time.Duration(rounds)*m.round
+	return m.LatestOrder() - time.Duration(rounds)*m.round
 }
--- a/internal/scheduler/wave_evacuation.go
+++ b/internal/scheduler/wave_evacuation.go
@@ -16,8 +16,8 @@
 )
 
 // evacuate empties a machine. Service runs are stopped within the availability budgets of their steps; batch runs may end by
-// themselves, and checkpointing ones outside gangs are stopped in a hurry.
-func (s *Scheduler) evacuate(m *maintenance, hurry bool) {
+// themselves. In a hurry, those outside gangs are stopped if they are checkpointing or would hold the machine beyond the time limit.
+func (s *Scheduler) evacuate(w *wave, m *maintenance, hurry bool) {
 	in := m.instance
 	if in == nil || s.instances.byID[in.ID] != in || m.inFlight || m.done {
 		return
@@ -33,7 +33,7 @@
 		switch {
 		case step.Service:
 			s.relocate(m, r, step, hurry)
-		case hurry && step.Checkpointing && !step.Gang:
+		case hurry && !step.Gang && (step.Checkpointing || s.outlastsWave(w, r)):
 			s.stopRun(in, r, "maintenance")
 		}
 	}
@@ -42,6 +42,17 @@
 	}
 }
 
+// outlastsWave reports whether a run is shown by its progress to end too late for the maintenance of its machine, and its job loses
+// nothing if it starts again elsewhere: a few runs take many times their expected time, and one of them would keep the wave from being
+// done within its time limit.
+func (s *Scheduler) outlastsWave(w *wave, r *run) bool {
+	if r.percent < minProgressForEstimate || s.now+r.remainingTime(s.now) <= w.maintainer.LatestOrder() {
+		return false
+	}
+	slack := s.timelinessOf(r.job).state.Slack()
+	return slack <= 0 || slack > s.now-r.orderedAt+reservationTime
+}
+
 // runsInOrder returns the runs of an instance ordered by number.
 func (in *instance) runsInOrder() []*run {
 	return slices.SortedFunc(maps.Values(in.runs), func(a, b *run) int { return cmp.Compare(a.number, b.number) })
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -123,7 +123,7 @@
 		hurry[view.Candidates[i].Machine] = true
 	}
 	for _, machine := range slices.Sorted(maps.Keys(w.inProgress)) {
-		s.evacuate(w.inProgress[machine], hurry[machine])
+		s.evacuate(w, w.inProgress[machine], hurry[machine])
 	}
 	for _, i := range plan.Maintain {
 		s.orderMaintenance(w, view.Candidates[i].Machine)
