Tell calls that were not sent from those whose outcome is not known

Cause: a call that waited for a connection until its time was over, and every call to a keeper that had lost power until the connection timed out 2 s later, counted as uncertain. Callers got 504, which forbids them to repeat the request.

Change: a call is withdrawn from the queue of its connection when its time is over, and is then unsent.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -231,6 +231,9 @@
 		response, err := f.callOnce(ctx, keeper, request)
 		switch {
 		case errors.Is(err, messenger.KindUnsent):
+			if time.Since(startedAt) >= attemptTimeout {
+				f.clearLeader(keeper) // no connection to it was established meanwhile
+			}
 		case err != nil:
 			kind = KindUncertain
 			if f.answeredSince(keeper, startedAt) {
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -26,6 +26,8 @@
 	AdvertisedAddress string `cbor:"7,keyasint,omitempty"`
 	// ConnectionLost marks a call whose connection was closed before its reply; it is set only within this process.
 	ConnectionLost bool `cbor:"-"`
+	// delivery is set for calls that this process makes.
+	delivery *delivery
 }
 
 // peer is the outgoing connection to another process.
@@ -39,6 +41,9 @@
 	connected    bool
 	pendingCalls map[uint64]chan frame
 	queuedBytes  atomic.Int64
+	// connection is the current connection, if there is one, and silence belongs to it.
+	connection *quic.Conn
+	silence    *silenceDetector
 }
 
 func (m *Messenger) startPeer(id fleet.EntryID, address string) *peer {
@@ -48,6 +53,28 @@
 	return p
 }
 
+// silent reports whether the peer has stopped acknowledging what is written to its connection.
+func (p *peer) silent() bool {
+	p.mutex.Lock()
+	connection, silence := p.connection, p.silence
+	p.mutex.Unlock()
+	return connection != nil && silence.silent(time.Now(), connection.ConnectionStats().PacketsReceived)
+}
+
+// recordWrite records that a frame was taken from the queue to be written.
+func (p *peer) recordWrite(f frame) {
+	p.queuedBytes.Add(-f.size())
+	if f.delivery == nil {
+		return
+	}
+	p.mutex.Lock()
+	connection, silence := p.connection, p.silence
+	p.mutex.Unlock()
+	if connection != nil {
+		silence.recordWrite(time.Now(), connection.ConnectionStats().PacketsReceived)
+	}
+}
+
 // enqueue queues a frame for sending; it reports false if the peer is disconnected or its queue is full.
 func (p *peer) enqueue(f frame) bool {
 	p.mutex.Lock()
@@ -92,14 +119,18 @@
 	}
 }
 
-// setConnected sets the state of the connection; on a disconnect, all pending calls fail and queued frames are dropped.
-func (p *peer) setConnected(connected bool) {
+// setConnection sets the established connection.
+func (p *peer) setConnection(c *quic.Conn) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.connected = connected
-	if connected {
-		return
-	}
+	p.connected, p.connection, p.silence = true, c, &silenceDetector{}
+}
+
+// disconnect marks the peer as disconnected. All pending calls fail and queued frames are dropped.
+func (p *peer) disconnect() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.connected, p.connection = false, nil
 	for id, reply := range p.pendingCalls {
 		delete(p.pendingCalls, id)
 		reply <- frame{ConnectionLost: true}
@@ -111,10 +142,10 @@
 
 // keepConnected connects to the peer, and reconnects after failures, until ctx ends.
 func (m *Messenger) keepConnected(ctx context.Context, p *peer) {
-	defer p.setConnected(false)
+	defer p.disconnect()
 	for ctx.Err() == nil {
 		m.connect(ctx, p)
-		p.setConnected(false)
+		p.disconnect()
 		select {
 		case <-ctx.Done():
 		case <-time.After(redialInterval):
@@ -141,7 +172,7 @@
 	if err != nil {
 		return
 	}
-	p.setConnected(true)
+	p.setConnection(conn)
 	connCtx, disconnect := context.WithCancel(conn.Context())
 	stopWatching := context.AfterFunc(ctx, disconnect)
 	defer stopWatching()
@@ -150,7 +181,7 @@
 		defer disconnect()
 		m.readReplies(p, stream)
 	})
-	m.writeLoop(connCtx, stream, p.queue, frame{AdvertisedAddress: m.advertised}, func(f frame) { p.queuedBytes.Add(-f.size()) })
+	m.writeLoop(connCtx, stream, p.queue, frame{AdvertisedAddress: m.advertised}, p.recordWrite)
 	disconnect()
 	stream.CancelRead(0)
 	readers.Wait()
@@ -204,7 +235,7 @@
 	var err error
 	for _, f := range list {
 		onWrite(f)
-		if err == nil {
+		if err == nil && f.delivery.beginWrite() {
 			err = m.writeFrame(writer, f)
 		}
 	}
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -195,7 +195,8 @@
 	}
 }
 
-// Call sends a request to a peer, waits for the response and decodes it into reply.
+// Call sends a request to a peer, waits for the response and decodes it into reply. An error of KindUnsent means that the request was
+// not written to a connection and never will be.
 func (m *Messenger) Call(ctx context.Context, to fleet.EntryID, topic Topic, request, reply any) error {
 	payload, err := Codec.Encode(request)
 	if err != nil {
@@ -205,16 +206,25 @@
 	if !ok {
 		return unsentError("%s has no known address", to)
 	}
-	id := m.lastCallID.Add(1)
+	if p.silent() {
+		return unsentError("%s does not acknowledge what was sent to it", to)
+	}
+	id, sent := m.lastCallID.Add(1), &delivery{}
 	replies := p.addCall(id)
 	defer p.removeCall(id)
-	if !p.enqueue(frame{CallID: id, Topic: topic, Payload: payload}) {
+	if !p.enqueue(frame{CallID: id, Topic: topic, Payload: payload, delivery: sent}) {
 		return unsentError("%s: the queue is full or the link is down", to)
 	}
 	select {
 	case f := <-replies:
+		if f.ConnectionLost && sent.withdraw() {
+			return unsentError("%s: the link was lost before", to)
+		}
 		return decodeReply(f, reply)
 	case <-ctx.Done():
+		if sent.withdraw() {
+			return unsentError("%s: no connection was established in time", to)
+		}
 		p.enqueue(frame{CallID: id, Cancel: true})
 		return &Error{Op: "call " + string(to), Kind: KindUnreachable, Err: ctx.Err()}
 	case <-m.ctx.Done():
