Keep the boots of deregistered instances in the committed state

A leader that did not know a deregistered boot enrolled it by whichever of its announcements arrived first, also by one from before its capacity fell, and started too much there until the next one.

An unknown instance is enrolled only by a later boot, or by a higher sequence number of the recorded one. Instances without sequence numbers are enrolled as before. All instances that are taken for deregistration together are in one command; before, each had its own.

--- a/internal/scheduler/enrolment.go
+++ b/internal/scheduler/enrolment.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
+	"github.com/sapphiresail/sapphiresail/internal/state"
 	"github.com/sapphiresail/sapphiresail/internal/workload"
 )
 
@@ -89,10 +90,32 @@
 		s.cancelEnrolment(in)
 		in.enrolled = false
 		in.bootUncommitted = false
-		s.deregistrations = append(s.deregistrations, in.ID)
+		s.requestDeregistration(in)
 	}
 }
 
+// requestDeregistration removes an instance from the committed state, which keeps its boot.
+func (s *Scheduler) requestDeregistration(in *instance) {
+	s.deregistrations = append(s.deregistrations, in.ID)
+	s.deregistered.Record(in.ID, state.DeregisteredBoot{Boot: in.Boot, Sequence: in.Sequence, At: state.Timestamp(s.wallMillis)})
+}
+
+// TakeDeregistrations returns the command that removes instances from the committed state; none of them runs a task.
+func (s *Scheduler) TakeDeregistrations() state.DeregisterInstances {
+	c := state.DeregisterInstances{Instances: s.deregistrations, At: state.Timestamp(s.wallMillis)}
+	if len(c.Instances) == 0 {
+		return c
+	}
+	s.deregistrations = nil
+	c.Boots = make(state.DeregisteredBoots, len(c.Instances))
+	for _, id := range c.Instances {
+		b := s.deregistered[id]
+		c.Boots[id] = state.DeregisteredBoot{Boot: b.Boot, Sequence: b.Sequence}
+	}
+	s.deregistered.Expire(c.At)
+	return c
+}
+
 // cancelEvacuation makes an instance schedulable again after its move was refused.
 func (s *Scheduler) cancelEvacuation(in *instance) {
 	if in == nil || s.instances.byID[in.ID] != in {
--- a/internal/scheduler/enrolment_test.go
+++ b/internal/scheduler/enrolment_test.go
@@ -59,7 +59,7 @@
 				for _, o := range f.scheduler.TakeOrders() {
 					f.executeOrder(o)
 				}
-				deregistered = append(deregistered, f.scheduler.TakeDeregistrations()...)
+				deregistered = append(deregistered, f.scheduler.TakeDeregistrations().Instances...)
 				orders = f.scheduler.TakeMachineOrders()
 			}
 			assert.Assert(t, slices.Contains(deregistered, in.ID), "its machine is not moved")
@@ -104,8 +104,8 @@
 		for _, o := range f.scheduler.TakeOrders() {
 			f.executeOrder(o)
 		}
-		for _, id := range f.scheduler.TakeDeregistrations() {
-			f.commit(state.DeregisterInstances{Instances: []fleet.InstanceID{id}})
+		if c := f.scheduler.TakeDeregistrations(); len(c.Instances) > 0 {
+			f.commit(c)
 		}
 	}
 	boots["i-a"] += 500 // restarts under the same id
--- a/internal/scheduler/fleet_test.go
+++ b/internal/scheduler/fleet_test.go
@@ -150,8 +150,8 @@
 			f.commit(state.RecordRunEnds{Ends: ends, Failed: failed, Crashes: f.scheduler.TakeCrashes(), At: state.Timestamp(f.now.Milliseconds())})
 			f.scheduler.ConfirmEnds(batch)
 		}
-		for _, id := range f.scheduler.TakeDeregistrations() {
-			f.commit(state.DeregisterInstances{Instances: []fleet.InstanceID{id}})
+		if c := f.scheduler.TakeDeregistrations(); len(c.Instances) > 0 {
+			f.commit(c)
 		}
 		for _, in := range f.scheduler.TakeEnrolments() {
 			f.commit(state.EnrolInstance{Instance: in})
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -6,6 +6,7 @@
 
 	"github.com/sapphiresail/sapphiresail/internal/fleet"
 	"github.com/sapphiresail/sapphiresail/internal/forecaster"
+	"github.com/sapphiresail/sapphiresail/internal/state"
 	"github.com/sapphiresail/sapphiresail/internal/workload"
 )
 
@@ -196,16 +197,19 @@
 // HandleAnnouncement processes an instance's announcement and reports whether its boot must be enrolled.
 func (s *Scheduler) HandleAnnouncement(now time.Duration, announced workload.Instance) (enrol bool) {
 	s.now = now
+	in := s.instances.byID[announced.ID]
+	if in == nil && s.deregistered.Overtakes(announced.ID, announced.Boot, announced.Sequence, state.Timestamp(s.wallMillis)) {
+		return false
+	}
 	if s.supersedeBoots(announced) {
 		return false
 	}
-	in := s.instances.byID[announced.ID]
 	if in == nil || announced.Boot > in.Boot {
 		if in == nil {
 			in = s.addInstance(announced)
 		} else {
+			s.requestDeregistration(in)
 			in = s.replaceBoot(in, announced, announced.Clock)
-			s.deregistrations = append(s.deregistrations, in.ID)
 		}
 		in.observeClock(now, announced.Clock)
 		s.beginEnrolment(in)
@@ -304,7 +308,7 @@
 	s.cancelEnrolment(in)
 	s.instances.remove(in.ID)
 	delete(s.unreconciled, in.ID)
-	s.deregistrations = append(s.deregistrations, in.ID)
+	s.requestDeregistration(in)
 }
 
 func (s *Scheduler) attachRun(in *instance, r *run) {
--- a/internal/scheduler/large_fleet_test.go
+++ b/internal/scheduler/large_fleet_test.go
@@ -414,8 +414,9 @@
 		f.commit(state.EnrolInstance{Instance: in})
 		f.scheduler.ConfirmEnrolled(in.ID)
 	}
-	for _, id := range f.scheduler.TakeDeregistrations() {
-		f.commit(state.DeregisterInstances{Instances: []fleet.InstanceID{id}})
+	deregistration := f.scheduler.TakeDeregistrations()
+	for _, id := range deregistration.Instances { // one command each: the digests depend on the log indexes of later jobs
+		f.commit(state.DeregisterInstances{Instances: []fleet.InstanceID{id}, Boots: state.DeregisteredBoots{id: deregistration.Boots[id]}, At: deregistration.At})
 		if in := f.byID[id]; in != nil && in.gone {
 			f.instances = slices.DeleteFunc(f.instances, func(other *simulatedInstance) bool { return other == in })
 		}
--- a/internal/scheduler/oracle_polls_test.go
+++ b/internal/scheduler/oracle_polls_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"cmp"
 	"slices"
 	"testing"
 	"time"
@@ -19,6 +20,8 @@
 const (
 	maxMessageDelay = 12
 	maxPollHold     = 7
+	// maxAnnouncementDelay is long enough for an instance to be deregistered and the leader to be replaced in between.
+	maxAnnouncementDelay = 100
 	// maxCrossingTime is the longest time after which an order for one boot reaches the next.
 	maxCrossingTime = 5 * time.Second
 )
@@ -27,15 +30,15 @@
 type reorderings struct {
 	// reports were overtaken by a later report of the same boot to the same leader. boots are reports of a boot that the leader knew to
 	// have ended, leaders polls that an instance received from a leader that was lost, and responses those to orders that arrived after
-	// the report of a later moment.
-	reports, boots, leaders, responses int
+	// the report of a later moment. deregistered are announcements of boots that a later leader did not know.
+	reports, boots, leaders, responses, deregistered int
 }
 
 // check fails the test if too few messages were out of order for it to guard against anything: on average a report of each case must be
 // overtaken, and each other kind must come in one of a hundred cases, so that the cases of CI have some of each.
 func (r *reorderings) check(t *testing.T, cases int) {
 	assert.Assert(t, r.reports >= cases, "%d overtaken reports in %d cases", r.reports, cases)
-	assert.Assert(t, min(r.boots, r.leaders, r.responses) >= cases/100, "too few messages out of order in %d cases: %+v", cases, *r)
+	assert.Assert(t, min(r.boots, r.leaders, r.responses, r.deregistered) >= cases/100, "too few messages out of order in %d cases: %+v", cases, *r)
 }
 
 // pollInFlight is a poll that was sent and whose response was not processed.
@@ -222,20 +225,31 @@
 	}
 }
 
-// deliverAnnouncements delivers the late copies of announcements. None reaches a later leader that does not know the boot: such a leader cannot tell
-// that there was a later one (docs/design/reordered-messages.md).
+// deliverAnnouncements delivers the late copies of announcements to the leader of the time, which may never have known the boot. It fails the test
+// if one enrols an instance of which something later has been committed.
 func (s *simulation) deliverAnnouncements() {
 	s.announcements = slices.DeleteFunc(s.announcements, func(a announcementInFlight) bool {
 		if s.now < a.arrivesAt {
 			return false
 		}
-		if s.fence == a.issuerFence || s.committed.Workload.Enrolled[a.announced.ID].Boot >= a.announced.Boot {
-			s.handleAnnouncement(a.announced)
+		id, latest := a.announced.ID, s.latestEnrolled[a.announced.ID]
+		_, enrolled := s.committed.Workload.Enrolled[id]
+		if s.fence != a.issuerFence && !enrolled {
+			s.reorderings.deregistered++
+		}
+		s.handleAnnouncement(a.announced)
+		if _, now := s.committed.Workload.Enrolled[id]; now && !enrolled && isLater(latest, a.announced) {
+			s.t.Fatalf("%s is enrolled by announcement %d of boot %d after %d of boot %d", id, a.announced.Sequence, a.announced.Boot, latest.Sequence, latest.Boot)
 		}
 		return true
 	})
 }
 
+// isLater reports whether a was announced after b, which has the same ID.
+func isLater(a, b workload.Instance) bool {
+	return cmp.Or(cmp.Compare(a.Boot, b.Boot), cmp.Compare(a.Sequence, b.Sequence)) > 0
+}
+
 // restart ends a boot of an instance, which is back under its ID. It announces itself at once or leaves that to the next poll.
 func (s *simulation) restart(in *target) {
 	in.crashed = true
--- a/internal/scheduler/oracle_test.go
+++ b/internal/scheduler/oracle_test.go
@@ -45,7 +45,9 @@
 	// reportCount is the number of reports that were made for polls in flight.
 	reportCount   int
 	latestReports map[fleet.InstanceID]latestReport
-	reorderings   *reorderings
+	// latestEnrolled are the latest announcements of each instance that were committed.
+	latestEnrolled map[fleet.InstanceID]workload.Instance
+	reorderings    *reorderings
 }
 
 // deadlyTask counts the starts of a task, and the leaders that were lost since it was submitted.
@@ -105,7 +107,7 @@
 	s := &simulation{
 		t: t, now: time.Hour, instances: map[fleet.InstanceID]*target{}, ackedDone: map[workload.TaskID]bool{},
 		ackedFailures: map[workload.TaskID]int{}, committed: *state.New(), deadlyTasks: map[workload.TaskID]*deadlyTask{},
-		latestReports: map[fleet.InstanceID]latestReport{}, reorderings: counts,
+		latestReports: map[fleet.InstanceID]latestReport{}, latestEnrolled: map[fleet.InstanceID]workload.Instance{}, reorderings: counts,
 	}
 	s.commit(state.PublishCatalogue{Source: []byte("x"), Catalogue: workload.Catalogue{
 		Version: 1,
@@ -124,6 +126,9 @@
 	if r := s.committed.ApplyCommand(s.index, command); r.Refused != 0 {
 		s.t.Fatalf("%T refused: %s", command, r.Detail)
 	}
+	if e, ok := command.(state.EnrolInstance); ok && isLater(e.Instance, s.latestEnrolled[e.Instance.ID]) {
+		s.latestEnrolled[e.Instance.ID] = e.Instance
+	}
 }
 
 // startLeader replaces the scheduler as a new leader does; everything that is not committed is lost.
@@ -170,7 +175,10 @@
 	in.Sequence++
 	in.Clock = in.clock(s.now)
 	s.handleAnnouncement(in.Instance)
-	if delay := s.drawDelay("copy", maxMessageDelay); delay > 0 {
+	if boot := s.committed.Workload.Enrolled[in.ID].Boot; boot != in.Boot {
+		s.t.Fatalf("%s has announced boot %d, but boot %d is enrolled", in.ID, in.Boot, boot)
+	}
+	if delay := s.drawDelay("copy", maxAnnouncementDelay); delay > 0 {
 		s.announcements = append(s.announcements, announcementInFlight{in.Instance, s.fence, s.now + delay})
 	}
 }
@@ -328,8 +336,8 @@
 }
 
 func (s *simulation) commitDeregistrations() {
-	for _, id := range s.scheduler.TakeDeregistrations() {
-		s.commit(state.DeregisterInstances{Instances: []fleet.InstanceID{id}})
+	if c := s.scheduler.TakeDeregistrations(); len(c.Instances) > 0 {
+		s.commit(c)
 	}
 }
 
@@ -345,8 +353,8 @@
 }
 
 // TestStartsKeepInvariants drives schedulers through lost, late and reordered orders, polls and announcements, instances that
-// crash, restart under their ID, become unreachable and join, changes of leader, cancellations and ends of runs, and checks the
-// invariants at every start on an instance. It fails if too few messages are out of order.
+// crash, restart under their ID, become unreachable and join, changes of leader, cancellations and ends of runs. It checks the
+// invariants at every start on an instance, and that every instance is enrolled that has announced itself in order. It fails if too few messages are out of order.
 //
 // Actions are drawn from the sorted list of their names, so a changed name changes the cases that a seed generates.
 func TestStartsKeepInvariants(t *testing.T) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -159,6 +159,8 @@
 	failedJobs      []workload.JobID
 	completedJobs   []CompletedJob
 	deregistrations []fleet.InstanceID
+	// deregistered are the committed boots and those of deregistrations. Their earlier announcements may still arrive.
+	deregistered state.DeregisteredBoots
 	// enrolments are the instances to enrol that were not taken yet.
 	enrolments []*instance
 	// enrolling holds the enrolments of each ID that the caller has to commit, in order; cancelled ones are nil.
@@ -268,6 +270,7 @@
 
 		drainedDataCentres: options.DrainedDataCentres,
 		machineDataCentres: map[string]fleet.DataCentreID{},
+		deregistered:       state.DeregisteredBoots{},
 		forecaster:         forecaster.New(),
 		rackOutlooks:       map[poolRack]*rackOutlook{},
 		spreads:            map[poolCustomer]*spread{},
@@ -275,6 +278,7 @@
 		forecastTakenAt:    now,
 	}
 	maps.Copy(s.machineDataCentres, committed.MachineDataCentres)
+	maps.Copy(s.deregistered, committed.Deregistered)
 	s.restoreForecast(committed.Forecast)
 	for id, e := range committed.Enrolled {
 		in := s.addInstance(e)
@@ -361,13 +365,6 @@
 // ConfirmEnds records that a batch of ends is committed. Batches are committed in order.
 func (s *Scheduler) ConfirmEnds(batch uint64) { s.committedBatch = max(s.committedBatch, batch) }
 
-// TakeDeregistrations returns the instances to remove from the committed state; none of them runs a task.
-func (s *Scheduler) TakeDeregistrations() []fleet.InstanceID {
-	list := s.deregistrations
-	s.deregistrations = nil
-	return list
-}
-
 // Reconciled reports whether the runs that earlier leaders started are known on every instance.
 func (s *Scheduler) Reconciled() bool { return len(s.unreconciled) == 0 }
 
--- a/internal/scheduler/uncommitted_ends_test.go
+++ b/internal/scheduler/uncommitted_ends_test.go
@@ -56,13 +56,13 @@
 			for range 100 {
 				f.now += 100 * time.Millisecond
 				f.scheduler.Tick(f.now, f.now.Milliseconds())
-				assert.Equal(t, len(f.scheduler.TakeDeregistrations()), 0, "deregistered before the end is committed")
+				assert.Equal(t, len(f.scheduler.TakeDeregistrations().Instances), 0, "deregistered before the end is committed")
 			}
 			_, _, batch := f.scheduler.TakeEnds()
 			f.scheduler.ConfirmEnds(batch)
 			f.now += 100 * time.Millisecond
 			f.scheduler.Tick(f.now, f.now.Milliseconds())
-			assert.Equal(t, len(f.scheduler.TakeDeregistrations()), 1, "not deregistered after the commit")
+			assert.Equal(t, len(f.scheduler.TakeDeregistrations().Instances), 1, "not deregistered after the commit")
 		})
 	}
 }
--- a/internal/state/jobs.go
+++ b/internal/state/jobs.go
@@ -94,6 +94,8 @@
 	MachineDataCentres map[string]fleet.DataCentreID `cbor:"7,keyasint,omitempty"`
 	// Forecast is the latest summary of the run times that the leaders have learned. Keepers do not read it.
 	Forecast []byte `cbor:"8,keyasint,omitempty"`
+	// Deregistered holds the boots of instances that are not enrolled any more.
+	Deregistered DeregisteredBoots `cbor:"9,keyasint,omitempty"`
 }
 
 // initMaps creates the maps that a decoded snapshot may lack.
@@ -103,6 +105,7 @@
 	w.Waves = mapOrEmpty(w.Waves)
 	w.Cordoned = mapOrEmpty(w.Cordoned)
 	w.MachineDataCentres = mapOrEmpty(w.MachineDataCentres)
+	w.Deregistered = mapOrEmpty(w.Deregistered)
 }
 
 // PublishCatalogue puts a catalogue in force unless the one in force has the same or a higher version.
@@ -264,6 +267,7 @@
 
 func (c EnrolInstance) apply(s *State) (Reply, error) {
 	s.Workload.Enrolled[c.Instance.ID] = c.Instance
+	delete(s.Workload.Deregistered, c.Instance.ID)
 	if c.Instance.Machine != "" && c.Instance.DataCentre != "" {
 		s.Workload.locateMachine(c.Instance.Machine, c.Instance.DataCentre)
 	}
@@ -273,19 +277,6 @@
 	return Reply{}, nil
 }
 
-// DeregisterInstances removes instances that have no more runs.
-type DeregisterInstances struct {
-	Instances []fleet.InstanceID `cbor:"1,keyasint"`
-}
-
-func (c DeregisterInstances) apply(s *State) (Reply, error) {
-	for _, id := range c.Instances {
-		delete(s.Workload.Enrolled, id)
-		delete(s.Workload.Cordoned, id)
-	}
-	return Reply{}, nil
-}
-
 // CordonInstances records that nothing more is started on unresponsive instances, so that jobs accepted later cannot
 // have runs there.
 type CordonInstances struct {
--- a/internal/supervisor/announce_test.go
+++ b/internal/supervisor/announce_test.go
@@ -175,7 +175,7 @@
 }
 
 // TestChangesAreCommittedBeforeEnrolmentsOfOthers guards against a draining that is not acknowledged in time because the enrolments of a fleet are committed
-// first, and against one that is committed before the enrolment of its own boot and lost.
+// first, and against one that is committed before the enrolment of its own boot, or before a deregistration with others, and lost.
 func TestChangesAreCommittedBeforeEnrolmentsOfOthers(t *testing.T) {
 	s := &term{}
 	var order []string
@@ -185,6 +185,8 @@
 	queue(s.enqueueRegistration, "a", "enrolled")
 	queue(s.enqueueRegistration, "b", "enrolled")
 	queue(s.enqueueRegistration, "c", "enrolled")
+	s.pendingRegistrations = append(s.pendingRegistrations, registration{[]fleet.InstanceID{"d", "e"}, state.Barrier{}, func() { order = append(order, "d e deregistered") }})
+	queue(s.enqueueUrgent, "e", "smaller")
 	queue(s.enqueueUrgent, "z", "draining")
 	queue(s.enqueueUrgent, "b", "smaller")
 	queue(s.enqueueUrgent, "b", "draining")
@@ -192,5 +194,5 @@
 	for _, r := range s.pendingRegistrations {
 		r.onCommit()
 	}
-	assert.DeepEqual(t, order, []string{"z draining", "z departed", "a enrolled", "b enrolled", "b smaller", "b draining", "c enrolled"})
+	assert.DeepEqual(t, order, []string{"z draining", "z departed", "a enrolled", "b enrolled", "b smaller", "b draining", "c enrolled", "d e deregistered", "e smaller"})
 }
--- a/internal/supervisor/registration.go
+++ b/internal/supervisor/registration.go
@@ -16,12 +16,15 @@
 // enqueueInstanceChanges deregisters instances, enrols those again for which the platform refused planned work, and records which
 // instances are cordoned because they do not respond and which are uncordoned.
 func (t *term) enqueueInstanceChanges() {
-	for _, id := range t.scheduler.TakeDeregistrations() {
+	deregistration := t.scheduler.TakeDeregistrations()
+	for _, id := range deregistration.Instances {
 		if d := t.dispatchers[id]; d != nil {
 			d.cancel()
 			delete(t.dispatchers, id)
 		}
-		t.enqueueRegistration(id, state.DeregisterInstances{Instances: []fleet.InstanceID{id}}, func() {})
+	}
+	if len(deregistration.Instances) > 0 {
+		t.pendingRegistrations = append(t.pendingRegistrations, registration{deregistration.Instances, deregistration, func() {}})
 	}
 	for _, in := range t.scheduler.TakeEnrolments() {
 		t.enrol(in)
@@ -36,9 +39,10 @@
 
 // registration is a pending change to the enrolled instances.
 type registration struct {
-	instance fleet.InstanceID // empty if it concerns several
-	command  state.Command
-	onCommit func()
+	// instances holds one empty ID for cordons.
+	instances []fleet.InstanceID
+	command   state.Command
+	onCommit  func()
 }
 
 // maxRegistrationsPerCommit bounds how long one commit of the start of a fleet holds up heartbeats and other commits: 3,000 instances take 24.
@@ -47,17 +51,17 @@
 // enqueueRegistration queues a change to the enrolled instances for commitRegistrations. Changes are committed in order, so that the
 // deregistration of an earlier boot cannot take effect after the enrolment of the later one.
 func (t *term) enqueueRegistration(id fleet.InstanceID, c state.Command, onCommit func()) {
-	t.pendingRegistrations = append(t.pendingRegistrations, registration{id, c, onCommit})
+	t.pendingRegistrations = append(t.pendingRegistrations, registration{[]fleet.InstanceID{id}, c, onCommit})
 }
 
 // enqueueUrgent queues a change for which an instance waits before those of other instances: behind the enrolments of a fleet it would not be
 // acknowledged in time.
 func (t *term) enqueueUrgent(id fleet.InstanceID, c state.Command, onCommit func()) {
 	i := len(t.pendingRegistrations)
-	for i > 0 && t.pendingRegistrations[i-1].instance != id {
+	for i > 0 && !slices.Contains(t.pendingRegistrations[i-1].instances, id) {
 		i--
 	}
-	t.pendingRegistrations = slices.Insert(t.pendingRegistrations, i, registration{id, c, onCommit})
+	t.pendingRegistrations = slices.Insert(t.pendingRegistrations, i, registration{[]fleet.InstanceID{id}, c, onCommit})
 }
 
 // commitRegistrations commits the first maxRegistrationsPerCommit queued changes as one batch, unless a batch is in flight.
