Explain a job from the log files of the processes

When a caller reports a problem, an engineer on call has only log files, and had to grep them by hand; 'explain ID' asks running processes.

Add internal/chronicler, which reads plain or compressed log files as streams and returns the lines of a job, task, request, instance or path in order of time, each with its inputs, the deciding leader and term, and the outcome; changes of leader, dropped lines, unknown jobs and lost instances of the time; and one sentence with the outcome and how the time was spent. An unknown id exits with 3, like a refusal of an entry; a folder without log lines with 1; wrong arguments with 2.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/sapphiresail/sapphiresail/internal/chronicler"
 	"github.com/sapphiresail/sapphiresail/pkg/client"
 )
 
@@ -62,7 +63,7 @@
 		return ExitOK
 	case errors.As(err, &usage):
 		return ExitUsage
-	case errors.Is(err, client.KindRefused):
+	case errors.Is(err, client.KindRefused), errors.Is(err, chronicler.KindUnknownID):
 		return ExitRefused
 	case errors.Is(err, client.KindUnreachable):
 		return ExitUnreachable
--- a/internal/commander/explain.go
+++ b/internal/commander/explain.go
@@ -22,16 +22,26 @@
 
 func (c *Commander) explainCommand() *cobra.Command {
 	var f placementFlags
+	var logs string
 	cmd := &cobra.Command{
 		Use: "explain ID", Short: "Show the decisions about a request, instance, customer or pool, or where a job would be placed, and their reasons.",
-		Args: func(_ *cobra.Command, args []string) error { return f.check(args) },
+		Args: func(_ *cobra.Command, args []string) error {
+			if logs != "" {
+				return checkLogsArgs(f, args)
+			}
+			return f.check(args)
+		},
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if logs != "" {
+				return c.explainLogs(logs, args[0])
+			}
 			if f.where {
 				return c.explainPlacement(cmd.Context(), f, args)
 			}
 			return c.send(cmd.Context(), http.MethodGet, "/v1/decisions?subject="+url.QueryEscape(args[0]), nil)
 		},
 	}
+	cmd.Flags().StringVar(&logs, "logs", "", "folder with log files of the processes: print the history of job, task, request or instance ID from them; no process is asked")
 	cmd.Flags().BoolVar(&f.where, "where", false, "explain where the waiting tasks of job ID would be placed now, or those of a job that is not handed in; --entry is the control address of a keeper")
 	cmd.Flags().StringVar(&f.file, "file", "", "with --where: file with a job as callers send it")
 	cmd.Flags().StringVar(&f.queue, "queue", "", "with --where: queue of the job in the file")
