--- a/internal/chronicler/chronicler.go
+++ b/internal/chronicler/chronicler.go
@@ -84,7 +84,7 @@
 	case err != nil:
 		return nil, err
 	case t.valid == 0:
-		return nil, fault.New("read logs", KindNoLines, "%d files, %d malformed lines", len(names), t.malformed)
+		return nil, fault.New("read logs", KindNoLines, "%d files, %d other lines", len(names), t.foreign)
 	case s.kind() == "":
 		return nil, fault.New("explain "+id, KindUnknownID, "none of %d log lines in %d files names it%s", t.valid, len(names), s.hint(len(lines)))
 	}
--- a/internal/chronicler/chronicler_test.go
+++ b/internal/chronicler/chronicler_test.go
@@ -6,10 +6,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"io/fs"
 	"os"
-	"runtime"
+	"path/filepath"
 	"strings"
 	"testing"
 	"testing/fstest"
@@ -70,6 +69,30 @@
 	}
 }
 
+// TestOperationsPage guards against a page that shows other sentences than the command prints for the lines of its cases.
+func TestOperationsPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	assert.NilError(t, err)
+	for folder, id := range map[string]string{"refused": "/btbu9fmc/", "late": "015ac8d133fc313b", "never-started": "0000457b6a90f218"} {
+		history, err := chronicler.New(os.DirFS("testdata/" + folder)).History(id)
+		assert.NilError(t, err)
+		assert.Assert(t, cmp.Contains(string(page), "sapphiresail explain --logs DIR "+id+"\n"))
+		for part := range strings.SplitSeq(history.Summary, "; ") {
+			part, _, _ = strings.Cut(part, ", first i-") // the page cuts the reason here
+			assert.Assert(t, cmp.Contains(string(page), part))
+		}
+	}
+}
+
+// TestLinks guards against a link to a rotated file that ends the command, and a link to another file of the folder that doubles its lines.
+func TestLinks(t *testing.T) {
+	folder := t.TempDir()
+	assert.NilError(t, os.WriteFile(filepath.Join(folder, "log"), []byte(accepted), 0o600))
+	assert.NilError(t, os.Symlink(filepath.Join(folder, "gone"), filepath.Join(folder, "current")))
+	assert.NilError(t, os.Symlink(filepath.Join(folder, "log"), filepath.Join(folder, "linked")))
+	assert.Equal(t, strings.Count(table(t, os.DirFS(folder), "aa"), "410 job accepted"), 1)
+}
+
 // TestJSON guards against fields that change their names or their order: scripts read them.
 func TestJSON(t *testing.T) {
 	history, err := chronicler.New(os.DirFS("testdata/change-of-leader")).History("4b1f00000000c0de")
@@ -120,14 +143,14 @@
 		{"gzip without a body", append([]byte(nil), 0x1f, 0x8b), "log: read only in part"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			files := fstest.MapFS{"log": {Data: c.file}, "notes.txt": {}}
+			files := fstest.MapFS{"log": {Data: c.file}, "notes.txt": {Data: []byte("to do\n{\"a\":1}\n")}}
 			if c.name == "gzip without a body" {
 				files["good"] = &fstest.MapFile{Data: []byte(accepted)}
 			}
 			out := table(t, files, "aa", chronicler.WithMaxLine(100_000))
 			assert.Assert(t, cmp.Contains(out, c.want))
 			assert.Assert(t, cmp.Contains(out, "410 job accepted"))
-			assert.Assert(t, cmp.Contains(out, "notes.txt: no log lines"))
+			assert.Assert(t, cmp.Contains(out, "notes.txt: no log lines in 2 lines"))
 		})
 	}
 }
@@ -141,6 +164,7 @@
 		{`{"ts":"2026-12-05T11:30:00+01:00","entry":"k",` + object, "2026-12-05T10:30:00.000Z", "k"},
 		{`2026-12-05T10:00:00Z other: {"ts":1796466600000,"entry":"k",` + object, "2026-12-05T10:30:00.000Z", "k"},
 		{`2026-12-05T10:00:00Z [other] {` + object, "2026-12-05T10:00:00.000Z", "other"},
+		{`INF {` + object, "0.0000", "INF"},
 		{`other | {` + object, "0.0000", "other"},
 		{`{` + object, "0.0000", "file"},
 		{`7.25 x {"event":400}` + "\n{" + object, "7.2500", "x"},
@@ -170,14 +194,20 @@
 	} {
 		history, err := chronicler.New(fstest.MapFS{"log": {Data: []byte(c.earlier + "\n" + completed)}}).History("aa")
 		assert.NilError(t, err)
-		for _, l := range history.Lines {
-			if l.Event == 414 {
-				assert.Equal(t, l.DecidedBy.String(), c.want, c.earlier)
-			}
-		}
+		last := history.Lines[len(history.Lines)-1]
+		assert.Equal(t, last.DecidedBy.String(), c.want, c.earlier)
 	}
 }
 
+// TestLastCallDecides guards against a sentence about an earlier call of a path, and one that takes a failed inspection of a job for its submission.
+func TestLastCallDecides(t *testing.T) {
+	lines := `1 e {"subject":1,"path":"/q/aa","reason":"call: no leader was reached","event":440}` + "\n" +
+		`2 e {"subject":3,"path":"/q/aa","reason":"call: outcome is not known","event":440}` + "\n"
+	files := fstest.MapFS{"log": {Data: []byte(lines)}}
+	assert.Assert(t, cmp.Contains(table(t, files, "/q/aa"), "The last call of the path /q/aa has no known outcome: the call failed at 2.0000"))
+	assert.Assert(t, cmp.Contains(table(t, files, "aa"), "The job aa was refused at 1.0000 by e: call: no leader was reached."))
+}
+
 // TestMixedClocks guards against an order between files that the times do not give.
 func TestMixedClocks(t *testing.T) {
 	files := fstest.MapFS{"a": {Data: []byte(accepted)}, "b": {Data: []byte(`4.5 k {"job":"aa","event":413}`)}}
@@ -206,8 +236,8 @@
 		{"part of an id", "a", fstest.MapFS{"log": {Data: []byte(accepted)}}, chronicler.KindUnknownID, "explain a: unknown id"},
 		{"empty id", "", fstest.MapFS{"log": {Data: []byte(accepted)}}, chronicler.KindUnknownID, "the id is empty"},
 		{"unknown task", "aa.0.0.9", fstest.MapFS{"log": {Data: []byte(accepted)}}, chronicler.KindUnknownID, "1 lines name its job aa"},
-		{"no files", "aa", fstest.MapFS{}, chronicler.KindNoLines, "read logs: no log lines: 0 files, 0 malformed lines"},
-		{"no log lines", "aa", fstest.MapFS{"notes": {Data: []byte("a\nb\n")}}, chronicler.KindNoLines, "1 files, 2 malformed lines"},
+		{"no files", "aa", fstest.MapFS{}, chronicler.KindNoLines, "read logs: no log lines: 0 files, 0 other lines"},
+		{"no log lines", "aa", fstest.MapFS{"notes": {Data: []byte("a\nb\n")}}, chronicler.KindNoLines, "1 files, 2 other lines"},
 		{"missing folder", "aa", os.DirFS("testdata/none"), chronicler.KindUnreadable, "list logs: log files cannot be read"},
 		{"no permission", "aa", brokenFolder{fstest.MapFS{"log": {Data: []byte(accepted)}}}, chronicler.KindUnreadable, "read log: log files cannot be read: open log: permission denied"},
 	} {
@@ -218,68 +248,3 @@
 		})
 	}
 }
-
-// TestRelatedLinesAreBounded guards against memory that grows with hours of dropped-lines events after a job that never ended, and against an omission
-// that is not reported.
-func TestRelatedLinesAreBounded(t *testing.T) {
-	dropped := strings.Repeat(`{"ts":1796466601000,"entry":"k","msg":"log lines dropped","count":1,"event":442}`+"\n", 1005)
-	out := table(t, fstest.MapFS{"log": {Data: []byte(accepted + dropped)}}, "aa")
-	assert.Equal(t, strings.Count(out, "442 log lines dropped"), 1000)
-	assert.Assert(t, cmp.Contains(out, "related events 442 left out beyond the first 1000 read: 5"))
-}
-
-// longLog is a log of unrelated lines that is generated while it is read. It measures the memory in use after each 8 MiB.
-type longLog struct {
-	fs.File
-	left, sinceMeasure int
-	peak               *uint64
-}
-
-const otherLine = `{"level":"info","ts":1796466600000,"msg":"scheduling decision made","entry":"k","what":"run placed","task":"bb.0.0.0","run":1000000001,"instance":"i-1","event":420}` + "\n"
-
-func (l *longLog) Read(p []byte) (int, error) {
-	if l.left <= 0 {
-		return 0, io.EOF
-	}
-	n := 0
-	for n+len(otherLine) <= len(p) {
-		n += copy(p[n:], otherLine)
-	}
-	l.left -= n
-	if l.sinceMeasure += n; l.sinceMeasure > 8<<20 {
-		l.sinceMeasure = 0
-		*l.peak = max(*l.peak, heapInUse())
-	}
-	return n, nil
-}
-
-func heapInUse() uint64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
-
-// longFolder has one generated file beside those of the map.
-type longFolder struct {
-	fstest.MapFS
-	peak uint64
-}
-
-func (f *longFolder) Open(name string) (fs.File, error) {
-	file, err := f.MapFS.Open(name)
-	if err != nil || name != "long" {
-		return file, err
-	}
-	return &longLog{File: file, left: 32 << 20, peak: &f.peak}, nil
-}
-
-// TestMemoryIsBounded guards against a command that holds the files instead of the lines of the history.
-func TestMemoryIsBounded(t *testing.T) {
-	files := &longFolder{MapFS: fstest.MapFS{"long": {}, "short": {Data: []byte(accepted)}}}
-	before := heapInUse()
-	history, err := chronicler.New(files).History("aa")
-	assert.NilError(t, err)
-	assert.Equal(t, len(history.Lines), 1)
-	assert.Assert(t, files.peak > 0 && files.peak < before+4<<20, "%d bytes in use before, %d while reading", before, files.peak)
-}
--- a/internal/chronicler/history.go
+++ b/internal/chronicler/history.go
@@ -91,13 +91,17 @@
 func summarise(s *subject, v *verdict, leaders *leaders, changes int) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "The %s %s ", s.kind(), s.id)
+	if s.kind() == kindPath {
+		b.Reset()
+		fmt.Fprintf(&b, "The last call of the path %s ", s.id)
+	}
 	switch {
 	case s.kind() == kindInstance:
 		return b.String() + summariseInstance(v)
 	case v.State == NotEnded:
 		fmt.Fprintf(&b, "has not ended by %s, the end of the logs, %s after its first trace", v.End, v.Total)
 	case v.State == Unknown:
-		fmt.Fprintf(&b, "has no known outcome: its call failed at %s, %s after its first trace", v.End, v.Total)
+		fmt.Fprintf(&b, "has no known outcome: the call failed at %s, %s after its first trace", v.End, v.Total)
 	case v.State == Refused:
 		fmt.Fprintf(&b, "was refused at %s by %s", v.End, describeDecider(leaders, v.decidedBy))
 	case v.State == Cancelled:
--- a/internal/chronicler/line.go
+++ b/internal/chronicler/line.go
@@ -117,7 +117,7 @@
 
 // parseTime reads seconds or milliseconds since the epoch, seconds of a bench's clock, or a time in RFC 3339; it returns zero for any other text.
 func parseTime(word string) Instant {
-	if n, err := strconv.ParseFloat(word, 64); err == nil && n > 0 {
+	if n, err := strconv.ParseFloat(word, 64); err == nil && n > 0 && !math.IsInf(n, 0) {
 		if n > 1e11 { // milliseconds, as keepers and entries write them; the others write seconds
 			n /= 1e3
 		}
--- a/internal/chronicler/reader.go
+++ b/internal/chronicler/reader.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"io"
 	"io/fs"
+	"os"
+	"slices"
 	"strconv"
 
 	"github.com/sapphiresail/sapphiresail/internal/fault"
@@ -16,7 +18,9 @@
 
 // tally counts what a scan has read.
 type tally struct {
-	files, valid, malformed int
+	files, valid int
+	// malformed is the number of lines that are no log lines, beside log lines; foreign is that in files without any log line.
+	malformed, foreign int
 	// damaged are the files that end early or hold no log line, each with the reason.
 	damaged []string
 	// last is the latest time of the last lines of the files.
@@ -34,16 +38,20 @@
 	earlier *rawLine
 }
 
-// list returns the names of the regular files, in lexical order.
+// list returns the names of the regular files, in lexical order. A file that also has a link in the folder is read once.
 func (c *Chronicler) list() ([]string, error) {
 	var names []string
+	var infos []fs.FileInfo
 	err := fs.WalkDir(c.files, ".", func(name string, d fs.DirEntry, err error) error {
 		if err != nil {
 			return err
 		}
 		info, err := fs.Stat(c.files, name)
-		if err == nil && info.Mode().IsRegular() {
-			names = append(names, name)
+		switch {
+		case errors.Is(err, fs.ErrNotExist): // a link to a file that is gone, or a file that was just rotated
+			return nil
+		case err == nil && info.Mode().IsRegular() && !slices.ContainsFunc(infos, func(i fs.FileInfo) bool { return os.SameFile(i, info) }):
+			names, infos = append(names, name), append(infos, info)
 		}
 		return err
 	})
@@ -71,7 +79,7 @@
 	}
 	defer func() { _ = f.Close() }()
 	t.files++
-	valid := t.valid
+	valid, malformed := t.valid, t.malformed
 	in, compressed, err := decompress(f)
 	if err == nil {
 		err = c.scanLines(rawLine{name: name, file: index, earlier: &rawLine{name: name}}, in, t, visit)
@@ -82,7 +90,8 @@
 	case err != nil:
 		return err
 	case t.valid == valid:
-		t.damaged = append(t.damaged, name+": no log lines")
+		t.damaged = append(t.damaged, fmt.Sprintf("%s: no log lines in %d lines", name, t.malformed-malformed))
+		t.malformed, t.foreign = malformed, t.foreign+t.malformed-malformed
 	}
 	return nil
 }
@@ -144,14 +153,14 @@
 	}
 }
 
-// split separates the JSON object from the text before it, and reports whether there is an object.
+// split separates the JSON object from the text before it, and reports whether there is an object with an event or a message.
 func (r *rawLine) split(text []byte) bool {
 	start := bytes.Index(text, []byte(`{"`))
 	if start < 0 || !json.Valid(text[start:]) {
 		return false
 	}
 	r.prefix, r.text = text[:start], text[start:]
-	return true
+	return bytes.Contains(r.text, []byte(`"event":`)) || bytes.Contains(r.text, []byte(`"msg":`))
 }
 
 // keep stores the line as the last one with a time.
--- a/internal/chronicler/runs.go
+++ b/internal/chronicler/runs.go
@@ -42,9 +42,12 @@
 	return runs
 }
 
-// apply ends the run if the line says so.
+// apply ends the run if the line says so. A run that was lost may still be believed to start on a later boot, and is lost again.
 func (r *run) apply(l *line) {
 	switch {
+	case r.ended && r.lost && l.text("what") == "run lost":
+		r.to = l.at
+		return
 	case r.ended:
 		return
 	case l.number == event.DecisionMade.Number:
@@ -88,7 +91,7 @@
 			return cmp.Or(cmp.Compare(a.endBy(end), b.endBy(end)), compareBools(a.task == task, b.task == task), cmp.Compare(a.from, b.from))
 		})
 		spent.Capacity += cursor.since(last.endBy(end))
-		if last.lost {
+		if last.lost && last.to <= end { // a run that was stopped because the job was over is no lost one
 			spent.Lost += last.endBy(end).since(last.from)
 		} else {
 			spent.Running += last.endBy(end).since(last.from)
--- a/internal/chronicler/runs_test.go
+++ b/internal/chronicler/runs_test.go
@@ -28,7 +28,7 @@
 		{"lost beside a task that ran well", []*run{placed("b", 0, 3, false), placed("a", 0, 3, true), placed("a", 3, 5, false)}, 0, 0, 5, Spent{Running: 2, Lost: 3}},
 		{"two steps", []*run{placed("a", 0, 2, false), placed("b", 0, 1, false), placed("c", 2.5, 4, false)}, 0, 0, 4, Spent{Capacity: 0.5, Running: 3.5}},
 		{"still runs", []*run{{task: "a", from: at(2)}}, 0, 1, 5, Spent{Acceptance: 1, Capacity: 1, Running: 3}},
-		{"stopped after the job was cancelled", []*run{placed("a", 1, 9, true)}, 0, 0, 5, Spent{Capacity: 1, Lost: 4}},
+		{"stopped after the job was cancelled", []*run{placed("a", 1, 9, true)}, 0, 0, 5, Spent{Capacity: 1, Running: 4}},
 		{"placed after the job was over", []*run{placed("a", 6, 7, false)}, 0, 0, 5, Spent{Capacity: 5}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -37,6 +37,15 @@
 	}
 }
 
+// TestRunLostTwice guards against a run that counts as lost while it may still start on a later boot of its instance.
+func TestRunLostTwice(t *testing.T) {
+	decision := func(seconds float64, what string) *line {
+		return &line{at: at(seconds), number: 420, fields: map[string]any{"what": what, "task": "a.0.0.0", "run": "1000000001", "instance": "i-1"}}
+	}
+	runs := runsOf([]*line{decision(1, "run placed"), decision(3, "run lost"), decision(3, "run uncertain"), decision(4, "run lost")})
+	assert.Assert(t, len(runs) == 1 && runs[0].lost && runs[0].to == at(4))
+}
+
 // TestSpentIsWhole guards against spans that overlap, are negative, or leave out a part of the time.
 func TestSpentIsWhole(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/chronicler/verdict.go
+++ b/internal/chronicler/verdict.go
@@ -119,7 +119,7 @@
 		v.isKnown = false
 		v.finish(l, Refused, l.text("reason"))
 	case event.JobRefused.Number, event.JobHopeless.Number, event.CallRefused.Number, event.CallFailed.Number:
-		v.applyCall(l)
+		v.applyCall(s, l)
 	case event.JobsMismatched.Number:
 		if strings.Contains(l.text("what"), "unknown to the scheduler") {
 			v.unknownAt, v.isKnown = l.at, true
@@ -135,10 +135,10 @@
 }
 
 // applyCall takes a refusal or a failed call into account. It says nothing about a job that is known or was accepted later.
-func (v *verdict) applyCall(l *line) {
+func (v *verdict) applyCall(s *subject, l *line) {
 	state := Refused
 	if l.number == event.CallFailed.Number {
-		if l.text("subject") != strconv.Itoa(int(forwarder.SubmitJob)) && v.decidedBy != nil {
+		if s.kind() != kindPath && l.text("subject") != strconv.Itoa(int(forwarder.SubmitJob)) && v.decidedBy != nil {
 			return // a failed inspection says nothing about the submission
 		}
 		if !strings.Contains(l.text("reason"), forwarder.KindNotSent.Error()) {
--- a/internal/commander/explain_logs_test.go
+++ b/internal/commander/explain_logs_test.go
@@ -26,7 +26,7 @@
 		{"json", []string{"--logs", logs, id, "-o", "json"}, ExitOK, "{\n  \"id\": \"015ac8d133fc313b\",\n  \"kind\": \"job\",\n  \"lines\": ["},
 		{"unknown id", []string{"--logs", logs, "ffff"}, ExitRefused, "sapphiresail: explain ffff: unknown id: none of 6 log lines in 1 files names it"},
 		{"empty folder", []string{"--logs", empty, id}, ExitFailure, "no log lines: 0 files"},
-		{"no log lines", []string{"--logs", text, id}, ExitFailure, "no log lines: 1 files, 1 malformed lines"},
+		{"no log lines", []string{"--logs", text, id}, ExitFailure, "no log lines: 1 files, 1 other lines"},
 		{"missing folder", []string{"--logs", filepath.Join(empty, "none"), id}, ExitUsage, "--logs: stat"},
 		{"file in place of a folder", []string{"--logs", filepath.Join(text, "notes"), id}, ExitUsage, "is not a folder"},
 		{"unknown format", []string{"--logs", logs, id, "-o", "xml"}, ExitUsage, `--output "xml": want table, yaml or json`},
