End a process whose log nobody reads within its grace period

Between the log line "process stopped" and the exit run the flush of the log writer, a message on standard error, the end of the signal handlers and os.Exit; all connections, servers and files are closed before the line. The flush and the message wait for their reader without limit: an entry and a keeper whose output goes to a full pipe had not ended 15 s after SIGTERM. serve wrote its log to standard error without the queue, so that its parts waited for that reader as well.

linewriter.CloseWithin bounds the flush. Entries and keepers wait until 0.2 s before the end of their grace period, serve and a process that did not start for 1 s. Errors of these processes are bounded in the same way. serve logs through the queue. A line that is logged after the writer is closed is no longer a panic ("send on closed channel").

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -10,11 +10,13 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/sapphiresail/sapphiresail/internal/linewriter"
 	"github.com/sapphiresail/sapphiresail/pkg/client"
 )
 
@@ -37,6 +39,8 @@
 	entryURL        string
 	operatorKeyFile string
 	outputFormat    string
+	// exitBy is when a process stops waiting for the readers of its output. It is zero for commands that wait for them without limit.
+	exitBy time.Time
 }
 
 // Run executes a command line and returns its exit code. An interrupt or SIGTERM cancels the context of the command.
@@ -50,11 +54,22 @@
 	root.SetErr(errOut)
 	err := root.ExecuteContext(ctx)
 	if err != nil {
-		_, _ = fmt.Fprintln(errOut, "sapphiresail:", err)
+		c.report(err)
 	}
 	return exitCode(err)
 }
 
+// report prints an error to the standard error output, and waits for its reader at most until exitBy if that is set.
+func (c *Commander) report(err error) {
+	if c.exitBy.IsZero() {
+		_, _ = fmt.Fprintln(c.errOut, "sapphiresail:", err)
+		return
+	}
+	out := linewriter.New(c.errOut)
+	_, _ = fmt.Fprintln(out, "sapphiresail:", err)
+	_ = out.CloseWithin(time.Until(c.exitBy)) // there is no other output to report a blocked one to
+}
+
 func exitCode(err error) int {
 	var usage usageError
 	switch {
@@ -139,16 +154,11 @@
 	return func(cmd *cobra.Command, _ []string) error { return c.send(cmd.Context(), http.MethodGet, path, nil) }
 }
 
-// newLogger returns a logger that writes JSON lines to standard error.
-func newLogger(level string) (*zap.Logger, error) {
+// newLogger returns a logger that writes JSON lines.
+func newLogger(level string, out zapcore.WriteSyncer) (*zap.Logger, error) {
 	parsed, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, usageError{err}
 	}
-	config := zap.NewProductionConfig()
-	config.Level = zap.NewAtomicLevelAt(parsed)
-	config.Sampling = nil
-	config.DisableCaller = true
-	config.DisableStacktrace = true
-	return config.Build()
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), out, parsed)), nil
 }
--- a/internal/commander/run.go
+++ b/internal/commander/run.go
@@ -10,9 +10,11 @@
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/sapphiresail/sapphiresail/internal/daemon"
 	"github.com/sapphiresail/sapphiresail/internal/demonstrator"
+	"github.com/sapphiresail/sapphiresail/internal/linewriter"
 	"github.com/sapphiresail/sapphiresail/internal/settings"
 )
 
@@ -31,7 +33,9 @@
 			if recordFile != "" {
 				s.Record = recordFile
 			}
-			logger, err := newLogger(s.LogLevel)
+			out := linewriter.New(c.errOut)
+			defer c.closeLog(out)
+			logger, err := newLogger(s.LogLevel, out)
 			if err != nil {
 				return err
 			}
@@ -61,7 +65,7 @@
 			logger := zap.NewNop()
 			if logLevel != "" {
 				var err error
-				if logger, err = newLogger(logLevel); err != nil {
+				if logger, err = newLogger(logLevel, zapcore.Lock(zapcore.AddSync(c.errOut))); err != nil {
 					return err
 				}
 			}
--- a/internal/linewriter/linewriter_test.go
+++ b/internal/linewriter/linewriter_test.go
@@ -56,3 +56,36 @@
 	assert.NilError(t, w.Close())
 	assert.Equal(t, out.String(), "one\ntwo\nthree\n")
 }
+
+// TestCloseWithinEndsOnStalledReader guards against a process that does not end because nobody reads its log, and against a panic of
+// parts that still log while the process ends.
+func TestCloseWithinEndsOnStalledReader(t *testing.T) {
+	out := &blockedWriter{unblock: make(chan struct{})}
+	w := linewriter.New(out)
+	for range 3 {
+		_, _ = w.Write([]byte("a line\n"))
+	}
+	ended := make(chan error)
+	go func() { ended <- w.CloseWithin(20 * time.Millisecond) }()
+	select {
+	case err := <-ended:
+		assert.ErrorContains(t, err, "log output blocks")
+	case <-time.After(20 * time.Second):
+		t.Fatal("CloseWithin blocked on a stalled reader")
+	}
+	_, err := w.Write([]byte("a late line\n"))
+	assert.NilError(t, err)
+	close(out.unblock)
+	assert.NilError(t, w.Close())
+}
+
+// TestCloseWithinWritesQueuedLines guards against the loss of the last lines at an output that accepts them, when no time is left.
+func TestCloseWithinWritesQueuedLines(t *testing.T) {
+	var out bytes.Buffer
+	w := linewriter.New(&out)
+	for range 100 {
+		_, _ = w.Write([]byte("a line\n"))
+	}
+	assert.NilError(t, w.CloseWithin(-time.Second))
+	assert.Equal(t, bytes.Count(out.Bytes(), []byte("a line\n")), 100)
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -302,8 +302,7 @@
 // more callers, completes the requests in flight and closes the process, all within the grace period.
 func (p *Process) Shutdown() error {
 	event.ProcessStopping.Info(p.logger, zap.String("reason", "asked to stop"))
-	grace := time.Duration(p.settings.Grace*float64(time.Second)) - shutdownMargin
-	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	ctx, cancel := context.WithTimeout(context.Background(), p.Grace()-shutdownMargin)
 	defer cancel()
 	close(p.stopping)
 	if p.replicator != nil {
@@ -320,6 +319,11 @@
 	return errors.Join(append(errs, p.Close())...)
 }
 
+// Grace returns the time that the process has to stop.
+func (p *Process) Grace() time.Duration {
+	return time.Duration(p.settings.Grace * float64(time.Second))
+}
+
 func (p *Process) sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
