Trace the findings of the soak and report stalled processes with a state

The soak reported "has not stopped in time after SIGTERM" without saying whether the process still ran. It looks for the end every 5 ms until its limit and not once more after a stall that lasts beyond it, so that a process that has ended is reported as well.

The report now names the state of the process in the kernel, or says that it has ended since; the verdict is unchanged. SIGQUIT has a process write its goroutines to its log. All processes do so when jobs have not ended.

Race tests of soak pass.

--- a/soak/scenario/inject.go
+++ b/soak/scenario/inject.go
@@ -67,7 +67,7 @@
 	for _, m := range affected {
 		m.signal(signal)
 		if k == terminateProcess && !m.endsWithin(grace+stopMargin) {
-			s.fail(m.name + " has not stopped in time after SIGTERM")
+			s.fail(m.name + " has not stopped in time after SIGTERM; " + m.inspectStalled())
 		}
 		if k == emptyDataFolder {
 			m.kill()
--- a/soak/scenario/process.go
+++ b/soak/scenario/process.go
@@ -1,9 +1,11 @@
 package scenario
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"runtime"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -12,6 +14,9 @@
 // exitInterval is how often a process that is to end is looked at.
 const exitInterval = 5 * time.Millisecond
 
+// dumpTime is the time that a process has to write its goroutines after SIGQUIT.
+const dumpTime = time.Second
+
 // launcher starts processes from one thread, which lives as long as the launcher: the kernel kills the processes when that thread ends, so
 // that none outlives the soak however it ends.
 type launcher struct {
@@ -113,6 +118,23 @@
 	return false
 }
 
+// inspectStalled returns the state of a process that does not end, as the kernel has it, and writes its goroutines to its log. A zombie has
+// ended and was not waited for.
+func (p *process) inspectStalled() string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.cmd == nil {
+		return "it has ended since"
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	_, state, _ := strings.Cut(string(status), "\nState:")
+	state, _, _ = strings.Cut(state, "\n")
+	p.ending = true
+	_ = p.cmd.Process.Signal(syscall.SIGQUIT)
+	time.Sleep(dumpTime)
+	return fmt.Sprintf("state %s %v", strings.TrimSpace(state), err)
+}
+
 // kill kills the process and waits until it is gone.
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL)
--- a/soak/scenario/scenario.go
+++ b/soak/scenario/scenario.go
@@ -128,8 +128,14 @@
 			break
 		}
 	}
-	if ctx.Err() == nil {
-		s.checker.Finish(s.now())
+	if ctx.Err() != nil {
+		return
+	}
+	s.checker.Finish(s.now())
+	if _, _, _, _, unended := s.checker.Totals(); unended > 0 {
+		for _, m := range s.deployment.members {
+			s.printf("%s writes its goroutines to its log; %s", m.name, m.inspectStalled())
+		}
 	}
 }
 
