Wait for the jobs of a test before they are looked up

Cause: TestHeldJobsAreAnsweredOnce waited until half of its jobs were held, and then looked up the last one, which may not have been submitted by then: outcome 5, an unknown job. 9 of 100 runs failed with -race at a load of 32 to 39, and 8 of 100 on the code before.

Change: it also waits for the two jobs that it looks up. What it checks is the same.

--- a/internal/supervisor/pending_jobs_test.go
+++ b/internal/supervisor/pending_jobs_test.go
@@ -74,7 +74,10 @@
 	for n := range jobs {
 		go func() { responses <- submitNumber(t.Context(), s, n, time.Minute) }()
 	}
-	for end := time.Now().Add(30 * time.Second); s.term.Load().jobQueue.held() < jobs/2 && time.Now().Before(end); {
+	queue := s.term.Load().jobQueue
+	accepting := func(n int) bool { return queue.find(workload.JobID(fmt.Sprintf("%016x", n))) != nil }
+	ready := func() bool { return queue.held() >= jobs/2 && accepting(3) && accepting(jobs-1) } // the requests below concern these two
+	for end := time.Now().Add(30 * time.Second); !ready() && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
 	assert.Equal(t, submitNumber(t.Context(), s, 1, time.Millisecond).Outcome, forwarder.Uncertain)
