Answer 503 if the catalogue has changed while a call waited

Cause: a count that had waited for 0.7 s, over a time without a leader, was answered by a catalogue that came into force meanwhile, 0.2 s after a later count of the same entry had been answered by the earlier catalogue.

Change: counts and refusals because of a queue or a key say for how long the leader has answered by their catalogue. An entry answers 503 if that is less than a call took, and the call took more than 200 ms. Nothing was changed, so the caller may ask again.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -27,11 +27,13 @@
 	KindNotSent Kind = iota + 1
 	// KindUncertain is the kind of a call that may have been executed.
 	KindUncertain
+	// KindOutdated is the kind of a call that changed nothing, and whose answer is by a catalogue that came into force while it waited.
+	KindOutdated
 )
 
 // Error returns the description of the kind.
 func (k Kind) Error() string {
-	return [...]string{"none", "no leader was reached", "outcome is not known"}[k]
+	return [...]string{"none", "no leader was reached", "outcome is not known", "the catalogue has changed meanwhile"}[k]
 }
 
 // Error is a failed operation of this package.
@@ -117,6 +119,15 @@
 	// Revision is that of the data centre.
 	Revision   uint64      `cbor:"10,keyasint,omitempty"`
 	Inspection *Inspection `cbor:"11,keyasint,omitempty"`
+	// CatalogueAge is a lower bound of how long the leader's catalogue has been in force, if the response depends on it alone. Earlier
+	// versions of the program send none.
+	CatalogueAge time.Duration `cbor:"12,keyasint,omitempty"`
+}
+
+// outdated reports whether the catalogue that decided a response came into force while its request waited for longer than
+// maxCatalogueLag. Requests that were sent after it may have been answered by the earlier catalogue.
+func (r *Response) outdated(waited time.Duration) bool {
+	return r.CatalogueAge > 0 && waited > maxCatalogueLag && r.CatalogueAge < waited
 }
 
 // Inspection says when and under which leader the revision of a data centre was read, so that the leader can bound how long a change may be
@@ -150,7 +161,9 @@
 	// maxLeaderSilence is how long an entry relies on a leader without an answer: half of maxContactAge.
 	maxLeaderSilence = 1500 * time.Millisecond
 	probeTimeout     = 400 * time.Millisecond // a hundred round trips
-	maxContactAge    = 3 * time.Second        // an entry that has had no contact with a leader for longer is not ready for callers
+	// maxCatalogueLag is how far apart two requests may be sent that are answered by catalogues in the reverse order; callers allow 250 ms.
+	maxCatalogueLag = 200 * time.Millisecond
+	maxContactAge   = 3 * time.Second // an entry that has had no contact with a leader for longer is not ready for callers
 )
 
 // transport calls other processes; the messenger implements it.
@@ -221,7 +234,7 @@
 }
 
 func (f *Forwarder) callWithRetries(ctx context.Context, request Request) (Response, error) {
-	kind := KindNotSent
+	kind, calledAt := KindNotSent, time.Now()
 	keeper := f.Leader()
 	if keeper == "" {
 		keeper = f.nextKeeper("")
@@ -248,6 +261,9 @@
 			if kind == KindUncertain && request.mayStillRun(response.Outcome) {
 				return Response{}, fault.New("call", kind, "an earlier attempt had no answer, a later one gives outcome %d", response.Outcome)
 			}
+			if waited := time.Since(calledAt); response.outdated(waited) {
+				return Response{}, fault.New("call", KindOutdated, "the call took %s, the catalogue is in force for %s", waited, response.CatalogueAge)
+			}
 			return response, nil
 		case response.Leader == keeper:
 			f.clearLeader(keeper) // its lease has expired; it may lead on
--- a/internal/supervisor/requests.go
+++ b/internal/supervisor/requests.go
@@ -53,9 +53,19 @@
 	case forwarder.ExplainPlacement:
 		response = t.explainPlacement(ctx, request)
 	}
+	if dependsOnCatalogue(request.Operation, response.Outcome) {
+		response.CatalogueAge = t.catalogueAge()
+	}
 	return t.confirmLeadership(request.Operation, response)
 }
 
+// catalogueAge returns for how long this leader has answered by the catalogue in force.
+func (t *term) catalogueAge() time.Duration {
+	version := uint64(0)
+	t.options.Replica.View(func(s *state.State) { version = s.Workload.Catalogue.Version })
+	return t.catalogueClock.observe(monotonicNow(), version)
+}
+
 // confirmLeadership replaces a response that is valid only under the lease by NotLeading if the lease has expired meanwhile.
 func (t *term) confirmLeadership(o forwarder.Operation, response forwarder.Response) forwarder.Response {
 	if validWithoutLease(o, response.Outcome) || t.leads() {
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -67,6 +67,7 @@
 	planPacer          planPacer
 	pollPacer          pollPacer
 	admission          admission
+	catalogueClock     catalogueClock
 
 	// drained holds the data centres in which nothing may be started. The loop replaces the map; senders of orders read it.
 	drained atomic.Pointer[map[fleet.DataCentreID]bool]
@@ -172,6 +173,7 @@
 		t.ready.Store(s.Workload.Catalogue.Version > 0)
 		jobs, instances, forecastBytes = len(s.Workload.Jobs), len(s.Workload.Enrolled), len(s.Workload.Forecast)
 	})
+	t.catalogueAge() // begins to count
 	event.LeadershipAcquired.Info(t.options.Logger, zap.Uint64("term", t.number), zap.Int("jobs", jobs), zap.Int("instances", instances))
 	t.logForecastError(forecastBytes)
 	t.load.reset(time.Now())
