--- a/internal/chronicler/chronicler_test.go
+++ b/internal/chronicler/chronicler_test.go
@@ -206,6 +206,8 @@
 	files := fstest.MapFS{"log": {Data: []byte(lines)}}
 	assert.Assert(t, cmp.Contains(table(t, files, "/q/aa"), "The last call of the path /q/aa has no known outcome: the call failed at 2.0000"))
 	assert.Assert(t, cmp.Contains(table(t, files, "aa"), "The job aa was refused at 1.0000 by e: call: no leader was reached."))
+	files["log"].Data = []byte(`3 e {"subject":1,"path":"/q/bb","reason":"call: the catalogue has changed meanwhile: the call took 0.7s","event":440}`)
+	assert.Assert(t, cmp.Contains(table(t, files, "bb"), "The job bb was refused at 3.0000"))
 }
 
 // TestMixedClocks guards against an order between files that the times do not give.
--- a/internal/chronicler/verdict.go
+++ b/internal/chronicler/verdict.go
@@ -141,7 +141,7 @@
 		if s.kind() != kindPath && l.text("subject") != strconv.Itoa(int(forwarder.SubmitJob)) && v.decidedBy != nil {
 			return // a failed inspection says nothing about the submission
 		}
-		if !strings.Contains(l.text("reason"), forwarder.KindNotSent.Error()) {
+		if reason := l.text("reason"); !strings.Contains(reason, forwarder.KindNotSent.Error()) && !strings.Contains(reason, forwarder.KindOutdated.Error()) {
 			state = Unknown
 		}
 	}
