Review: bring cases 2 and 3 inside the limits of the site, quote the limits

Case 3 had a wave of 20 machines of 24 in 60 s; the site has a share of 0.48 in 26 s. It has 23 of 48 machines, 26 s and maxCount 2 now, and the largest subtasks of the sheet. The jobs of case 2 were wider than the site's.

--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -143,10 +143,10 @@
 	if err := t.warmUp(r); err != nil {
 		return err
 	}
-	// 31 large jobs, 600 subtasks on each worker of 64 cores. The runs of a job end over 2.4 s.
-	const jobs, width = 31, 120
+	// 155 jobs as wide as the site's small ones at most, 620 subtasks on each worker of 64 cores. The runs of a job end over 2.4 s.
+	const jobs, width = 155, 24
 	before := t.countEvents(isStart)
-	if _, err := t.submitMany(r, jobs, jobBody(work{MS: 10000, StepMS: 20}, step{"count": width, "cpu": 100, "memMb": 64, "estRuntimeMs": 11000})); err != nil {
+	if _, err := t.submitMany(r, jobs, jobBody(work{MS: 10000, StepMS: 100}, step{"count": width, "cpu": 100, "memMb": 64, "estRuntimeMs": 11000})); err != nil {
 		return err
 	}
 	if err := t.await(8*time.Second, "all subtasks start", func() bool { return t.countEvents(isStart)-before >= jobs*width }); err != nil {
@@ -344,8 +344,9 @@
 
 // waveCase: the leading keeper is killed after an order for the upkeep of a machine that got no answer and is carried out late.
 func waveCase(t *trial) error {
-	const machines = 20
-	r, err := t.setUp(machines + 4)
+	// 23 of 48 machines are the share of 0.48 of the site.
+	const all, machines, maxCount = 48, 23, 2
+	r, err := t.setUp(all)
 	if err != nil {
 		return err
 	}
@@ -357,31 +358,31 @@
 	for _, w := range t.workers[:machines] {
 		names = append(names, w.machine)
 	}
-	t.provider.maxCount = 1
+	t.provider.maxCount = maxCount
 	if t.trouble {
-		t.provider.unanswered, t.provider.lateness = 4, 9*time.Second // one of 20 orders, carried out 2 to 12 s later
+		t.provider.unanswered, t.provider.lateness = 4, 9*time.Second // one of 23 orders, carried out 2 to 12 s later
 	}
 	t.mutex.Unlock()
-	// A busy pool: jobs of one subtask that takes nearly a whole worker for 8 s, some more than the workers can do.
+	// A busy pool: jobs of 8 subtasks as large and long as the site's largest, some more than the workers can do.
 	stop := make(chan bool)
 	defer close(stop)
 	go func() {
 		for i := 0; ; i++ {
 			id := fmt.Sprintf("%016x", 0x5c0e7a2100000000+i)
-			go (&requester{fleet: t.fleet, queue: queueA, key: tenantA.key, next: i}).call(http.MethodPost, id, jobBody(work{MS: 8000}, step{"count": 1, "cpu": 60000, "memMb": 1024, "estRuntimeMs": 8000}))
+			go (&requester{fleet: t.fleet, queue: queueA, key: tenantA.key, next: i}).call(http.MethodPost, id, jobBody(work{MS: 5200}, step{"count": 8, "cpu": 23000, "memMb": 11000, "estRuntimeMs": 5200}))
 			select {
 			case <-stop:
 				return
-			case <-time.After(300 * time.Millisecond):
+			case <-time.After(400 * time.Millisecond):
 			}
 		}
 	}()
 	time.Sleep(10 * time.Second)
-	body, _ := json.Marshal(map[string]any{"wave": 1, "machines": names, "durationS": 60, "maxCount": 1})
+	body, _ := json.Marshal(map[string]any{"wave": 1, "machines": names, "durationS": 26, "maxCount": maxCount})
 	accepted := false
 	for range 5 {
 		_, status, err := t.post(t.cluster.controls()[1], "/-/wave-start", body)
-		t.record.say("operator: wave-start of %d machines, maxCount 1: %d %v", machines, status, err)
+		t.record.say("operator: wave-start of %d machines of %d, maxCount %d, 26 s: %d %v", machines, all, maxCount, status, err)
 		if accepted = status == http.StatusOK; accepted {
 			break
 		}
--- a/review/harness/provider.go
+++ b/review/harness/provider.go
@@ -157,7 +157,7 @@
 
 // breakLimit records that an upkeep begins while as many machines as allowed are down.
 func (r *record) breakLimit(machine, holder string, fence uint64, down, maxCount, runs int) {
-	r.breaks("LIMIT: the upkeep of %s, ordered by %s with fence %d, begins at %.3f s while %d machine of its wave is down for its own; maxCount is %d; %d subtasks on it end",
+	r.breaks("LIMIT: the upkeep of %s, ordered by %s with fence %d, begins at %.3f s while %d machines of its wave are down for theirs; maxCount is %d; %d subtasks on it end",
 		machine, holder, fence, r.now().Seconds(), down, maxCount, runs)
 }
 
