Await the ends that a full report of an instance leaves out

Cause: an instance returns 500 unacknowledged ends at a time. dropUnlistedRuns took a run that was neither listed as running nor among these ends for lost and started its task again. The first report to a new leader, deregistrations, moves and maintenance relied on the same conclusion.

Change: a report says whether it is full (MoreEnds). Until one is not, runs that it does not list are kept, an instance is unknown to a new leader, and it is neither deregistered, moved nor maintained. A full page proves nothing about what it omits, so no start can rely on it; the next page arrives once the ends of this one are committed.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -320,6 +320,9 @@
 // start of its runs, as nothing is known of a crash in silence but that it came within seconds.
 func (s *Scheduler) settleRuns(in *instance) {
 	for _, r := range in.runs {
+		if r.status == statusEnded {
+			continue
+		}
 		if r.suspicion == suspectedInGroup && r.settled(in) {
 			in.endProbation(r)
 		}
--- a/internal/scheduler/fleet_test.go
+++ b/internal/scheduler/fleet_test.go
@@ -25,8 +25,10 @@
 	runs           map[fleet.InstanceID]map[workload.TaskID]workload.Run
 	unackedEnds    map[fleet.InstanceID][]scheduler.ReportedEnd
 	lastEndNumbers map[fleet.InstanceID]uint64
-	startOrders    []scheduler.Order
-	machineOrders  []scheduler.MachineOrder
+	// endsPerReport, if set, is the most ends that a status report has.
+	endsPerReport int
+	startOrders   []scheduler.Order
+	machineOrders []scheduler.MachineOrder
 	// fleetShares is handed to the scheduler.
 	fleetShares bool
 	// reportedPercent is the progress of every run in status reports.
@@ -210,11 +212,14 @@
 			f.failPoll(id, scheduler.Uncertain)
 			continue
 		}
+		f.unackedEnds[id] = slices.DeleteFunc(f.unackedEnds[id], func(e scheduler.ReportedEnd) bool { return e.Number <= request.AckedEnd })
 		report := scheduler.StatusReport{Clock: time.Minute + f.now, Ended: slices.Clone(f.unackedEnds[id])}
+		if f.endsPerReport > 0 {
+			report.Ended, report.MoreEnds = firstEnds(f.unackedEnds[id], f.endsPerReport)
+		}
 		for task, run := range runs {
 			report.Running = append(report.Running, scheduler.ReportedRun{Task: task, Run: run, Percent: f.progressOf(task), TailMillis: f.tailMillis[task]})
 		}
-		f.unackedEnds[id] = slices.DeleteFunc(f.unackedEnds[id], func(e scheduler.ReportedEnd) bool { return e.Number <= request.AckedEnd })
 		f.scheduler.HandleReport(f.now, id, f.now-time.Millisecond, report)
 	}
 }
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -93,6 +93,8 @@
 	uncordoning bool
 	// hasOrphans is set while the instance lists runs whose claim is unknown.
 	hasOrphans bool
+	// moreEnds is set while the instance has ends that it has not reported.
+	moreEnds bool
 	// suspectRuns and loneSuspectRuns are the numbers of runs on probation, and of those that must not share an instance.
 	suspectRuns, loneSuspectRuns int
 	// streakRuns are the numbers of runs whose tasks have a streak of each level.
@@ -260,10 +262,10 @@
 	return in.enrolled && !in.bootUncommitted && in.polled && !in.Draining && !in.departed && !in.evacuating && !in.consolidating && !in.reclaimed && !in.cordoned && !in.hasOrphans && in.failedPolls < unschedulableFailedPolls && s.now >= in.backoffUntil && !s.drained(in.DataCentre)
 }
 
-// endsCommitted reports whether all ends that the instance has reported are committed. Until then the instance holds the only
+// endsCommitted reports whether all ends of the instance are reported and committed. Until then the instance holds the only
 // record of them that a later leader can read.
 func (s *Scheduler) endsCommitted(in *instance) bool {
-	return !slices.ContainsFunc(in.pendingEnds, func(e pendingEnd) bool { return e.batch > s.committedBatch })
+	return !in.moreEnds && !slices.ContainsFunc(in.pendingEnds, func(e pendingEnd) bool { return e.batch > s.committedBatch })
 }
 
 // expireInstances drops the runs of unreachable instances whose leases have expired, and removes instances that are gone.
--- a/internal/scheduler/oracle_polls_test.go
+++ b/internal/scheduler/oracle_polls_test.go
@@ -22,6 +22,8 @@
 	maxPollHold     = 7
 	// maxAnnouncementDelay is long enough for an instance to be deregistered and the leader to be replaced in between.
 	maxAnnouncementDelay = 100
+	// endsPerReport is the most ends of a report, so few that instances often have more of them.
+	endsPerReport = 1
 	// maxCrossingTime is the longest time after which an order for one boot reaches the next.
 	maxCrossingTime = 5 * time.Second
 )
@@ -151,20 +153,26 @@
 func (s *simulation) carryOutPoll(in *target, request scheduler.PollRequest) {
 	in.highestFence = request.Fence
 	if request.Deadline > 0 {
-		in.leaseDeadline = max(in.leaseDeadline, min(request.Deadline, in.clock(s.now)+maxLeaseDuration))
+		s.extendLease(in, request.Deadline)
 	}
 	s.acknowledgeEnds(in, request.AckedEnd)
 }
 
 // makeReport returns the report of an instance. Its clock has the precision of the platform, so that reports may have the same.
 func (s *simulation) makeReport(in *target) scheduler.StatusReport {
-	report := scheduler.StatusReport{Boot: in.Boot, Clock: in.clock(s.now).Truncate(time.Millisecond), Ended: slices.Clone(in.unackedEnds)}
+	report := scheduler.StatusReport{Boot: in.Boot, Clock: in.clock(s.now).Truncate(time.Millisecond)}
+	report.Ended, report.MoreEnds = firstEnds(in.unackedEnds, endsPerReport)
 	for _, task := range sortedTasks(in.runs) {
 		report.Running = append(report.Running, scheduler.ReportedRun{Task: task, Run: in.runs[task], Percent: int(s.now/tickInterval) % 90})
 	}
 	return report
 }
 
+// firstEnds returns the ends that a report of at most perReport has, and whether it is full.
+func firstEnds(unacked []scheduler.ReportedEnd, perReport int) (listed []scheduler.ReportedEnd, full bool) {
+	return slices.Clone(unacked[:min(perReport, len(unacked))]), len(unacked) >= perReport
+}
+
 func (s *simulation) handlePollResponse(p *pollInFlight) {
 	switch {
 	case p.report != nil && !p.boot.unreachable:
--- a/internal/scheduler/oracle_target_test.go
+++ b/internal/scheduler/oracle_target_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"fmt"
 	"time"
 
 	"pgregory.net/rapid"
@@ -81,7 +82,7 @@
 		return scheduler.Rejected
 	}
 	s.checkStart(in, d)
-	in.leaseDeadline = max(in.leaseDeadline, min(o.Deadline, in.clock(s.now)+maxLeaseDuration))
+	s.extendLease(in, o.Deadline)
 	in.runs[o.Task] = o.Run
 	if deadly := s.deadlyTasks[o.Task]; deadly != nil {
 		deadly.starts++
@@ -109,6 +110,11 @@
 	if deadly := s.deadlyTasks[o.Task]; deadly != nil && deadly.starts >= maxStartsOfDeadlyTask+deadly.lostLeaders {
 		s.t.Fatalf("%s starts after %d crashes with %d leaders lost", o.Task, deadly.starts, deadly.lostLeaders)
 	}
+	for _, other := range s.sortedInstances() {
+		if done := other.doneTasks[o.Task]; done != nil && !s.lapsedSince(other, done) {
+			done.restart = fmt.Sprintf("run %d on %s", o.Run, in.ID)
+		}
+	}
 	instanceUsage := step.Resources
 	customerUsage := step.Resources
 	for _, other := range s.sortedInstances() {
@@ -135,6 +141,26 @@
 	}
 }
 
+// doneTask is a task whose end as done is not acknowledged. Its end is void if the lease of the instance lapses first.
+type doneTask struct {
+	leaseLapses int
+	// restart describes a run of the task that was started after the end, empty if there is none.
+	restart string
+}
+
+// extendLease extends the lease of an instance to a deadline on its clock.
+func (s *simulation) extendLease(in *target, deadline time.Duration) {
+	if in.clock(s.now) > in.leaseDeadline {
+		in.leaseLapses++
+	}
+	in.leaseDeadline = max(in.leaseDeadline, min(deadline, in.clock(s.now)+maxLeaseDuration))
+}
+
+// lapsedSince reports whether the lease of an instance has lapsed since a task was done there.
+func (s *simulation) lapsedSince(in *target, done *doneTask) bool {
+	return in.leaseLapses != done.leaseLapses || in.clock(s.now) > in.leaseDeadline
+}
+
 func (in *target) endRun(task workload.TaskID, ending workload.Ending) {
 	run, running := in.runs[task]
 	if !running {
@@ -144,6 +170,9 @@
 	in.rejectedUpTo[task] = max(in.rejectedUpTo[task], run)
 	in.lastEndNumber++
 	in.unackedEnds = append(in.unackedEnds, scheduler.ReportedEnd{Number: in.lastEndNumber, Task: task, Run: run, Ending: ending})
+	if ending == workload.EndedDone {
+		in.doneTasks[task] = &doneTask{leaseLapses: in.leaseLapses}
+	}
 }
 
 // endDrawnRun ends a drawn run of the instance. The end of one member of a gang ends its whole gang.
@@ -206,6 +235,10 @@
 		switch e.Ending {
 		case workload.EndedDone:
 			s.ackedDone[e.Task] = true
+			if done := in.doneTasks[e.Task]; done != nil && done.restart != "" && !s.lapsedSince(in, done) {
+				s.t.Fatalf("%s started as %s after run %d had ended as done, and that end is acknowledged", e.Task, done.restart, e.Run)
+			}
+			delete(in.doneTasks, e.Task)
 		case workload.EndedFailed:
 			s.ackedFailures[e.Task]++
 		}
--- a/internal/scheduler/oracle_test.go
+++ b/internal/scheduler/oracle_test.go
@@ -87,13 +87,17 @@
 	startedAt     time.Duration
 	highestFence  uint64
 	leaseDeadline time.Duration
-	runs          map[workload.TaskID]workload.Run
+	// leaseLapses counts how often the lease was extended after it had lapsed.
+	leaseLapses int
+	runs        map[workload.TaskID]workload.Run
 	// rejectedUpTo is the highest run number of each task whose start is rejected, after a stop or an end.
 	rejectedUpTo  map[workload.TaskID]workload.Run
 	unackedEnds   []scheduler.ReportedEnd
 	lastEndNumber uint64
-	unreachable   bool
-	crashed       bool
+	// doneTasks are the tasks whose end as done is not acknowledged.
+	doneTasks   map[workload.TaskID]*doneTask
+	unreachable bool
+	crashed     bool
 	// shrunkAt is when the capacity fell last.
 	shrunkAt time.Duration
 }
@@ -164,7 +168,7 @@
 			Capacity: workload.Resources{Processors: 4000, Memory: 4000}, Sequence: 1,
 		},
 		clockRate: 0.98 + 0.02*rapid.Float64Range(0, 1).Draw(s.t, "rate"), startedAt: s.now,
-		runs: map[workload.TaskID]workload.Run{}, rejectedUpTo: map[workload.TaskID]workload.Run{},
+		runs: map[workload.TaskID]workload.Run{}, rejectedUpTo: map[workload.TaskID]workload.Run{}, doneTasks: map[workload.TaskID]*doneTask{},
 	}
 	s.instances[in.ID] = in
 	return in
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -36,7 +36,10 @@
 	// ReceivedAt is when the response arrived; zero stands for the time at which the report is processed.
 	ReceivedAt time.Duration `cbor:"-"`
 	Running    []ReportedRun `cbor:"3,keyasint,omitempty"`
-	Ended      []ReportedEnd `cbor:"4,keyasint,omitempty"`
+	// Ended holds the first ends that are not acknowledged.
+	Ended []ReportedEnd `cbor:"4,keyasint,omitempty"`
+	// MoreEnds is set if Ended has as many ends as a response may have, so that there may be more.
+	MoreEnds bool `cbor:"5,keyasint,omitempty"`
 }
 
 // ReportedRun is a run in a status report.
@@ -155,8 +158,9 @@
 	in.reportedAt = report.Clock
 	in.clock = report.Clock
 	in.failedPolls, in.failingSince = 0, 0
-	firstReport := !in.polled
-	in.polled = true
+	in.moreEnds = report.MoreEnds
+	firstReport := !in.polled && !in.moreEnds
+	in.polled = in.polled || firstReport
 	in.expiredRuns, in.markedPending = nil, false
 	s.handleEnds(in, report.Ended)
 	s.handleRuns(in, report.Running)
@@ -362,7 +366,8 @@
 }
 
 // dropUnlistedRuns removes runs that the instance no longer lists. Only reports of polls that were sent after the outcome of
-// the start or stop was known, or after the run was first listed, show that a run is gone.
+// the start or stop was known, or after the run was first listed, show that a run is gone. If the instance has more ends than the report,
+// theirs may be among them: they are kept until a report shows how they ended.
 func (s *Scheduler) dropUnlistedRuns(in *instance, report StatusReport, sentAt time.Duration) {
 	listed := make(map[runKey]bool, len(report.Running))
 	for _, reported := range report.Running {
@@ -376,8 +381,13 @@
 			s.sendStop(in, r) // prevents the start, which may still be executed
 			continue
 		}
-		ended := r.status == statusRunning && r.startOutcomeAt < sentAt || r.stopAckedAt > 0 && r.stopAckedAt < sentAt
-		if ended {
+		known := r.status == statusRunning || r.status == statusEnded
+		ended := known && r.startOutcomeAt < sentAt || r.stopAckedAt > 0 && r.stopAckedAt < sentAt
+		switch {
+		case !ended:
+		case report.MoreEnds:
+			r.status = statusEnded
+		default:
 			s.logRunDecision("run lost", r, in, "not listed"+s.describeAge(in, r))
 			s.detachRun(in, r)
 		}
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -20,6 +20,8 @@
 	statusOrdered runStatus = iota + 1
 	statusRunning
 	statusUncertain
+	// statusEnded is that of a run which has ended in a way that the instance has not reported yet.
+	statusEnded
 )
 
 // run is one attempt to run a task on an instance.
--- a/internal/scheduler/waiting.go
+++ b/internal/scheduler/waiting.go
@@ -205,7 +205,7 @@
 // describeRun describes the run that a task is believed to have.
 func (s *Scheduler) describeRun(t *task) string {
 	r, in := t.run, t.instance
-	state := [...]string{"none", "ordered", "running", "uncertain"}[r.status]
+	state := [...]string{"none", "ordered", "running", "uncertain", "ended"}[r.status]
 	if r.stopping {
 		state += ", stopping"
 	}
--- a/soak/standin/wire.go
+++ b/soak/standin/wire.go
@@ -38,6 +38,9 @@
 	endedLapsed    = "lapsed"
 )
 
+// maxReportedEnds is the most ends of one report.
+const maxReportedEnds = 500
+
 type object = map[string]any
 
 // order is an order to an instance, or a poll.
@@ -136,7 +139,7 @@
 	for _, r := range in.runs {
 		running = append(running, []any{r.Task, r.Number, "", r.percent(now)})
 	}
-	for _, e := range in.ends {
+	for _, e := range in.ends[:min(len(in.ends), maxReportedEnds)] {
 		ended = append(ended, []any{e.number, e.Task, e.Number, e.how, ""})
 	}
 	return encode(object{"clockMs": in.clock().Milliseconds(), "born": in.bootedAt.UnixMilli(), "running": running, "ended": ended})
