Decode text of any bytes, so that one name cannot make a batch or record unreadable

Cause: the CBOR encoder writes any bytes as text, and the decoder refused text that is not UTF-8.

Change: the decoder accepts what the encoder writes.

--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -26,9 +26,9 @@
 // New returns a codec for the registered types. Map keys are sorted, so that equal values have equal encodings.
 func New(registrations ...Registration) (*Codec, error) {
 	tags := cbor.NewTagSet()
-	options := cbor.TagOptions{EncTag: cbor.EncTagRequired, DecTag: cbor.DecTagRequired}
+	tagOptions := cbor.TagOptions{EncTag: cbor.EncTagRequired, DecTag: cbor.DecTagRequired}
 	for _, r := range registrations {
-		if err := tags.Add(options, reflect.TypeOf(r.Sample), r.Tag); err != nil {
+		if err := tags.Add(tagOptions, reflect.TypeOf(r.Sample), r.Tag); err != nil {
 			return nil, fmt.Errorf("register CBOR tag %d: %w", r.Tag, err)
 		}
 	}
@@ -36,7 +36,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("create CBOR encoder: %w", err)
 	}
-	decoder, err := cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: maxElements}.DecModeWithTags(tags)
+	// Text that is not UTF-8 would otherwise make a whole batch, record or snapshot unreadable for one name in it.
+	options := cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: maxElements, UTF8: cbor.UTF8DecodeInvalid}
+	decoder, err := options.DecModeWithTags(tags)
 	if err != nil {
 		return nil, fmt.Errorf("create CBOR decoder: %w", err)
 	}
