--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -107,6 +107,7 @@
 	WaveAdvanced           = define(451, "wave advanced", "wave", "begun", "machines", "down", "evacuating", "left")
 	WaveObstructed         = define(452, "wave obstructed", "wave", "reason", "count", "machines", "left")
 	AnnouncementsDelayed   = define(453, "announcements delayed", "announcements", "reason")
+	AnnouncementRefused    = define(454, "announcement refused", "from", "count", "reason")
 	CallFailed             = define(440, "call failed", "subject", "host", "path", "reason", "took")
 	SettingsReloaded       = define(441, "settings reloaded", "seeds")
 	LinesDropped           = define(442, "log lines dropped", "count")
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -18,6 +18,10 @@
 // Run is the number of one run of a task; a later run has a higher number.
 type Run uint64
 
+// MaxAmount is the largest amount of a resource of an instance or a task: four million processors, four PiB. Sums over all instances and tasks
+// stay far below the range of an int64.
+const MaxAmount = 1 << 32
+
 // Resources is an amount of each resource of an instance.
 type Resources struct {
 	// Processors is in thousandths of a processor.
@@ -139,6 +143,8 @@
 	maxSpecBytes = 4000   // the platform's limit on the spec of a job
 	maxSteps     = 256    // far above the five that the deployments send
 	maxTasks     = 100000 // bounds the memory that one job can use
+	// maxDueMillis is in the year 287396. The due times of all occurrences stay within an int64.
+	maxDueMillis = 1 << 53
 )
 
 // Validate returns the first error in the job.
@@ -152,6 +158,9 @@
 	if j.Repetitions < 0 || j.Interval < 0 || j.Repetitions > 1 && j.Interval == 0 {
 		return fmt.Errorf("times: %d every %s", j.Repetitions, j.Interval)
 	}
+	if j.FirstDueMillis > maxDueMillis || j.FirstDueMillis < -maxDueMillis {
+		return fmt.Errorf("first due time: %d ms, want at most %d", j.FirstDueMillis, int64(maxDueMillis))
+	}
 	total := 0
 	for i, s := range j.Steps {
 		if err := s.validate(i); err != nil {
@@ -172,6 +181,9 @@
 	if s.Resources.Processors < 0 || s.Resources.Memory < 0 || s.Resources.Accelerators < 0 || s.MaxPerInstance < 0 || s.MaxUnavailable < 0 {
 		return fmt.Errorf("a size is negative")
 	}
+	if max(s.Resources.Processors, s.Resources.Memory, s.Resources.Accelerators) > MaxAmount {
+		return fmt.Errorf("resources: %s, want at most %d of each", s.Resources, int64(MaxAmount))
+	}
 	for _, a := range s.After {
 		if a < 0 || a >= position {
 			return fmt.Errorf("after: %d is no earlier step", a)
