Read the list of machines again soon after a failed read

Callers would see: after a change of leader, tasks beyond what their pool has do not start for up to 15 s although machines are on standby.

Cause: the next regular read is due 15 s after the last one began, whether it succeeded or not, and a new leader knows of no machine on standby before the first.

Change: a failed read is repeated after 2 s.

--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -53,6 +53,9 @@
 // leader applies its own moves to the table between reads.
 const machineListInterval = 15 * time.Second
 
+// machineListRetryInterval is the interval after a read that failed. Until the first has succeeded, a leader knows of no machines on standby.
+const machineListRetryInterval = 2 * time.Second
+
 // machine is the state of one machine.
 type machine struct {
 	Machine
@@ -77,6 +80,12 @@
 	return true
 }
 
+// HandleMachineListFailure has the platform's list of machines read again soon.
+func (s *Scheduler) HandleMachineListFailure(now time.Duration) {
+	s.now = now
+	s.machinesListedAt = min(s.machinesListedAt, now+machineListRetryInterval-machineListInterval)
+}
+
 // SetMachines applies the platform's list of machines as it is now.
 func (s *Scheduler) SetMachines(list []Machine) { s.applyMachineList(s.now, list) }
 
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -233,6 +233,7 @@
 	list, err := t.options.Machines.ListMachines(ctx)
 	if err != nil {
 		event.MachineListFailed.Warn(t.options.Logger, zap.NamedError("error", err))
+		t.post(func() { t.scheduler.HandleMachineListFailure(monotonicNow()) })
 		return
 	}
 	t.post(func() { t.scheduler.HandleMachineList(monotonicNow(), requestedAt, list) })
