Let a new leader wait for what is left of a delay after crashes

Cause: inheritStreak began the delay after crashes anew under each leader, also if it was over or the task had run since. In the traced play 20 s from 78.4 s on became 20 s from 99.5 s on when the final fault changed the leader.

Change: the end of the delay is committed with the streak, and a new leader waits for what is left of it, never longer than the delay itself since its clock may differ. Records of earlier versions have none and are treated as before.

--- a/internal/scheduler/crash_streak.go
+++ b/internal/scheduler/crash_streak.go
@@ -22,7 +22,12 @@
 	j.task(p).streak = k
 	h := s.crashesOf(j.pool)
 	h.inheritRate(record.Rate, record.Exposure)
-	k.heldUntil = s.now + k.delay(h)
+	delay := k.delay(h)
+	if record.HeldUntil > 0 && !k.assumed { // the clock of this leader may differ
+		left := time.Duration(int64(record.HeldUntil)-s.wallMillis) * time.Millisecond
+		delay = min(delay, max(0, left))
+	}
+	k.heldUntil = s.now + delay
 }
 
 // streakSuspect is a run on an instance that crashed.
@@ -102,6 +107,9 @@
 func (s *Scheduler) judge(h *crashHistory, in *instance, c streakSuspect) {
 	k := c.task.streak
 	k.record.Rate, k.record.Exposure = h.rateWithout(k), h.observed()
+	delay := k.delay(h)
+	k.heldUntil = s.now + delay
+	k.record.HeldUntil = state.Timestamp(s.wallMillis + delay.Milliseconds())
 	s.commitCrashes(c.job, c.id.Position, c.task.crashes)
 	d := Decision{What: "task set apart", Task: c.id, Run: c.run, Instance: in.ID, Machine: in.Machine, Reason: k.describe(h)}
 	if k.proves(h) {
@@ -109,8 +117,7 @@
 		s.giveUp(c.job, d)
 		return
 	}
-	if delay := k.delay(h); delay > 0 {
-		k.heldUntil = s.now + delay
+	if delay > 0 {
 		d.Reason += fmt.Sprintf("; starts again after %s", delay)
 		s.decisions = append(s.decisions, d)
 	}
--- a/internal/state/jobs.go
+++ b/internal/state/jobs.go
@@ -55,6 +55,8 @@
 	Exposure time.Duration `cbor:"4,keyasint,omitempty"`
 	// Pending is the crash that a later leader counts if it does not find the run: the instance of the run does not answer.
 	Pending *StreakCrash `cbor:"3,keyasint,omitempty"`
+	// HeldUntil is when the task may start again after the last of the crashes; zero in records of earlier versions.
+	HeldUntil Timestamp `cbor:"5,keyasint,omitempty"`
 }
 
 // StreakCrash is one crash of a streak.
