--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -320,7 +320,7 @@
 // start of its runs, as nothing is known of a crash in silence but that it came within seconds.
 func (s *Scheduler) settleRuns(in *instance) {
 	for _, r := range in.runs {
-		if r.status == statusEnded {
+		if r.status == statusEnded { // it may have ended at any time since it was listed last
 			continue
 		}
 		if r.suspicion == suspectedInGroup && r.settled(in) {
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -93,7 +93,7 @@
 	uncordoning bool
 	// hasOrphans is set while the instance lists runs whose claim is unknown.
 	hasOrphans bool
-	// moreEnds is set while the instance has ends that it has not reported.
+	// moreEnds is set while the instance may have ends that it has not reported.
 	moreEnds bool
 	// suspectRuns and loneSuspectRuns are the numbers of runs on probation, and of those that must not share an instance.
 	suspectRuns, loneSuspectRuns int
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -143,7 +143,7 @@
 	maxSpecBytes = 4000   // the platform's limit on the spec of a job
 	maxSteps     = 256    // far above the five that the deployments send
 	maxTasks     = 100000 // bounds the memory that one job can use
-	// maxDueMillis is in the year 287396. The due times of all occurrences stay within an int64.
+	// maxDueMillis is in Unix time. With it the due times of all occurrences stay within an int64.
 	maxDueMillis = 1 << 53
 )
 
