--- a/internal/scheduler/oracle_test.go
+++ b/internal/scheduler/oracle_test.go
@@ -50,58 +50,6 @@
 	reorderings    *reorderings
 }
 
-// deadlyTask counts the starts of a task, and the leaders that were lost since it was submitted.
-type deadlyTask struct{ starts, lostLeaders int }
-
-// reboot is the return of a crashed instance with a new boot at the same address, under its ID if id is set. A silent one does not announce
-// itself at once.
-type reboot struct {
-	at      time.Duration
-	address string
-	id      fleet.InstanceID
-	silent  bool
-}
-
-// endBatch is a batch of ends that is not committed yet.
-type endBatch struct {
-	number  uint64
-	command state.RecordRunEnds
-}
-
-// delivery is an order in flight. outcomeKnown is set if its outcome reaches the scheduler that issued it, which is answerDelay after its
-// execution.
-type delivery struct {
-	order        scheduler.Order
-	sentAt       time.Duration
-	dueAt        time.Duration
-	outcomeKnown bool
-	answerDelay  time.Duration
-	issuerFence  uint64
-}
-
-// target simulates the server on an instance.
-type target struct {
-	workload.Instance
-	// clockRate is the rate of the instance's clock relative to simulation.now.
-	clockRate     float64
-	startedAt     time.Duration
-	highestFence  uint64
-	leaseDeadline time.Duration
-	// leaseLapses counts how often the lease was extended after it had lapsed.
-	leaseLapses int
-	runs        map[workload.TaskID]workload.Run
-	// rejectedUpTo is the highest run number of each task whose start is rejected, after a stop or an end.
-	rejectedUpTo  map[workload.TaskID]workload.Run
-	unackedEnds   []scheduler.ReportedEnd
-	lastEndNumber uint64
-	// doneTasks are the tasks whose end as done is not acknowledged.
-	doneTasks   map[workload.TaskID]*doneTask
-	unreachable bool
-	crashed     bool
-	// shrunkAt is when the capacity fell last.
-	shrunkAt time.Duration
-}
-
 const (
 	maxLeaseDuration = 6 * time.Second
 	tickInterval     = 100 * time.Millisecond
