Pass the request of a newcomer on to the leader

Cause: a keeper with an empty disk asks to be taken in at its three seeds, and members that do not lead ignored the request.

Change: a member that does not lead passes the request on to the leader that it knows, once. The leader replicates to the newcomer, which then knows all members.

--- a/internal/replicator/commit_bench_test.go
+++ b/internal/replicator/commit_bench_test.go
@@ -24,24 +24,9 @@
 // startGroup starts keepers and learners on the loopback interface and returns them with their shared metrics registry.
 func startGroup(tb testing.TB, keepers, learners int) ([]*replicator.Replicator, metrics.Registry) {
 	registry := metrics.NewRegistry()
-	key := identity.RandomHex(identity.MinKeyBytes)
-	var names []fleet.EntryID
-	for i := range keepers + learners {
-		names = append(names, fleet.EntryID(fmt.Sprintf("e%02d", i)))
-	}
-	var messengers []*messenger.Messenger
-	for _, n := range names {
-		id, err := identity.New(string(n), key)
-		assert.NilError(tb, err)
-		m, err := messenger.New(id, "127.0.0.1:0", registry)
-		assert.NilError(tb, err)
-		messengers = append(messengers, m)
-	}
+	names, messengers := startMessengers(tb, keepers+learners, registry)
 	var replicators []*replicator.Replicator
 	for i, m := range messengers {
-		for k, other := range messengers {
-			m.SetPeer(names[k], other.Address())
-		}
 		o := replicator.Options{Entry: names[i], Messenger: m, Keepers: names[:keepers], Peers: names, Logger: zap.NewNop()}
 		if i < keepers {
 			j, err := journaler.Open(tb.TempDir())
@@ -57,13 +42,30 @@
 		for i := range replicators {
 			_ = replicators[i].Close()
 		}
-		for i := range messengers {
-			_ = messengers[i].Close()
-		}
 	})
 	return replicators, registry
 }
 
+// startMessengers starts messengers on the loopback interface that know each other's addresses.
+func startMessengers(tb testing.TB, n int, registry metrics.Registry) (names []fleet.EntryID, messengers []*messenger.Messenger) {
+	key := identity.RandomHex(identity.MinKeyBytes)
+	for i := range n {
+		names = append(names, fleet.EntryID(fmt.Sprintf("e%02d", i)))
+		id, err := identity.New(string(names[i]), key)
+		assert.NilError(tb, err)
+		m, err := messenger.New(id, "127.0.0.1:0", registry)
+		assert.NilError(tb, err)
+		tb.Cleanup(func() { _ = m.Close() })
+		messengers = append(messengers, m)
+	}
+	for _, m := range messengers {
+		for k, other := range messengers {
+			m.SetPeer(names[k], other.Address())
+		}
+	}
+	return names, messengers
+}
+
 func waitForLeader(replicators []*replicator.Replicator) *replicator.Replicator {
 	for {
 		for _, r := range replicators {
--- a/internal/replicator/loop.go
+++ b/internal/replicator/loop.go
@@ -121,6 +121,9 @@
 
 func (r *Replicator) step(m raft.Message) {
 	if m.Kind == raft.Join {
+		if r.passOnJoin(m) {
+			return
+		}
 		m.To = r.id
 	}
 	if err := r.raft.Step(r.clock(), m); err != nil {
@@ -128,6 +131,18 @@
 	}
 }
 
+// passOnJoin passes the request of a newcomer on to the leader, and reports whether it did: the members that a newcomer is told of need not
+// lead. A request that was passed on names its receiver and is not passed on again.
+func (r *Replicator) passOnJoin(m raft.Message) bool {
+	leader := r.raft.Leader()
+	if r.raft.Role() == raft.Leader || leader == "" || m.To != "" {
+		return false
+	}
+	m.To = leader
+	r.options.Messenger.Send(EntryOf(leader), topicRaft, m)
+	return true
+}
+
 func (r *Replicator) propose(proposals []*proposal) {
 	if len(proposals) == 0 {
 		return
