--- a/review/harness2/client.go
+++ b/review/harness2/client.go
@@ -56,25 +56,31 @@
 		"priority": 0, "service": serviceName, "attempts": 3, "stretch": 1.6, "authExempt": false}
 }
 
-// publish sends a config until it is acknowledged, and returns when it was.
+// publish sends a config until it is acknowledged.
 func (c *callers) publish(version int, routes ...map[string]any) error {
-	body, err := json.Marshal(map[string]any{"version": version, "routes": routes,
+	for range 20 {
+		if c.tryPublish(version, routes...) {
+			return nil
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return fmt.Errorf("config %d is not acknowledged", version)
+}
+
+// tryPublish sends a config to each keeper in turn and reports whether one has acknowledged it.
+func (c *callers) tryPublish(version int, routes ...map[string]any) bool {
+	body, _ := json.Marshal(map[string]any{"version": version, "routes": routes,
 		"services": []map[string]any{{"name": serviceName, "healthPath": "/health", "maxConnections": 64, "protocol": "h1", "tls": false, "admissionCheck": false, "standby": false}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants":  []map[string]any{{"name": "tenant-1", "apiKeys": []string{apiKey}, "priority": 1, "weight": 1, "maxCount": map[string]any{"cpu": 0, "memMb": 0, "gpu": 0}}}})
-	if err != nil {
-		return err
-	}
-	keepers := c.system.controlAddresses()
-	for n := range 100 {
-		status, answer := c.do(http.MethodPost, keepers[n%len(keepers)], "/-/Config.Replace", "", body)
-		c.record.line("operator sends config %d: %d %s", version, status, answer)
+	for _, keeper := range c.system.controlAddresses() {
+		status, answer := c.do(http.MethodPost, keeper, "/-/Config.Replace", "", body)
+		c.record.line("operator sends config %d to %s: %d %s", version, keeper, status, answer)
 		if status == http.StatusOK {
-			return nil
+			return true
 		}
-		time.Sleep(200 * time.Millisecond)
 	}
-	return fmt.Errorf("config %d is not acknowledged", version)
+	return false
 }
 
 // step is a step of a job.
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -28,13 +28,10 @@
 
 // cases are the cases by name. A case returns the breaks of its rule.
 var cases = map[string]func(*stage) ([]string, error){
-	"reborn":    playReborn,
-	"route":     playRoute,
-	"cancelled": playCancelled,
-	"draining":  playDraining,
-	"pending":   playPending,
-	"given-up":  playGivenUp,
-	"junk":      playJunk,
+	"reborn":   playReborn,
+	"pending":  playPending,
+	"start":    playStart,
+	"given-up": playGivenUp,
 }
 
 // stage is what a case plays on.
@@ -142,7 +139,7 @@
 // begin publishes the first config and adds workers, and waits until the system takes jobs.
 func (s *stage) begin(workers int, cpu int64, routes ...map[string]any) error {
 	time.Sleep(3 * time.Second)
-	if err := s.system.endFirstStart(s.fleet.cloud.Addr().String()); err != nil {
+	if err := s.system.endFirstStart(); err != nil {
 		return err
 	}
 	if err := s.publish(1, routes...); err != nil {
--- a/review/harness2/system.go
+++ b/review/harness2/system.go
@@ -35,6 +35,7 @@
 	record  *record
 	program string
 	folder  string
+	cloud   string // address of the stand-in of the provider
 	network string // first three bytes of the addresses
 	ports   struct{ peer, front, ready, control, metrics int }
 	keepers []*process
@@ -43,21 +44,21 @@
 
 // process is one process of the deployment, which may be started several times.
 type process struct {
-	name, role, address, settings, log string
-	system                             *system
-	mutex                              sync.Mutex
-	cmd                                *exec.Cmd
-	done                               chan struct{}
+	name, role, zone, address, settings, log string
+	system                                   *system
+	mutex                                    sync.Mutex
+	cmd                                      *exec.Cmd
+	done                                     chan struct{}
 }
 
 // newSystem chooses free addresses and writes the settings of all processes. cloud is the address of the stand-in of the provider.
 func newSystem(r *record, program, folder, network, cloud string) (*system, error) {
-	s := &system{record: r, program: program, folder: folder, network: network}
+	s := &system{record: r, program: program, folder: folder, network: network, cloud: cloud}
 	if err := s.choosePorts(); err != nil {
 		return nil, err
 	}
 	for i := range keeperCount + entryCount {
-		p := &process{system: s, address: fmt.Sprintf("%s.%d", network, 11+i), role: "keeper"}
+		p := &process{system: s, address: fmt.Sprintf("%s.%d", network, 11+i), zone: zones[i%len(zones)], role: "keeper"}
 		if i >= keeperCount {
 			p.role = "entry"
 			s.entries = append(s.entries, p)
@@ -68,8 +69,8 @@
 		p.settings = filepath.Join(folder, p.name+".yaml")
 		p.log = filepath.Join(folder, p.name+".log")
 	}
-	for i, p := range append(append([]*process{}, s.keepers...), s.entries...) {
-		if err := os.WriteFile(p.settings, s.settingsOf(p, zones[i%len(zones)], cloud, true), 0o600); err != nil {
+	for _, p := range s.processes() {
+		if err := s.writeSettings(p, true); err != nil {
 			return nil, err
 		}
 	}
@@ -108,7 +109,7 @@
 }
 
 // settingsOf returns a settings file as the template in deploy/ lays it out.
-func (s *system) settingsOf(p *process, zone, cloud string, firstStart bool) []byte {
+func (s *system) settingsOf(p *process, firstStart bool) []byte {
 	var seeds []string
 	for _, k := range s.keepers[:seedCount] {
 		seeds = append(seeds, k.controlAddress())
@@ -128,7 +129,7 @@
 	}
 	put("process", text(p.name))
 	put("address", text(p.address))
-	put("data-centre", text(zone))
+	put("data-centre", text(p.zone))
 	put("data-centres", quoted(zones))
 	put("peer-port", s.ports.peer)
 	put("callers", text(front))
@@ -141,9 +142,9 @@
 	put("voters", keeperCount)
 	put("maximum-lease", holdMax.Milliseconds())
 	put("grace", graceSeconds)
-	put("platform-address", text(cloud))
+	put("platform-address", text(s.cloud))
 	put("machine-order-rate", 64)
-	put("policy-address", text(cloud))
+	put("policy-address", text(s.cloud))
 	put("fleet-key", text(strings.Repeat("5b1d6c2f", 8)))
 	return b.Bytes()
 }
@@ -200,7 +201,7 @@
 
 // startAll starts the processes.
 func (s *system) startAll() error {
-	for _, p := range append(append([]*process{}, s.keepers...), s.entries...) {
+	for _, p := range s.processes() {
 		if err := p.start(); err != nil {
 			return err
 		}
@@ -209,17 +210,26 @@
 }
 
 // endFirstStart writes the settings that hold for every later start.
-func (s *system) endFirstStart(cloud string) error {
-	for i, p := range append(append([]*process{}, s.keepers...), s.entries...) {
-		if err := os.WriteFile(p.settings, s.settingsOf(p, zones[i%len(zones)], cloud, false), 0o600); err != nil {
+func (s *system) endFirstStart() error {
+	for _, p := range s.processes() {
+		if err := s.writeSettings(p, false); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+func (s *system) writeSettings(p *process, firstStart bool) error {
+	return os.WriteFile(p.settings, s.settingsOf(p, firstStart), 0o600)
+}
+
+// processes returns all processes, the keepers first.
+func (s *system) processes() []*process {
+	return append(append([]*process{}, s.keepers...), s.entries...)
+}
+
 func (s *system) close() {
-	for _, p := range append(append([]*process{}, s.keepers...), s.entries...) {
+	for _, p := range s.processes() {
 		p.kill()
 	}
 }
