--- a/review/harness2/case_givenup.go
+++ b/review/harness2/case_givenup.go
@@ -15,10 +15,14 @@
 	givenUpDown     = time.Second
 	givenUpTasks    = 5
 	givenUpMayMiss  = 1
+	// heldBound is the time after a crash from which a subtask that lasts has to run again: the worker is silent for givenUpDown; then come
+	// contactMs, the 4 s that have to be calm, and the 3 s of the rule. From 6 s after its last run the subtask counts in any case.
+	heldBound = givenUpDown + (3+4+3)*time.Second
 )
 
-// playGivenUp checks AVAIL: no stop ends a subtask that is at work on a sound worker while as many others of its step as may be are away because
-// of such stops. Nobody cancels the job, and no run of it ends failed.
+// playGivenUp checks LOST: the job is not shown as failed, since no run of it ends failed, and a subtask that lasts runs again once the crashes have
+// paused; and AVAIL: no stop ends a subtask that is at work on a sound worker while as many others of its step as may be are away because of such
+// stops. Nobody cancels the job.
 func playGivenUp(s *stage) ([]string, error) {
 	if err := s.begin(givenUpWorkers, 64000, route("r-main", mainPrefix)); err != nil {
 		return nil, err
@@ -41,24 +45,47 @@
 	}
 	time.Sleep(2 * time.Second)
 	state := s.state(0, mainPrefix, id)
-	var breaks []string
+	breaks := s.heldBack(id + ".0.0.0")
+	if strings.Contains(state, "failed") {
+		breaks = append(breaks, "LOST: no run of the job has ended failed, and it is shown as "+state)
+	}
 	stops := 0
 	for _, e := range s.seenEnds() {
 		if !strings.HasPrefix(e.task, id) || e.how != "stopped" || !e.atWork {
 			continue
 		}
 		if stops >= givenUpMayMiss {
-			breaks = append(breaks, fmt.Sprintf("AVAIL: %s run %d, which is at work on %s, is stopped at %.3f s; %d others of its step have been ended by a stop, and %d may be away. The job is shown as %s",
-				e.task, e.run, e.worker, e.at.Seconds(), stops, givenUpMayMiss, state))
+			breaks = append(breaks, fmt.Sprintf("AVAIL: %s run %d, which is at work on %s, is stopped at %.3f s; %d others of its step have been ended by a stop, and %d may be away",
+				e.task, e.run, e.worker, e.at.Seconds(), stops, givenUpMayMiss))
 		}
 		stops++
 	}
-	if stops == 0 && strings.Contains(state, "failed") {
-		breaks = append(breaks, "LOST: the job is shown as failed without cause: "+state)
-	}
 	return breaks, nil
 }
 
+// heldBack returns the times in which a subtask that lasts was not started again for too long, though no worker crashed meanwhile and all but its
+// own subtasks left the workers idle.
+func (s *stage) heldBack(task string) (breaks []string) {
+	starts := s.seenStarts()
+	for _, e := range s.seenEnds() {
+		if e.task != task {
+			continue
+		}
+		next := s.record.now()
+		for _, x := range starts {
+			if x.task == task && x.at > e.at {
+				next = x.at
+				break
+			}
+		}
+		if next-e.at > heldBound {
+			breaks = append(breaks, fmt.Sprintf("LOST: subtask %s, which lasts, ended at %.3f s and was not started again before %.3f s, though %d workers of %d were up and had room", task,
+				e.at.Seconds(), next.Seconds(), givenUpWorkers, givenUpWorkers))
+		}
+	}
+	return breaks
+}
+
 // hostOf returns the worker that runs a subtask, waiting for it for a moment.
 func (s *stage) hostOf(task string) *worker {
 	for range 150 {
--- a/review/harness2/client.go
+++ b/review/harness2/client.go
@@ -15,7 +15,6 @@
 	serviceName = "svc"
 	queueHost   = "jobs.example"
 	mainPrefix  = "/main/"
-	extraPrefix = "/extra/"
 	apiKey      = "k1-sjnbanfqasnmgkcuyj8p"
 )
 
@@ -116,18 +115,6 @@
 	return c.system.entries[n%len(c.system.entries)].frontAddress()
 }
 
-// cancel cancels a job and reports whether that was acknowledged.
-func (c *callers) cancel(prefix, id string) bool {
-	for n := range 10 {
-		status, _ := c.do(http.MethodDelete, c.entry(n), prefix+id, queueHost, nil)
-		c.record.line("requester cancels %s%s: %d", prefix, id, status)
-		if status == http.StatusOK || status == http.StatusGone {
-			return true
-		}
-	}
-	return false
-}
-
 // state asks for the state of a job.
 func (c *callers) state(n int, prefix, id string) string {
 	status, answer := c.do(http.MethodGet, c.entry(n), prefix+id, queueHost, nil)
--- a/review/harness2/system.go
+++ b/review/harness2/system.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
 	"errors"
@@ -234,31 +233,6 @@
 	}
 }
 
-// leader returns the keeper that was elected last, by its log, so that a disruption can be aimed at it.
-func (s *system) leader() *process {
-	var found *process
-	highest := 0.0
-	for _, k := range s.keepers {
-		f, err := os.Open(k.log)
-		if err != nil {
-			continue
-		}
-		lines := bufio.NewScanner(f)
-		lines.Buffer(nil, 1<<20)
-		for lines.Scan() {
-			var l struct {
-				Message string  `json:"msg"`
-				Term    float64 `json:"term"`
-			}
-			if json.Unmarshal(lines.Bytes(), &l) == nil && l.Message == "leadership acquired" && l.Term > highest {
-				highest, found = l.Term, k
-			}
-		}
-		_ = f.Close()
-	}
-	return found
-}
-
 func (s *system) controlAddresses() []string {
 	var list []string
 	for _, k := range s.keepers {
--- a/review/harness2/worker.go
+++ b/review/harness2/worker.go
@@ -9,20 +9,18 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 )
 
 // Behaviour of the worker stand-ins.
 const (
-	heartbeatInterval        = 1500 * time.Millisecond
-	advanceInterval          = 5 * time.Millisecond
-	clockAtBoot              = time.Second
-	linkDelay                = 1400 * time.Microsecond // one way between zones
-	startupTime              = 900 * time.Millisecond  // of a subtask that lasts
-	maxListedEnds            = 500
-	earliestLate, latestLate = 2 * time.Second, 12 * time.Second // when an order without an answer is carried out
+	heartbeatInterval = 1500 * time.Millisecond
+	advanceInterval   = 5 * time.Millisecond
+	clockAtBoot       = time.Second
+	linkDelay         = 1400 * time.Microsecond // one way between zones
+	startupTime       = 900 * time.Millisecond  // of a subtask that lasts
+	maxListedEnds     = 500
 )
 
 // work is what a subtask does, as the stand-ins read it from the spec of its job.
@@ -37,7 +35,6 @@
 	run          uint64
 	boot         int
 	at           time.Duration
-	late         bool // carried out late, after an order that got no answer
 }
 
 // ended is an end as the worker saw it. notedAt is when the ackCursor reached it, zero before.
@@ -71,16 +68,13 @@
 	backend                 *http.Server
 	boots                   int
 	born                    time.Time
-	up, draining            bool
+	up                      bool
 	sequence, fence, number uint64
 	leaseEnd                time.Duration // on the clock of the worker
 	runs                    map[string]*run
 	barred                  map[string]uint64 // the highest run of each subtask that was stopped or has ended
 	listed                  []listedEnd
 	changed                 chan struct{}
-	lateShare               float64
-	onStart                 func()
-	drainAckedAt            time.Duration
 }
 
 type run struct {
@@ -247,17 +241,6 @@
 	x.wake()
 }
 
-// fail ends a subtask that lasts, as it may at any time. It reports whether the worker runs one of the job.
-func (x *worker) fail(job string) bool {
-	for _, r := range x.runs {
-		if strings.HasPrefix(r.task, job+".") {
-			x.end(r, "failed")
-			return true
-		}
-	}
-	return false
-}
-
 type orderMessage struct {
 	Task       string `json:"task"`
 	Run        uint64 `json:"run"`
@@ -288,16 +271,7 @@
 		return
 	}
 	boot := x.boots
-	isOrder := r.URL.Path == "/-/run-start" || r.URL.Path == "/-/run-stop"
-	if isOrder && rand.Float64() < x.lateShare {
-		x.fleet.record.line("worker %s leaves %s of %s run %d unanswered", x.id, r.URL.Path, m.Task, m.Run)
-		time.AfterFunc(earliestLate+rand.N(latestLate-earliestLate), func() { x.carryOutLate(boot, r.URL.Path, m) })
-		x.fleet.mutex.Unlock()
-		<-r.Context().Done()
-		x.fleet.mutex.Lock()
-		panic(http.ErrAbortHandler)
-	}
-	status, reply := x.execute(r.Context(), r.URL.Path, m, false)
+	status, reply := x.execute(r.Context(), r.URL.Path, m)
 	if !x.up || x.boots != boot {
 		panic(http.ErrAbortHandler)
 	}
@@ -305,19 +279,11 @@
 	writeJSON(w, status, reply)
 }
 
-func (x *worker) carryOutLate(boot int, path string, m orderMessage) {
-	x.fleet.mutex.Lock()
-	defer x.fleet.mutex.Unlock()
-	if x.up && x.boots == boot {
-		_, _ = x.execute(context.Background(), path, m, true)
-	}
-}
-
 func refusal(reason string) (int, map[string]any) {
 	return http.StatusConflict, map[string]any{"reason": reason}
 }
 
-func (x *worker) execute(ctx context.Context, path string, m orderMessage, late bool) (int, map[string]any) {
+func (x *worker) execute(ctx context.Context, path string, m orderMessage) (int, map[string]any) {
 	x.advance()
 	if m.FenceToken < x.fence {
 		return refusal("fence")
@@ -325,7 +291,7 @@
 	x.fence = m.FenceToken
 	switch path {
 	case "/-/run-start":
-		return x.start(m, late)
+		return x.start(m)
 	case "/-/run-stop":
 		x.barred[m.Task] = max(x.barred[m.Task], m.Run)
 		if r := x.runs[m.Task]; r != nil && r.number <= m.Run {
@@ -346,7 +312,7 @@
 	}
 }
 
-func (x *worker) start(m orderMessage, late bool) (int, map[string]any) {
+func (x *worker) start(m orderMessage) (int, map[string]any) {
 	if r := x.runs[m.Task]; r != nil && r.number == m.Run {
 		x.extend(m.DeadlineMS)
 		return http.StatusOK, map[string]any{}
@@ -361,12 +327,9 @@
 	var todo work
 	_ = json.Unmarshal([]byte(m.Spec), &todo)
 	x.runs[m.Task] = &run{task: m.Task, number: m.Run, startedAt: x.clock(), work: todo}
-	s := started{task: m.Task, worker: x.id, run: m.Run, boot: x.boots, at: x.fleet.record.now(), late: late}
+	s := started{task: m.Task, worker: x.id, run: m.Run, boot: x.boots, at: x.fleet.record.now()}
 	x.fleet.starts = append(x.fleet.starts, s)
-	x.fleet.record.line("worker %s boot %d starts %s run %d fence %d late %t", x.id, x.boots, m.Task, m.Run, m.FenceToken, late)
-	if x.onStart != nil {
-		x.onStart()
-	}
+	x.fleet.record.line("worker %s boot %d starts %s run %d fence %d", x.id, x.boots, m.Task, m.Run, m.FenceToken)
 	return http.StatusOK, map[string]any{}
 }
 
@@ -448,27 +411,14 @@
 func (x *worker) heartbeat(keeper string) (next string, acknowledged bool) {
 	x.fleet.mutex.Lock()
 	x.sequence++
-	state := "ready"
-	if x.draining {
-		state = "draining"
-	}
-	draining := x.draining
-	body, _ := json.Marshal(map[string]any{"service": serviceName, "address": x.front.address, "zone": x.zone, "version": "v1", "slots": 8, "state": state,
+	body, _ := json.Marshal(map[string]any{"service": serviceName, "address": x.front.address, "zone": x.zone, "version": "v1", "slots": 8, "state": "ready",
 		"warmupLeftMs": 0, "capacity": x.capacity(), "labels": []string{"a", x.rack}, "machine": "m-" + x.id, "born": x.born.UnixMilli(),
-		"clockMs": x.clock().Milliseconds(), "seqNum": x.sequence, "remainingMs": map[bool]int{true: 9000}[draining]})
+		"clockMs": x.clock().Milliseconds(), "seqNum": x.sequence})
 	x.fleet.mutex.Unlock()
 	status, answer := x.fleet.post("http://"+keeper+"/-/Instances.Heartbeat/"+x.id, body)
 	if status != http.StatusOK {
 		return "", false
 	}
-	if draining {
-		x.fleet.mutex.Lock()
-		if x.drainAckedAt == 0 {
-			x.drainAckedAt = x.fleet.record.now()
-			x.fleet.record.line("worker %s: draining is acknowledged", x.id)
-		}
-		x.fleet.mutex.Unlock()
-	}
 	var m struct {
 		HeartbeatAddr string `json:"heartbeatAddr"`
 	}
