--- a/review/harness2/case_givenup.go
+++ b/review/harness2/case_givenup.go
@@ -10,7 +10,7 @@
 // subtask of the job. They are silent for a moment and start again.
 const (
 	givenUpWorkers  = 8
-	givenUpCrashes  = 10
+	givenUpCrashes  = 18 // at most; until the job is shown as failed
 	givenUpInterval = 3 * time.Second
 	givenUpDown     = time.Second
 	givenUpTasks    = 5
