--- a/review/harness2/case_givenup.go
+++ b/review/harness2/case_givenup.go
@@ -32,11 +32,13 @@
 		return nil, fmt.Errorf("the job was not accepted")
 	}
 	time.Sleep(2 * time.Second)
-	for n := 0; n < givenUpCrashes && s.trouble; n++ {
-		if x := s.hostOf(id + ".0.0.0"); x != nil {
+	for n := range givenUpCrashes {
+		if x := s.hostOf(id + ".0.0.0"); x != nil && s.trouble {
 			x.crash()
 			time.Sleep(givenUpDown)
 			x.restart()
+		} else {
+			time.Sleep(givenUpDown)
 		}
 		time.Sleep(givenUpInterval - givenUpDown)
 		if strings.Contains(s.state(n, mainPrefix, id), "failed") {
--- a/review/harness2/case_start.go
+++ b/review/harness2/case_start.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"os"
-	"strconv"
 	"time"
 )
 
@@ -16,19 +14,15 @@
 // playStart checks that a valid config is acknowledged in the end, so that the system serves anything.
 func playStart(s *stage) ([]string, error) {
 	killed := s.system.keepers[0]
+	time.Sleep(startKillAt)
 	if s.trouble {
-		at := startKillAt
-		if n, err := strconv.Atoi(os.Getenv("KILL_AT")); err == nil {
-			at = time.Duration(n) * time.Millisecond
-		}
-		time.Sleep(at)
 		killed.kill()
-	}
-	if s.trouble {
 		if err := s.system.writeSettings(killed, false); err != nil {
 			return nil, err
 		}
-		time.Sleep(restartDelay)
+	}
+	time.Sleep(restartDelay)
+	if s.trouble {
 		if err := killed.start(); err != nil {
 			return nil, err
 		}
--- a/review/harness2/system.go
+++ b/review/harness2/system.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -39,6 +40,8 @@
 	ports   struct{ peer, front, ready, control, metrics int }
 	keepers []*process
 	entries []*process
+	// launches are run by one thread, which lives as long as the case.
+	launches chan func()
 }
 
 // process is one process of the deployment, which may be started several times.
@@ -52,7 +55,8 @@
 
 // newSystem chooses free addresses and writes the settings of all processes. cloud is the address of the stand-in of the provider.
 func newSystem(r *record, program, folder, network, cloud string) (*system, error) {
-	s := &system{record: r, program: program, folder: folder, network: network, cloud: cloud}
+	s := &system{record: r, program: program, folder: folder, network: network, cloud: cloud, launches: make(chan func())}
+	go s.launch()
 	if err := s.choosePorts(); err != nil {
 		return nil, err
 	}
@@ -76,6 +80,14 @@
 	return s, nil
 }
 
+// launch starts processes from one thread.
+func (s *system) launch() {
+	runtime.LockOSThread()
+	for start := range s.launches {
+		start()
+	}
+}
+
 // choosePorts finds ports that are free at all addresses of the network.
 func (s *system) choosePorts() error {
 	for range portAttempts {
@@ -172,8 +184,11 @@
 	cmd := exec.Command(p.system.program, p.role)
 	cmd.Env = append(os.Environ(), "SAPPHIRESAIL_SETTINGS="+p.settings, "QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING=true", "GOMEMLIMIT="+limit)
 	cmd.Stdout, cmd.Stderr = out, out
-	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
-	if err := cmd.Start(); err != nil {
+	// The kernel kills the process when the thread that has started it ends, so that none is left however the case ends.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	result := make(chan error)
+	p.system.launches <- func() { result <- cmd.Start() }
+	if err := <-result; err != nil {
 		return err
 	}
 	p.cmd, p.done = cmd, make(chan struct{})
