Log polls that another boot answers, and what is known of a boot when the next replaces it

Nothing told whether a poll that was made for one boot was answered by the next, and with which acknowledged end and deadline: the two hypotheses on acknowledgements and on leases look the same in the logs. Event 429 has both, the counter polls-crossed counts them, and the decision "instance replaced" (420) has the acknowledged end, the latest deadline and the number of unanswered starts of the earlier boot. No decision changes.

Run: go test ./internal/event ./internal/scheduler, passed.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -94,6 +94,7 @@
 	TaskWaiting            = define(426, "task waiting", "task", "class", "waited", "inherited", "tasks", "reason", "pool", "free", "total")
 	InstanceChanged        = define(427, "instance changed", "instance", "draining", "capacity")
 	ForecastIgnored        = define(428, "forecast summary ignored", "term", "bytes", "error")
+	BootMismatched         = define(429, "poll answered by another boot", "instance", "boot", "answered-by", "acknowledged", "deadline", "clock", "running", "ended")
 	CataloguePublished     = define(430, "catalogue published", "version", "sent-version")
 	CatalogueRefused       = define(431, "catalogue refused", "sent-version", "reason")
 	WaveOpened             = define(432, "wave opened", "wave", "machines", "at-once", "within")
--- a/internal/scheduler/restart.go
+++ b/internal/scheduler/restart.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/sapphiresail/sapphiresail/internal/workload"
@@ -10,6 +11,8 @@
 // leaders started on the instance, the later boot may have executed their orders, which name no boot.
 func (s *Scheduler) replaceBoot(in *instance, later workload.Instance, clock time.Duration) *instance {
 	unanswered := in.unansweredStarts()
+	s.decisions = append(s.decisions, Decision{What: "instance replaced", Instance: in.ID, Machine: in.Machine, Reason: fmt.Sprintf(
+		"boot %d after %d, acknowledged %d, deadline %s at clock %s, %d unanswered starts", later.Boot, in.Boot, in.ackedEnd, rounded(in.maxDeadlineSent), rounded(in.clock), len(unanswered))})
 	s.dropRuns(in, "instance restarted", in.lossByLaterBoot(later))
 	s.cancelEnrolment(in)
 	replacement := s.addInstance(later)
--- a/internal/supervisor/instruments.go
+++ b/internal/supervisor/instruments.go
@@ -10,12 +10,14 @@
 
 // instruments are the counters, gauges and timers of a supervisor.
 type instruments struct {
-	jobsAccepted   metrics.Counter
-	jobsRefused    metrics.Counter
-	termsLed       metrics.Counter
-	leaseLapses    metrics.Counter
-	polls          metrics.Counter
-	pollsMissed    metrics.Counter
+	jobsAccepted metrics.Counter
+	jobsRefused  metrics.Counter
+	termsLed     metrics.Counter
+	leaseLapses  metrics.Counter
+	polls        metrics.Counter
+	pollsMissed  metrics.Counter
+	// pollsCrossed counts the polls that another boot answered than the one they were for.
+	pollsCrossed   metrics.Counter
 	commitDuration metrics.Timer
 	orderDuration  metrics.Timer
 	pollDuration   metrics.Timer
@@ -49,6 +51,7 @@
 		leaseLapses:    metrics.GetOrRegisterCounter("lease-lapses", r),
 		polls:          metrics.GetOrRegisterCounter("looks", r),
 		pollsMissed:    metrics.GetOrRegisterCounter("looks-missed", r),
+		pollsCrossed:   metrics.GetOrRegisterCounter("polls-crossed", r),
 		commitDuration: metrics.GetOrRegisterTimer("commit", r),
 		orderDuration:  metrics.GetOrRegisterTimer("order", r),
 		pollDuration:   metrics.GetOrRegisterTimer("look", r),
