Send polls and orders only to the boot for which they were made

Cause: a message was addressed to an ID and an address, which outlive the boot, and carried values that count for one boot: the acknowledged end, the deadline, the run. On a new connection the next boot received it. It forgot its own ends up to the number of the boot before, unread; the leader then found the tasks neither running nor ended and started them again.

On a connection whose boot is not known a poll is a probe, without acknowledgement, deadline and wait, and an order is preceded by one. If a later boot answers, the order is not sent: outcome Restarted, and its task is placed again. net/http would repeat a request on another connection by itself; http.ClientConn does not.

--- a/internal/scheduler/oracle_polls_test.go
+++ b/internal/scheduler/oracle_polls_test.go
@@ -33,14 +33,15 @@
 	// reports were overtaken by a later report of the same boot to the same leader. boots are reports of a boot that the leader knew to
 	// have ended, leaders polls that an instance received from a leader that was lost, and responses those to orders that arrived after
 	// the report of a later moment. deregistered are announcements of boots that a later leader did not know.
-	reports, boots, leaders, responses, deregistered int
+	// crossed are polls that the next boot of an instance received.
+	reports, boots, leaders, responses, deregistered, crossed int
 }
 
 // check fails the test if too few messages were out of order for it to guard against anything: on average a report of each case must be
 // overtaken, and each other kind must come in one of a hundred cases, so that the cases of CI have some of each.
 func (r *reorderings) check(t *testing.T, cases int) {
 	assert.Assert(t, r.reports >= cases, "%d overtaken reports in %d cases", r.reports, cases)
-	assert.Assert(t, min(r.boots, r.leaders, r.responses, r.deregistered) >= cases/100, "too few messages out of order in %d cases: %+v", cases, *r)
+	assert.Assert(t, min(r.boots, r.leaders, r.responses, r.deregistered, r.crossed) >= cases/100, "too few messages out of order in %d cases: %+v", cases, *r)
 }
 
 // pollInFlight is a poll that was sent and whose response was not processed.
@@ -48,7 +49,7 @@
 	request     scheduler.PollRequest
 	sentAt      time.Duration
 	issuerFence uint64
-	// boot receives the poll; its connections end with it.
+	// boot receives the poll: the one at its address by then.
 	boot *target
 	// receivedAt is when the instance receives the poll, releasedAt when it makes the report and arrivesAt when the report arrives.
 	receivedAt, releasedAt, arrivesAt time.Duration
@@ -131,8 +132,11 @@
 	p.boot = nil
 }
 
-// receivePoll carries out a poll at the instance.
+// receivePoll carries out a poll at the instance. A poll that waited for a connection reaches the next boot.
 func (s *simulation) receivePoll(p *pollInFlight) scheduler.Outcome {
+	if next := s.instances[p.request.Instance]; p.boot.crashed && next != nil {
+		p.boot = next
+	}
 	in := p.boot
 	switch {
 	case in.crashed:
@@ -149,9 +153,14 @@
 	return scheduler.Accepted
 }
 
-// carryOutPoll extends the lease and acknowledges ends.
+// carryOutPoll extends the lease and acknowledges ends. A poll for another boot has no deadline and no acknowledgement when it arrives: the sender
+// finds out on each connection which boot it leads to.
 func (s *simulation) carryOutPoll(in *target, request scheduler.PollRequest) {
 	in.highestFence = request.Fence
+	if request.Boot != in.Boot {
+		s.reorderings.crossed++
+		return
+	}
 	if request.Deadline > 0 {
 		s.extendLease(in, request.Deadline)
 	}
@@ -266,6 +275,24 @@
 	s.reboots = append(s.reboots, reboot{at: at, address: in.Address, id: in.ID, silent: rapid.Bool().Draw(s.t, "silent")})
 }
 
+// relive restarts an instance while starts and polls for it are on their way, and ends as done what the next boot has started before it announces itself.
+func (s *simulation) relive(in *target) {
+	s.submitJob()
+	s.advance(1)
+	if in.crashed {
+		return
+	}
+	s.sendPoll(in)
+	in.crashed = true
+	clear(in.runs)
+	s.bootAgain(reboot{address: in.Address, id: in.ID, silent: true})
+	s.advance(1)
+	for next := s.instances[in.ID]; len(next.runs) > 0; {
+		s.endDrawnRun(next, workload.EndedDone)
+	}
+	s.advance(maxMessageDelay)
+}
+
 // bootAgain starts the next boot of an instance. It keeps the fence and what the instance has stopped: orders name no boot, so that nothing can
 // prevent one that reaches a later boot after the leader has polled or stopped the one to which it was sent.
 func (s *simulation) bootAgain(r reboot) {
--- a/internal/scheduler/oracle_test.go
+++ b/internal/scheduler/oracle_test.go
@@ -375,6 +375,11 @@
 					}
 				}
 			},
+			"relive": func(*rapid.T) {
+				if in := s.drawInstance(); in != nil && !in.crashed {
+					s.relive(in)
+				}
+			},
 			"restart": func(*rapid.T) {
 				if in := s.drawInstance(); in != nil && !in.crashed {
 					s.restart(in)
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -105,6 +105,10 @@
 	case Unpolled:
 		s.logRunDecision("run unsent", r, in, "instance is not polled")
 		s.detachRun(in, r)
+	case Restarted:
+		s.logRunDecision("run unsent", r, in, "instance has restarted")
+		s.detachRun(in, r)
+		s.pollNow(in)
 	default:
 		s.logRunDecision("run uncertain", r, in, outcome.String())
 		r.undelivered = outcome == Refused
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -25,8 +25,8 @@
 	Timeout time.Duration `cbor:"7,keyasint,omitempty"`
 	// DataCentre is where the instance is.
 	DataCentre fleet.DataCentreID `cbor:"-"`
-	// Boot is the one that the sender knows. The instance is not told, so that its next boot may answer.
-	Boot int64 `cbor:"-"`
+	// Boot is the one for which AckedEnd and Deadline are. It is not on the wire, so that its next boot may answer.
+	Boot int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // StatusReport is the response of an instance to a poll.
@@ -40,6 +40,8 @@
 	Ended []ReportedEnd `cbor:"4,keyasint,omitempty"`
 	// MoreEnds is set if Ended has as many ends as a response may have, so that there may be more.
 	MoreEnds bool `cbor:"5,keyasint,omitempty"`
+	// Probe is set if the poll was sent without AckedEnd, Deadline and Wait, because it might have reached another boot.
+	Probe bool `cbor:"6,keyasint,omitempty"`
 }
 
 // ReportedRun is a run in a status report.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -51,8 +51,8 @@
 	Reason string `cbor:"-"`
 	// DataCentre is where the instance is.
 	DataCentre fleet.DataCentreID `cbor:"-"`
-	// Boot is the one that the sender knows. The instance is not told, so that its next boot may execute the order.
-	Boot int64 `cbor:"-"`
+	// Boot is the one for which the order was made. It is not on the wire; the sender has to reach it.
+	Boot int64 `cbor:"13,keyasint,omitempty"`
 }
 
 // Outcome is the result of an order or poll as far as the leader knows it.
@@ -83,11 +83,13 @@
 	Uncarried
 	// Withheld means that the start was never sent, because the data centre of the instance was drained after it was ordered.
 	Withheld
+	// Restarted means that the order was never sent, because a later boot of the instance answered.
+	Restarted
 )
 
 // String returns the name that logs and metrics use.
 func (o Outcome) String() string {
-	return namer.Name(o, "none", "accepted", "fenced", "rejected", "unhealthy", "mismatched", "refused", "uncertain", "unsent", "unpolled", "uncarried", "withheld")
+	return namer.Name(o, "none", "accepted", "fenced", "rejected", "unhealthy", "mismatched", "refused", "uncertain", "unsent", "unpolled", "uncarried", "withheld", "restarted")
 }
 
 // Timing and limits of decisions.
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -136,12 +136,15 @@
 	return nextPoll{}, false
 }
 
-// checkBoot logs a report of another boot than the one that the poll was for: that boot has forgotten its ends up to the acknowledged number,
-// and its runs have a lease until the deadline, both counted for the other boot.
+// checkBoot logs a report of another boot than the one that the poll was for. Unless the poll was a probe, that boot has forgotten its ends up to
+// the acknowledged number, and its runs have a lease until the deadline, both counted for the other boot.
 func (t *term) checkBoot(request scheduler.PollRequest, report scheduler.StatusReport) {
 	if report.Boot == request.Boot || report.Boot == 0 || request.Boot == 0 {
 		return
 	}
+	if report.Probe {
+		request.AckedEnd, request.Deadline = 0, 0
+	}
 	t.instruments.pollsCrossed.Inc(1)
 	event.BootMismatched.Info(t.options.Logger, zap.String("instance", string(request.Instance)), zap.Int64("boot", request.Boot), zap.Int64("answered-by", report.Boot),
 		zap.Uint64("acknowledged", request.AckedEnd), zap.Duration("deadline", request.Deadline), zap.Duration("clock", report.Clock),
