Count on deadlines of the boot before when an instance has restarted

Cause: replaceBoot started maxDeadlineSent afresh unless a start had no answer. A poll or start for the earlier boot that the instance carries out late gives the later boot a lease, shortened to the longest one of the platform: up to 6.1 s from its arrival. The leader counted 5.8 s from its own last deadline and started the tasks elsewhere.

Change: the leases of a boot that follows another one are over two lease durations after the restart at the earliest, as they were for starts without an answer.

TestLeaseOfNextBootOutlivesDeadlinesOfEarlierBoot failed before in both cases ("lost 5.8s after the restart: lease outlived") and passes.

Tests of the scheduler pass.

--- a/internal/scheduler/next_boot_test.go
+++ b/internal/scheduler/next_boot_test.go
@@ -6,7 +6,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
 	"github.com/sapphiresail/sapphiresail/internal/scheduler"
+	"github.com/sapphiresail/sapphiresail/internal/workload"
 )
 
 // TestStartThatNextBootDidNotReceiveIsPlacedAgain guards against a task that waits for a run which does not exist (LOST): the order was not sent, as a
@@ -38,3 +40,53 @@
 		})
 	}
 }
+
+// TestLeaseOfNextBootOutlivesDeadlinesOfEarlierBoot guards against a second run of one task (TWICE): an instance that has restarted under its ID
+// carries a poll or start for the earlier boot out, takes its deadline for one on its own clock, and is cut off soon after.
+func TestLeaseOfNextBootOutlivesDeadlinesOfEarlierBoot(t *testing.T) {
+	const (
+		maxLease    = 6 * time.Second         // an instance shortens longer ones to this
+		pollTimeout = 2250 * time.Millisecond // in which a poll for the earlier boot may arrive
+	)
+	for name, polled := range map[string]bool{"announced": false, "polled": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(t)
+			f.addInstance("a", "p")
+			f.addInstance("b", "p")
+			f.advance(time.Second)
+			id := fleet.InstanceID("i-a")
+			next := f.state.Workload.Enrolled[id]
+			next.Boot += 500
+			next.Clock = time.Second
+			restartedAt := f.now
+			if polled {
+				f.scheduler.HandleReport(f.now, id, f.now-time.Millisecond, scheduler.StatusReport{Boot: next.Boot, Clock: next.Clock})
+			}
+			f.enrol(next)
+			report := scheduler.StatusReport{Boot: next.Boot, Clock: next.Clock}
+			f.scheduler.HandleReport(f.now, id, f.now-time.Millisecond, report)
+			job := f.submitJob(workload.Step{Count: 2, Resources: workload.Resources{Processors: 1000}, MaxPerInstance: 1})
+			f.scheduler.Tick(f.now, f.now.Milliseconds())
+			started := false
+			for _, o := range f.scheduler.TakeOrders() {
+				if o.Kind == scheduler.Start && o.Instance == id {
+					started = true
+					f.scheduler.HandleOrderOutcome(f.now, o, scheduler.Accepted)
+				}
+			}
+			assert.Assert(t, started, "job %s does not run on the restarted instance", job)
+			f.scheduler.TakeDecisions()
+			outlived := restartedAt + pollTimeout + maxLease*100/98 // clocks are up to 2 % slow
+			for f.now < outlived {
+				request, ok := f.scheduler.NextPoll(f.now, id, false)
+				assert.Assert(t, ok)
+				f.scheduler.HandlePollFailure(f.now, request, scheduler.Uncertain)
+				f.now += 100 * time.Millisecond
+				f.scheduler.Tick(f.now, f.now.Milliseconds())
+				for _, d := range f.scheduler.TakeDecisions() {
+					assert.Assert(t, d.What != "run lost" || d.Instance != id, "lost %s after the restart: %s", f.now-restartedAt, d.Reason)
+				}
+			}
+		})
+	}
+}
--- a/internal/scheduler/restart.go
+++ b/internal/scheduler/restart.go
@@ -17,8 +17,12 @@
 	s.cancelEnrolment(in)
 	replacement := s.addInstance(later)
 	replacement.inherited, replacement.earlierLeases, replacement.cordonIndex = in.inherited, in.earlierLeases, in.cordonIndex
+	if in.maxDeadlineSent > 0 {
+		// An order or poll for the earlier boot that is carried out late gives the later one a lease.
+		replacement.maxDeadlineSent = clock + 2*s.options.LeaseDuration
+	}
 	for _, r := range unanswered {
-		s.keepUnanswered(replacement, r, clock)
+		s.keepUnanswered(replacement, r)
 	}
 	return replacement
 }
@@ -36,13 +40,12 @@
 }
 
 // keepUnanswered keeps a start that an earlier boot has not answered as one that the later boot may execute: its task starts elsewhere once
-// a stop prevents that. An order that is executed a lease after the restart gives the run another lease.
-func (s *Scheduler) keepUnanswered(in *instance, lost *run, clock time.Duration) {
+// a stop prevents that.
+func (s *Scheduler) keepUnanswered(in *instance, lost *run) {
 	r := &run{
 		task: lost.task, number: lost.number, job: lost.job, status: statusUncertain, claim: lost.claim, orderedAt: lost.orderedAt, startOutcomeAt: s.now,
 		throttlePercent: throttleUnset, checkpoint: lost.checkpoint,
 	}
-	in.maxDeadlineSent = clock + 2*s.options.LeaseDuration
 	s.attachRun(in, r)
 	s.logRunDecision("run uncertain", r, in, "a later boot may execute its start")
 }
