Test that a restarted instance stays in the committed state

An instance that restarts under its ID is deregistered and enrolled by two commands. They are proposed together, but two registrations of a batch may fall on both sides of its limit of 128, and a follower may hold a prefix of the entries of a batch. If the leader is lost between the two, the next one does not know the instance, does not wait for it, and starts tasks again that the next boot runs by an order to the boot before.

--- a/internal/supervisor/registration_test.go
+++ b/internal/supervisor/registration_test.go
@@ -94,6 +94,51 @@
 	assert.Equal(t, enrolled(), int64(20))
 }
 
+// gapReplica counts the commands after which instance "i" was missing although it had been enrolled before.
+type gapReplica struct {
+	singleReplica
+	seen bool
+	gaps int
+}
+
+func (r *gapReplica) CommitAll(ctx context.Context, commands []state.Command) (replies []state.Reply, errs []error) {
+	for _, c := range commands {
+		reply, err := r.singleReplica.CommitAll(ctx, []state.Command{c})
+		replies, errs = append(replies, reply...), append(errs, err...)
+		r.mutex.Lock()
+		_, enrolled := r.state.Workload.Enrolled["i"]
+		r.seen = r.seen || enrolled
+		if r.seen && !enrolled {
+			r.gaps++
+		}
+		r.mutex.Unlock()
+	}
+	return replies, errs
+}
+
+// TestRestartedInstanceIsEnrolledThroughout guards against a second run of one task: the leader is lost between the commands that replace the
+// record of a restarted instance, and the next leader does not wait for the instance, which has executed a start of the leader before.
+func TestRestartedInstanceIsEnrolledThroughout(t *testing.T) {
+	r := &gapReplica{singleReplica: singleReplica{state: state.New()}}
+	f := &emptyFleet{}
+	s := Start(Options{
+		Entry: "k", Replica: r, Instances: f, Machines: unresponsiveFleet{}, Lease: 5 * time.Second, JobRetention: time.Minute,
+		Logger: zap.NewNop(), Metrics: metrics.NewRegistry(),
+	})
+	defer func() { assert.NilError(t, s.Close()) }()
+	for boot := int64(1); boot <= 5; boot++ {
+		announceInstance(t, s, &workload.Instance{ID: "i", Boot: boot, Pool: "p", Address: "a", Sequence: 1, Clock: time.Second})
+		polled := f.polled.Load()
+		for end := time.Now().Add(30 * time.Second); f.polled.Load() == polled && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		assert.Assert(t, f.polled.Load() > polled, "boot %d is not polled", boot)
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	assert.Equal(t, r.gaps, 0, "commands after which no instance was enrolled")
+}
+
 // announceInstance repeats an announcement until the supervisor leads and accepts it.
 func announceInstance(t *testing.T, s *Supervisor, in *workload.Instance) {
 	t.Helper()
