Replace the record of a restarted instance in one command

The deregistration before the enrolment of a later boot under the same ID is dropped: EnrolInstance replaces the record and removes the cordon. The next leader finds the earlier boot until then, polls the instance, and waits for its leases. The supervisor ends the polls of the earlier boot itself, which the deregistration did before. Deregistrations of other instances at the address or machine are unchanged.

Before: TestRestartedInstanceIsKnownBetweenCommits 1 start, want 0; TestRestartedInstanceIsEnrolledThroughout 4 gaps, want 0. After: both pass, and so do the packages scheduler and supervisor.

--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -145,8 +145,7 @@
 		if in == nil {
 			in = s.addInstance(announced)
 		} else {
-			s.requestDeregistration(in)
-			in = s.replaceBoot(in, announced, announced.Clock)
+			in = s.replaceBoot(in, announced, announced.Clock) // its enrolment replaces that of the earlier boot
 		}
 		in.observeClock(now, announced.Clock)
 		s.beginEnrolment(in)
@@ -207,6 +206,12 @@
 	in.departed = true
 }
 
+// Enrolled reports whether the known boot of an instance is enrolled, or an earlier one that a poll has shown to be replaced.
+func (s *Scheduler) Enrolled(id fleet.InstanceID) bool {
+	in := s.instances.byID[id]
+	return in != nil && in.enrolled
+}
+
 // EnrolledInstances returns the instances to poll.
 func (s *Scheduler) EnrolledInstances() []fleet.InstanceID {
 	list := make([]fleet.InstanceID, 0, len(s.instances.sorted))
--- a/internal/supervisor/announce.go
+++ b/internal/supervisor/announce.go
@@ -43,14 +43,19 @@
 	return forwarder.Response{Outcome: forwarder.Done, Leader: t.options.Entry}
 }
 
-// handleAnnouncement passes an announcement to the scheduler and queues the changes that follow. An earlier boot under the same id must be
-// deregistered before the announced one is enrolled.
+// handleAnnouncement passes an announcement to the scheduler and queues the changes that follow. The enrolment of a later boot under the same
+// id replaces the earlier record in one command: the boot may execute orders to the earlier one, so that a later leader must know of the
+// instance all the time. Other instances that the announced boot has replaced are deregistered before.
 func (t *term) handleAnnouncement(in workload.Instance) {
 	enrol := t.scheduler.HandleAnnouncement(monotonicNow(), in)
 	t.enqueueInstanceChanges()
-	if enrol {
-		t.enrol(in)
+	if !enrol {
+		return
+	}
+	if !t.scheduler.Enrolled(in.ID) {
+		t.stopPolling(in.ID) // the earlier boot, whose polls may wait for seconds
 	}
+	t.enrol(in)
 }
 
 // changeInstances runs change in the loop, and waits until what it changes of the instances is committed. It returns false if ctx or the
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -43,6 +43,14 @@
 	t.spawn(func() { t.pollLoop(ctx, id, d.started) })
 }
 
+// stopPolling ends the polls of an instance that was deregistered or has restarted.
+func (t *term) stopPolling(id fleet.InstanceID) {
+	if d := t.dispatchers[id]; d != nil {
+		d.cancel()
+		delete(t.dispatchers, id)
+	}
+}
+
 // pollLoop polls an instance until ctx ends: at the pace of pollPacer, and after missedPollBackoff once two polls in a row have
 // failed. A start that is sent ends the pause of an instance that was empty.
 func (t *term) pollLoop(ctx context.Context, id fleet.InstanceID, started <-chan struct{}) {
--- a/internal/supervisor/registration.go
+++ b/internal/supervisor/registration.go
@@ -18,10 +18,7 @@
 func (t *term) enqueueInstanceChanges() {
 	deregistration := t.scheduler.TakeDeregistrations()
 	for _, id := range deregistration.Instances {
-		if d := t.dispatchers[id]; d != nil {
-			d.cancel()
-			delete(t.dispatchers, id)
-		}
+		t.stopPolling(id)
 	}
 	if len(deregistration.Instances) > 0 {
 		t.pendingRegistrations = append(t.pendingRegistrations, registration{deregistration.Instances, deregistration, func() {}})
