Test that the state lease of a member begins in its own past

The clock of a member begins anew with each process, and a durable member keeps its ID. The leader keeps the highest reading that it has seen under the ID and goes on echoing it, so that a restarted member takes a reading of the process before for the begin of its state lease. It then trusts its copy of the committed state until its clock has got there and 3 s more, also while it is cut off, and the leader does not count such a lease.

Simulated members start their clocks anew, as the replicator does, and their state leases must not begin in the future of their clocks. The field leaseUntil of the simulation was set and never read; the check replaces it. Seen at: a lease that begins at 32.26 s at a clock of 0.04 s, and at 343 ms at 20 ms in both oracle tests.

--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -14,7 +14,6 @@
 const (
 	tickInterval = 20 * time.Millisecond
 	clockDrift   = 0.02
-	stateLease   = 3 * time.Second
 )
 
 // disk is the state that a member has synced.
@@ -43,12 +42,13 @@
 	raft      *raft.Raft
 	disk      *disk
 	clockRate float64
+	// startedAt is when the process was started. Its clock begins then, as that of the replicator.
+	startedAt time.Duration
 	down      bool
 	// crashBeforeSync makes the member crash at its next Ready, before anything is synced.
 	crashBeforeSync bool
 	applied         map[uint64]string
 	lastApplied     uint64
-	leaseUntil      time.Duration
 }
 
 // link is an unordered pair of members, stored with the smaller id first.
@@ -73,16 +73,16 @@
 }
 
 func (g *group) clock(n *node) time.Duration {
-	return time.Duration(float64(g.now)*n.clockRate) + time.Nanosecond
+	return time.Duration(float64(g.now-n.startedAt)*n.clockRate) + time.Nanosecond
 }
 
 func (g *group) startNode(n *node) {
 	g.starts++
+	n.startedAt = g.now
 	options := append([]raft.Option{raft.WithDurable(), raft.WithSeed(g.starts), raft.WithClockDrift(clockDrift)}, g.options...)
 	n.raft = raft.New(n.id, g.clock(n), n.disk.hard, n.disk.snapshot, n.disk.entries, options...)
 	n.lastApplied = 0
 	n.down, n.crashBeforeSync = false, false
-	n.leaseUntil = 0
 }
 
 func newGroup(t *rapid.T, size int, options ...raft.Option) *group {
@@ -140,7 +140,9 @@
 		}
 		g.leaders[n.raft.Term()] = n.id
 	}
-	n.leaseUntil = n.raft.StateLeaseStart() + stateLease
+	if start, now := n.raft.StateLeaseStart(), g.clock(n); start > now {
+		g.t.Fatalf("the state lease of %s begins at %s, its clock is at %s", n.id, start, now)
+	}
 	g.checkLeaderLeases()
 }
 
