Grant state leases from readings of the running process

The leader takes the clock of a member from the reply to its latest message, also if it is behind the one before, and a member ignores a reading that its own clock has not reached. A lower reading of the same process, as after messages that overtook each other, only shortens a lease.

Not covered: if all replies of the restarted process are lost for as long as the process before had run, it takes the old reading once its clock is there. A clock of the replicator that counts from the boot of the machine would close this for restarts of the process.

Before: TestRestartedMemberHoldsNoLeaseOfEarlierProcess and both oracle tests fail. After: three runs of the package pass, and one with 1,500 checks of these tests.

--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -10,11 +10,13 @@
 
 // peer is the leader's replication state of another member.
 type peer struct {
-	matchIndex      uint64
-	nextIndex       uint64
-	ackedSentAt     time.Duration
-	lastContact     time.Duration
+	matchIndex  uint64
+	nextIndex   uint64
+	ackedSentAt time.Duration
+	lastContact time.Duration
+	// clock is the reading in the reply to the latest message, which was sent at clockSentAt. The clock of a member begins anew when it restarts.
 	clock           time.Duration
+	clockSentAt     time.Duration
 	clockReceivedAt time.Duration
 	leaseGranted    time.Duration
 	durable         bool
@@ -134,9 +136,10 @@
 	r.resetElectionDeadline()
 }
 
-// renewStateLease renews the state lease if this member has all entries that were committed when the lease was granted.
+// renewStateLease renews the state lease if this member has all entries that were committed when the lease was granted. A reading that this
+// process has not reached is one of the process before.
 func (r *Raft) renewStateLease(m Message) {
-	if m.EchoedClock > 0 && r.hardState.Commit >= m.Commit {
+	if m.EchoedClock > 0 && m.EchoedClock <= r.now && r.hardState.Commit >= m.Commit {
 		r.stateLeaseStart = max(r.stateLeaseStart, m.EchoedClock)
 	}
 }
@@ -174,8 +177,8 @@
 func (r *Raft) recordReply(p *peer, m Message) {
 	p.ackedSentAt = max(p.ackedSentAt, m.SentAt)
 	p.lastContact = r.now
-	if m.Clock > p.clock {
-		p.clock, p.clockReceivedAt = m.Clock, r.now
+	if m.SentAt > p.clockSentAt || m.SentAt == p.clockSentAt && m.Clock > p.clock {
+		p.clock, p.clockSentAt, p.clockReceivedAt = m.Clock, m.SentAt, r.now
 	}
 	p.durable = m.Durable
 	p.appliedIndex = max(p.appliedIndex, m.Commit)
