Number exchanges from a random start in each process

Results for an earlier process of the leading entry no longer match an exchange of the later one. An acknowledgement of a batch that was not sent is ignored: with that of the process before, a carrier would count as silent until it is asked for its clock again.

--- a/internal/courier/dispatcher.go
+++ b/internal/courier/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -46,7 +47,8 @@
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
 
-	mutex  sync.Mutex
+	mutex sync.Mutex
+	// lastID begins at random: results for an earlier process of this entry may still arrive.
 	lastID uint64
 	links  map[fleet.EntryID]*link
 	routes map[fleet.InstanceID]*route
@@ -69,7 +71,7 @@
 // StartDispatcher starts a dispatcher, which runs until Close.
 func StartDispatcher(o DispatcherOptions) *Dispatcher {
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &Dispatcher{options: o, ctx: ctx, cancel: cancel, links: map[fleet.EntryID]*link{}, routes: map[fleet.InstanceID]*route{}}
+	d := &Dispatcher{options: o, ctx: ctx, cancel: cancel, lastID: rand.Uint64(), links: map[fleet.EntryID]*link{}, routes: map[fleet.InstanceID]*route{}}
 	o.Transport.Handle(topicResults, d.handleResults)
 	d.goroutines.Go(d.sweepLoop)
 	return d
@@ -269,9 +271,10 @@
 	return nil, nil
 }
 
-// acknowledge records that the carrier has the batches up to number. Those after it were sent later, so the wait for them begins anew.
+// acknowledge records that the carrier has the batches up to number. Those after it were sent later, so the wait for them begins anew. A
+// number that was not sent is one of an earlier process of this entry.
 func (l *link) acknowledge(now time.Duration, number uint64) {
-	if number <= l.acknowledged {
+	if number <= l.acknowledged || number > l.lastNumber {
 		return
 	}
 	l.acknowledged = number
