Test moves and maintenance of machines whose instance has restarted

Orders to the platform name a machine, and the leader makes them for the boot that was idle there. If the instance restarts before the platform carries the order out, the next boot gets work, and the order, or its repetition, ends it. After the answer the leader takes that boot for the one that came back: it starts tasks on an instance that is gone, and a wave begins the next machine while the first is down.

TestReturnedBootIsUsedAfterLateOutcome had the machine come back in pool "p" after a move to "o". It now comes back where it was moved.

--- a/internal/scheduler/crossed_test.go
+++ b/internal/scheduler/crossed_test.go
@@ -1,11 +1,13 @@
 package scheduler_test
 
 import (
+	"cmp"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sapphiresail/sapphiresail/internal/fleet"
 	"github.com/sapphiresail/sapphiresail/internal/scheduler"
 	"github.com/sapphiresail/sapphiresail/internal/state"
 	"github.com/sapphiresail/sapphiresail/internal/workload"
@@ -75,10 +77,10 @@
 	returnBoot := func(f *testFleet) {
 		order := f.machineOrders[0]
 		f.now += 2 * time.Second
-		f.addInstanceOnMachine("returned", "p", order.Machine)
+		f.addInstanceOnMachine("returned", cmp.Or(order.Pool, "p"), order.Machine)
 		f.scheduler.HandleMachineOutcome(f.now, order, scheduler.MachineDone)
 		f.advance(time.Second)
-		f.submitJob(workload.Step{Count: 1, Resources: workload.Resources{Processors: 1000}})
+		f.submitJobTo(map[fleet.PoolID]fleet.QueueID{"": "q", "p": "q", "o": "other"}[order.Pool], workload.Step{Count: 1, Resources: workload.Resources{Processors: 1000}})
 		f.advance(time.Second)
 		assert.Assert(f.t, len(f.startOrders) > 0, "the returned boot gets no work")
 	}
