Start nothing on a machine while its move may be carried out

An instance of the pool that its machine is to leave gets no starts until the platform has answered the move. The answer shows that all boots outside the new pool have ended, also those that are later than the one for which the move was ordered.

Before: TestMoveSparesNextBoot and TestMovedBootGetsNoStarts 8 starts each.

--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -264,7 +264,7 @@
 
 // schedulable reports whether tasks may be started on the instance.
 func (s *Scheduler) schedulable(in *instance) bool {
-	return in.enrolled && !in.bootUncommitted && in.polled && !in.Draining && !in.departed && !in.evacuating && !in.consolidating && !in.reclaimed && !in.cordoned && !in.hasOrphans && in.failedPolls < unschedulableFailedPolls && s.now >= in.backoffUntil && !s.drained(in.DataCentre)
+	return in.enrolled && !in.bootUncommitted && in.polled && !in.Draining && !in.departed && !in.evacuating && !in.consolidating && !in.reclaimed && !in.cordoned && !in.hasOrphans && in.failedPolls < unschedulableFailedPolls && s.now >= in.backoffUntil && !s.drained(in.DataCentre) && !s.movePending(in)
 }
 
 // endsCommitted reports whether all ends of the instance are reported and committed. Until then the instance holds the only
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -175,6 +175,27 @@
 	s.requestMove(name, m)
 }
 
+// movePending reports whether an order to move the machine of an instance out of its pool may still be carried out. Orders name no boot, so
+// that one made for an earlier boot ends the runs of this one.
+func (s *Scheduler) movePending(in *instance) bool {
+	if len(s.moves) == 0 {
+		return false
+	}
+	m := s.moves[in.Machine]
+	return m != nil && !m.done && m.pool != in.Pool
+}
+
+// markMoved marks the instances of a machine that was moved to a pool as departed: those up to the given boot, and later ones of other pools,
+// which came before the order was carried out.
+func (s *Scheduler) markMoved(machine string, pool fleet.PoolID, endedBoot int64) {
+	s.markDeparted(machine, endedBoot)
+	for _, in := range s.instances.byMachine[machine] {
+		if in.Pool != pool {
+			in.departed = true
+		}
+	}
+}
+
 func (s *Scheduler) handleMoveOutcome(order MachineOrder, outcome MachineOutcome) {
 	m := s.moves[order.Machine]
 	if m == nil || m.done || m.pool != order.Pool {
@@ -189,7 +210,7 @@
 	case MachineDone:
 		m.done = true
 		m.startedAt = s.now
-		s.markDeparted(order.Machine, m.endedBoot)
+		s.markMoved(order.Machine, order.Pool, m.endedBoot)
 		moved.Pool = order.Pool
 		moved.Available = true
 		moved.backoffUntil = s.now + machineTransitionTime
