Keep a machine down for maintenance until a boot that can be the return

A boot that announces itself while the order to maintain its machine is in flight gets no work until the order is answered. If the leader knew of it before the maintenance can have been over (1.5 s after the first order; maintenance takes 2 s), the maintenance has ended it: it counts as departed, and its machine holds a place of the wave until a later boot or the list of machines shows the return.

Before: TestMaintenanceSparesNextBoot 5 starts, and the next machine ordered. After: the package scheduler passes.

--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -112,6 +112,8 @@
 	rackIndex int
 	// startedAt is when a task was started here last.
 	startedAt time.Duration
+	// knownSince is when this leader first knew of the boot.
+	knownSince time.Duration
 }
 
 // pendingEnd is a reported end that is acknowledged once its batch is committed.
@@ -121,7 +123,7 @@
 }
 
 func (s *Scheduler) addInstance(announced workload.Instance) *instance {
-	in := &instance{Instance: announced, runs: map[workload.TaskID]*run{}, orphans: map[runKey]time.Duration{}, clockReadAt: s.now, announcedAt: s.now, throttlePercent: 100,
+	in := &instance{Instance: announced, runs: map[workload.TaskID]*run{}, orphans: map[runKey]time.Duration{}, clockReadAt: s.now, announcedAt: s.now, knownSince: s.now, throttlePercent: 100,
 		largestCapacity: announced.Capacity.Max(announced.LargestCapacity)}
 	in.observeWarmup(false)
 	in.rackIndex = s.rackIndex(in.Rack)
--- a/internal/scheduler/wave_returns.go
+++ b/internal/scheduler/wave_returns.go
@@ -23,20 +23,22 @@
 		if in := s.instanceOn(machine); in != nil && in.Boot > m.orderedBoot {
 			w.maintainer.ObserveReturn(s.now - m.requestedAt)
 			delete(w.inProgress, machine)
+			s.cancelEvacuation(in) // it may have announced itself before the order was answered
 			released = true
 		}
 	}
 	return released
 }
 
-// followBoots applies to the machines without an order in flight that another boot runs there. A later boot has to be evacuated too.
+// followBoots applies to the machines that another boot runs there. A later boot has to be evacuated too, and gets no work while an order that
+// may end it is in flight.
 func (s *Scheduler) followBoots(w *wave) {
 	for machine, m := range w.inProgress {
 		in := s.instanceOn(machine)
-		if in == nil || in == m.instance || m.inFlight || m.done {
+		if in == nil || in == m.instance || m.done {
 			continue
 		}
-		if !m.uncertain {
+		if !m.uncertain && !m.inFlight {
 			delete(w.inProgress, machine)
 			continue
 		}
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -18,6 +18,7 @@
 	missingMachineDelay      = 4 * time.Second         // instances announce themselves every 1.5 s, and a restart takes 2 s
 	maintenanceRetryInterval = 700 * time.Millisecond  // the platform accepts few calls a second
 	busyMachineBackoff       = 1500 * time.Millisecond // a machine in a move is back by then
+	minMaintenanceTime       = 1500 * time.Millisecond // maintenance takes 2 s
 )
 
 // wave is the state of one maintenance wave.
@@ -47,7 +48,8 @@
 	// endedBoot is the latest known boot at the first order, and orderedBoot that at the latest order: a repeated order may end a
 	// boot that is back after the first.
 	endedBoot, orderedBoot int64
-	requestedAt            time.Duration
+	// requestedAt is when the latest order was sent, firstRequestedAt when the first was.
+	requestedAt, firstRequestedAt time.Duration
 	// begunAt is when the platform answered that the maintenance has begun.
 	begunAt  time.Duration
 	inFlight bool
@@ -156,7 +158,7 @@
 	}
 	m.orderedBoot = s.latestBoot(machine)
 	if !m.uncertain {
-		m.endedBoot = m.orderedBoot
+		m.endedBoot, m.firstRequestedAt = m.orderedBoot, s.now
 	}
 	m.inFlight = true
 	m.requestedAt = s.now
@@ -176,6 +178,8 @@
 	case MachineDone:
 		m.done = true
 		m.begunAt = s.now
+		ended := s.latestBootKnownBy(order.Machine, m.firstRequestedAt+minMaintenanceTime)
+		m.endedBoot, m.orderedBoot = max(m.endedBoot, ended), max(m.orderedBoot, ended)
 		s.markDeparted(order.Machine, m.endedBoot)
 	case MachineGone:
 		delete(w.inProgress, order.Machine)
@@ -195,8 +199,16 @@
 
 // latestBoot returns the latest known boot on a machine, which the first order of a move or maintenance ends.
 func (s *Scheduler) latestBoot(machine string) (boot int64) {
+	return s.latestBootKnownBy(machine, s.now)
+}
+
+// latestBootKnownBy returns the latest boot on a machine of which this leader knew at a time. One that was known before the maintenance can
+// have been over is not the return from it.
+func (s *Scheduler) latestBootKnownBy(machine string, at time.Duration) (boot int64) {
 	for _, in := range s.instances.byMachine[machine] {
-		boot = max(boot, in.Boot)
+		if in.knownSince <= at {
+			boot = max(boot, in.Boot)
+		}
 	}
 	return boot
 }
