Send no waiting order of a boot that is not polled any more

The queue of orders to an instance ends with the polls of its boot. Starts in it get the outcome "unpolled", so that the scheduler knows that they were never sent; a run that was kept for the next boot is dropped at once.

Not covered: a restart that a poll shows keeps the queue, and so does an instance whose ends are not committed when its runs are given up. There the boot in the order has to be compared where it is sent.

--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -38,7 +38,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(t.ctx)
-	d := &dispatcher{slots: make(chan struct{}, maxOrdersInFlight), started: make(chan struct{}, 1), cancel: cancel}
+	d := &dispatcher{ctx: ctx, slots: make(chan struct{}, maxOrdersInFlight), started: make(chan struct{}, 1), cancel: cancel}
 	t.dispatchers[id] = d
 	t.spawn(func() { t.pollLoop(ctx, id, d.started) })
 }
@@ -168,7 +168,8 @@
 	}
 }
 
-// dispatch sends an order to its instance, with at most maxOrdersInFlight at a time.
+// dispatch sends an order to its instance, with at most maxOrdersInFlight at a time. The next boot at the address would carry out one that is
+// sent after the boot was given up.
 func (t *term) dispatch(o scheduler.Order) {
 	d := t.dispatchers[o.Instance]
 	if d == nil {
@@ -183,12 +184,12 @@
 	}
 	t.spawn(func() {
 		t.load.ordersWaiting.Add(1)
-		select {
-		case d.slots <- struct{}{}:
-		case <-t.ctx.Done():
+		acquired := d.acquire()
+		t.load.ordersWaiting.Add(-1)
+		if !acquired {
+			t.post(func() { t.scheduler.HandleOrderOutcome(monotonicNow(), o, scheduler.Unpolled) })
 			return
 		}
-		t.load.ordersWaiting.Add(-1)
 		defer func() { <-d.slots }()
 		if o.Kind == scheduler.ImmediatePoll {
 			t.poll(t.ctx, o.Instance, false)
--- a/internal/supervisor/term.go
+++ b/internal/supervisor/term.go
@@ -75,14 +75,29 @@
 	load load
 }
 
-// dispatcher limits the orders in flight to one boot of an instance and cancels its polling.
+// dispatcher limits the orders in flight to one boot of an instance. Once ctx is cancelled the boot is not polled, and gets no order that waits.
 type dispatcher struct {
+	ctx   context.Context
 	slots chan struct{}
 	// started receives when a start is sent.
 	started chan struct{}
 	cancel  context.CancelFunc
 }
 
+// acquire waits for a slot, and returns false if ctx ends first.
+func (d *dispatcher) acquire() bool {
+	select {
+	case d.slots <- struct{}{}:
+	case <-d.ctx.Done():
+		return false
+	}
+	if d.ctx.Err() != nil {
+		<-d.slots
+		return false
+	}
+	return true
+}
+
 func newTerm(ctx context.Context, o *Options, m *instruments, number uint64) *term {
 	t := &term{options: o, instruments: m, number: number, inbox: make(chan func(), inboxCapacity), firstPolls: make(chan struct{}, maxFirstPolls), jobQueue: newJobQueue(defaultJobLimits), dispatchers: map[fleet.InstanceID]*dispatcher{}, loggedDrains: map[fleet.DataCentreID]bool{}, pollPacer: pollPacer{limits: defaultPollLimits}}
 	t.ctx, t.cancel = context.WithCancel(ctx)
