Test that a late departure keeps the announcement of the next boot

A keeper drops what it has collected of an instance that leaves, by its ID. If the instance has restarted under the ID, a late departure or drain of the earlier boot drops the announcement of the next one, which may have been acknowledged. Nothing runs twice: the instance announces itself again 1.5 s later, and gets its work that much later. A call that waits for the delivery is not answered.

Forget takes the announcement in place of the ID, and does the same as before.

--- a/internal/collector/collector.go
+++ b/internal/collector/collector.go
@@ -170,12 +170,12 @@
 }
 
 // Forget drops the announcements of an instance that says now that it leaves.
-func (c *Collector) Forget(id fleet.InstanceID) {
+func (c *Collector) Forget(leaving *workload.Instance) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	delete(c.pending, id)
-	delete(c.inFlight, id)
-	delete(c.acknowledged, id)
+	delete(c.pending, leaving.ID)
+	delete(c.inFlight, leaving.ID)
+	delete(c.acknowledged, leaving.ID)
 }
 
 // Repeats reports whether the announcement says the same as the one before it, which was acknowledged here within the retention.
--- a/internal/collector/collector_test.go
+++ b/internal/collector/collector_test.go
@@ -114,7 +114,7 @@
 	waitFor(t, "a delivery fails", func() bool { calls, _ := l.count(); return calls > 0 })
 	c.Add(announcementOf(3, 2))
 	c.Add(announcementOf(3, 1)) // an earlier one that is late
-	c.Forget("i-4")
+	c.Forget(announcementOf(4, 2))
 	waited := make(chan error)
 	go func() { waited <- c.AddAndWait(t.Context(), announcementOf(5, 2)) }()
 	l.setFailing(false)
@@ -181,7 +181,7 @@
 		k.change(in)
 		assert.Check(t, c.Repeats(in) == k.repeats, k.name)
 	}
-	c.Forget("i-1")
+	c.Forget(announcementOf(1, 8))
 	now = time.Hour
 	assert.Check(t, !c.Repeats(announcementOf(1, 8)), "forgotten")
 }
@@ -208,3 +208,26 @@
 	assert.NilError(t, <-answered)
 	assert.NilError(t, <-answered)
 }
+
+// TestLateDepartureKeepsNextBoot guards against an acknowledged announcement that is lost: an instance has restarted under its ID, and its
+// earlier boot says late that it leaves.
+func TestLateDepartureKeepsNextBoot(t *testing.T) {
+	for name, boot := range map[string]int64{"earlier boot": 1, "no boot named": 0, "same boot": 2, "later boot": 3} {
+		t.Run(name, func(t *testing.T) {
+			l := &fakeLeader{failing: true}
+			c := startCollector(t, l, bootclock.Now)
+			next, leaving := announcementOf(1, 1), announcementOf(1, 9)
+			next.Boot, leaving.Boot = 2, boot
+			c.Add(next)
+			waitFor(t, "a delivery fails", func() bool { calls, _ := l.count(); return calls > 0 })
+			c.Forget(leaving)
+			l.setFailing(false)
+			assert.NilError(t, c.AddAndWait(t.Context(), announcementOf(2, 1))) // the announcements are delivered in order
+			l.mutex.Lock()
+			_, delivered := l.known["i-1"]
+			l.mutex.Unlock()
+			assert.Equal(t, delivered, boot == 1)
+			assert.Equal(t, c.Repeats(next), boot == 1)
+		})
+	}
+}
--- a/internal/process/announcements.go
+++ b/internal/process/announcements.go
@@ -103,7 +103,7 @@
 		defer cancel()
 		err = p.collector.AddAndWait(ctx, in)
 	case forward:
-		p.collector.Forget(in.ID)
+		p.collector.Forget(in)
 		if response, err = p.callAsKeeper(ctx, request); err == nil && !in.Draining {
 			p.collector.Acknowledge(in)
 		}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -205,7 +205,7 @@
 	case forwarder.Announce:
 		return p.announce(ctx, request)
 	case forwarder.Depart:
-		p.collector.Forget(request.Instance.ID)
+		p.collector.Forget(request.Instance)
 	}
 	return p.callAsKeeper(ctx, request)
 }
