--- a/internal/collector/collector.go
+++ b/internal/collector/collector.go
@@ -169,13 +169,15 @@
 	c.acknowledged[in.ID] = &announcement{instance: *in, at: c.options.Clock()}
 }
 
-// Forget drops the announcements of an instance that says now that it leaves.
+// Forget drops the announcements of an instance that says now that it leaves, but not those of a later boot. A zero boot matches any boot.
 func (c *Collector) Forget(leaving *workload.Instance) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	delete(c.pending, leaving.ID)
-	delete(c.inFlight, leaving.ID)
-	delete(c.acknowledged, leaving.ID)
+	for _, list := range []map[fleet.InstanceID]*announcement{c.pending, c.inFlight, c.acknowledged} {
+		if a := list[leaving.ID]; a != nil && (leaving.Boot == 0 || a.instance.Boot <= leaving.Boot) {
+			delete(list, leaving.ID)
+		}
+	}
 }
 
 // Repeats reports whether the announcement says the same as the one before it, which was acknowledged here within the retention.
