Count the answer to a stop only for the boot to which it was sent

An answer that the next boot gave to a stop of the earlier one is ignored too; a stop of the next boot is sent after its first report in any case.

Before: TestStopAnsweredByEarlierBoot fails. After: the package scheduler passes.

--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -64,7 +64,9 @@
 	case Start:
 		s.handleStartOutcome(in, r, outcome)
 	case Stop:
-		s.handleStopOutcome(in, r, outcome)
+		if order.Boot == in.Boot { // an earlier boot keeps no later one from executing the start
+			s.handleStopOutcome(in, r, outcome)
+		}
 	case Throttle:
 		if outcome != Accepted {
 			r.throttlePercent = throttleUnset
