Test that a new leader waits for the leases of an unpolled next boot

A new leader counts the leases that earlier ones granted from the moment at which it began to lead. A boot that begins later has seen no fence and executes a late order of an earlier leader until it has answered the new one. The deadline in it is on the clock of the boot before, so that the lease may begin as late as the boot became known, or later.

Seen at: the boot announces itself 5 s after the change of leader and is cut off; its task starts elsewhere 0.8 s later.

--- a/internal/scheduler/restart_leader_test.go
+++ b/internal/scheduler/restart_leader_test.go
@@ -32,3 +32,27 @@
 	f.advance(time.Second)
 	assert.Equal(t, len(f.startOrders), 0, "started again while run %d is at work on %s", start.Run, start.Instance)
 }
+
+// TestNextBootIsAwaitedByNextLeader guards against a second run of one task: an instance restarts while the leader changes, its next boot
+// executes a start of the earlier leader, of which the next one does not know, announces itself and is cut off. A boot that has
+// not answered the new leader accepts orders of earlier ones, so that its lease may begin as late as it became known.
+func TestNextBootIsAwaitedByNextLeader(t *testing.T) {
+	const lease = 5400 * time.Millisecond
+	f := newTestFleet(t)
+	f.addInstance("a", "p")
+	f.addInstance("b", "p")
+	f.advance(time.Second)
+	start := submitAndTakeStart(f)
+	id := start.Instance
+	f.startLeader()
+	delete(f.runs, id) // is cut off
+	f.advance(lease - 400*time.Millisecond)
+	next := f.state.Workload.Enrolled[id]
+	next.Boot, next.Sequence, next.Clock = f.now.Milliseconds(), 1, time.Second
+	f.enrol(next)
+	delete(f.runs, id)
+	f.advance(lease)
+	assert.Equal(t, len(f.startOrders), 0, "started again while run %d may have a lease on %s", start.Run, id)
+	f.advance(2 * lease)
+	assert.Equal(t, len(f.startOrders), 1, "the task does not start again")
+}
