--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -112,6 +112,8 @@
 	rackIndex int
 	// startedAt is when a task was started here last.
 	startedAt time.Duration
+	// knownSince is when this leader first knew of the boot.
+	knownSince time.Duration
 }
 
 // pendingEnd is a reported end that is acknowledged once its batch is committed.
@@ -121,7 +123,7 @@
 }
 
 func (s *Scheduler) addInstance(announced workload.Instance) *instance {
-	in := &instance{Instance: announced, runs: map[workload.TaskID]*run{}, orphans: map[runKey]time.Duration{}, clockReadAt: s.now, announcedAt: s.now, throttlePercent: 100,
+	in := &instance{Instance: announced, runs: map[workload.TaskID]*run{}, orphans: map[runKey]time.Duration{}, clockReadAt: s.now, announcedAt: s.now, knownSince: s.now, throttlePercent: 100,
 		largestCapacity: announced.Capacity.Max(announced.LargestCapacity)}
 	in.observeWarmup(false)
 	in.rackIndex = s.rackIndex(in.Rack)
@@ -145,8 +147,7 @@
 		if in == nil {
 			in = s.addInstance(announced)
 		} else {
-			s.requestDeregistration(in)
-			in = s.replaceBoot(in, announced, announced.Clock)
+			in = s.replaceBoot(in, announced, announced.Clock) // its enrolment replaces that of the earlier boot
 		}
 		in.observeClock(now, announced.Clock)
 		s.beginEnrolment(in)
@@ -207,6 +208,12 @@
 	in.departed = true
 }
 
+// Enrolled reports whether the known boot of an instance is enrolled, or an earlier one that a poll has shown to be replaced.
+func (s *Scheduler) Enrolled(id fleet.InstanceID) bool {
+	in := s.instances.byID[id]
+	return in != nil && in.enrolled
+}
+
 // EnrolledInstances returns the instances to poll.
 func (s *Scheduler) EnrolledInstances() []fleet.InstanceID {
 	list := make([]fleet.InstanceID, 0, len(s.instances.sorted))
@@ -259,7 +266,7 @@
 
 // schedulable reports whether tasks may be started on the instance.
 func (s *Scheduler) schedulable(in *instance) bool {
-	return in.enrolled && !in.bootUncommitted && in.polled && !in.Draining && !in.departed && !in.evacuating && !in.consolidating && !in.reclaimed && !in.cordoned && !in.hasOrphans && in.failedPolls < unschedulableFailedPolls && s.now >= in.backoffUntil && !s.drained(in.DataCentre)
+	return in.enrolled && !in.bootUncommitted && in.polled && !in.Draining && !in.departed && !in.evacuating && !in.consolidating && !in.reclaimed && !in.cordoned && !in.hasOrphans && in.failedPolls < unschedulableFailedPolls && s.now >= in.backoffUntil && !s.drained(in.DataCentre) && !s.movePending(in)
 }
 
 // endsCommitted reports whether all ends of the instance are reported and committed. Until then the instance holds the only
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -38,11 +38,19 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(t.ctx)
-	d := &dispatcher{slots: make(chan struct{}, maxOrdersInFlight), started: make(chan struct{}, 1), cancel: cancel}
+	d := &dispatcher{ctx: ctx, slots: make(chan struct{}, maxOrdersInFlight), started: make(chan struct{}, 1), cancel: cancel}
 	t.dispatchers[id] = d
 	t.spawn(func() { t.pollLoop(ctx, id, d.started) })
 }
 
+// stopPolling ends the polls of an instance that was deregistered or has restarted.
+func (t *term) stopPolling(id fleet.InstanceID) {
+	if d := t.dispatchers[id]; d != nil {
+		d.cancel()
+		delete(t.dispatchers, id)
+	}
+}
+
 // pollLoop polls an instance until ctx ends: at the pace of pollPacer, and after missedPollBackoff once two polls in a row have
 // failed. A start that is sent ends the pause of an instance that was empty.
 func (t *term) pollLoop(ctx context.Context, id fleet.InstanceID, started <-chan struct{}) {
@@ -163,7 +171,8 @@
 	}
 }
 
-// dispatch sends an order to its instance, with at most maxOrdersInFlight at a time.
+// dispatch sends an order to its instance, with at most maxOrdersInFlight at a time. The next boot at the address would carry out one that is
+// sent after the boot was given up.
 func (t *term) dispatch(o scheduler.Order) {
 	d := t.dispatchers[o.Instance]
 	if d == nil {
@@ -178,12 +187,12 @@
 	}
 	t.spawn(func() {
 		t.load.ordersWaiting.Add(1)
-		select {
-		case d.slots <- struct{}{}:
-		case <-t.ctx.Done():
+		acquired := d.acquire()
+		t.load.ordersWaiting.Add(-1)
+		if !acquired {
+			t.post(func() { t.scheduler.HandleOrderOutcome(monotonicNow(), o, scheduler.Unpolled) })
 			return
 		}
-		t.load.ordersWaiting.Add(-1)
 		defer func() { <-d.slots }()
 		if o.Kind == scheduler.ImmediatePoll {
 			t.poll(t.ctx, o.Instance, false)
