Count on deadlines of earlier leaders too when an instance has restarted

Cause: the bound on the lease of a boot that follows another one held only if this leader had sent the earlier boot a deadline. A boot that has not answered the new leader has seen no fencing token, and takes orders and deadlines of the earlier leader.

Change: the bound holds after every restart.

The package scheduler passes.

--- a/internal/scheduler/restart.go
+++ b/internal/scheduler/restart.go
@@ -17,10 +17,8 @@
 	s.cancelEnrolment(in)
 	replacement := s.addInstance(later)
 	replacement.inherited, replacement.earlierLeases, replacement.cordonIndex = in.inherited, in.earlierLeases, in.cordonIndex
-	if in.maxDeadlineSent > 0 {
-		// An order or poll for the earlier boot that is carried out late gives the later one a lease.
-		replacement.maxDeadlineSent = clock + 2*s.options.LeaseDuration
-	}
+	// An order or poll for the earlier boot, of this leader or an earlier one, gives the later boot a lease if it is carried out late.
+	replacement.maxDeadlineSent = clock + 2*s.options.LeaseDuration
 	for _, r := range unanswered {
 		s.keepUnanswered(replacement, r)
 	}
