--- a/soak/scenario/inject.go
+++ b/soak/scenario/inject.go
@@ -33,12 +33,16 @@
 		s.printf("%-24s%-10s %-30s for %.1f s", f.kind, target, detail, f.duration.Seconds())
 	}
 	switch f.kind {
-	case crashInstance, silenceInstance, disturbInstance:
+	case crashInstance, restartInstance, silenceInstance, disturbInstance:
 		in := s.fleet.Instances()[f.target]
 		line(in.ID, describe(f.mode))
-		if f.kind == crashInstance {
+		switch f.kind {
+		case crashInstance:
 			s.note(in.Crash())
 			return func() { s.note(in.Return()) }
+		case restartInstance:
+			s.note(in.Vanish())
+			return func() { s.note(in.Return()) }
 		}
 		s.note(in.Disturb(f.mode, f.kind == silenceInstance))
 		return func() { s.note(in.Disturb(proxy.Mode{}, false)) }
--- a/soak/scenario/plan.go
+++ b/soak/scenario/plan.go
@@ -22,6 +22,7 @@
 	crashInstance    kind = "instance crashes"
 	silenceInstance  kind = "instance silent"
 	disturbInstance  kind = "instance link"
+	restartInstance  kind = "instance restarts"
 )
 
 // fault is one fault of the plan. It begins at a time since the faults began and is undone after duration. target is a process or an instance,
@@ -39,6 +40,8 @@
 	shortestTime = 200 * time.Millisecond
 	longestTime  = 8 * time.Second
 	maxDelay     = 400 * time.Millisecond
+	// longestSilence is that of an instance that restarts. It is longer than the timeout of an order.
+	longestSilence = 1200 * time.Millisecond
 	// emptyInterval keeps a second keeper from losing its data before the leader has replaced the first one.
 	emptyInterval = 20 * time.Second
 )
@@ -65,7 +68,22 @@
 		}
 		series = append(series, list)
 	}
-	return series
+	// A generator of its own keeps the other faults of a seed as they were.
+	p.random = rand.New(rand.NewPCG(seed, 2))
+	return append(series, p.restarts(duration))
+}
+
+// restarts returns faults in which an instance is silent, starts again under its ID, and is cut off soon after.
+func (p *planner) restarts(duration time.Duration) (list []fault) {
+	for at := p.within(0, maxPause); at < duration; at += p.within(0, maxPause) {
+		target := p.random.IntN(p.instances)
+		silent, pause, cutOff := p.within(longestSilence/4, longestSilence), p.within(0, shortestTime), p.within(longestTime/2, longestTime)
+		list = append(list,
+			fault{at: at, duration: silent, kind: restartInstance, target: target},
+			fault{at: at + silent + pause, duration: cutOff, kind: disturbInstance, target: target, mode: proxy.Mode{CutForward: true, CutBackward: true}})
+		at += silent + pause + cutOff
+	}
+	return list
 }
 
 func (p *planner) within(low, high time.Duration) time.Duration {
--- a/soak/standin/fleet.go
+++ b/soak/standin/fleet.go
@@ -74,8 +74,7 @@
 	in.boot()
 	// An order is for the boot that accepted its connection.
 	address, err := f.serve(&http.Server{Handler: in, ReadHeaderTimeout: MaxLease, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
-		defer f.lock()()
-		return context.WithValue(ctx, bootKey{}, in.boots)
+		return context.WithValue(ctx, bootKey{}, in.accept())
 	}})
 	if err != nil {
 		return err
--- a/soak/standin/instance.go
+++ b/soak/standin/instance.go
@@ -79,7 +79,12 @@
 }
 
 // Crash ends the boot with all its runs; connections are refused until Return.
-func (in *Instance) Crash() error {
+func (in *Instance) Crash() error { return in.crash(proxy.Mode{Reset: true}) }
+
+// Vanish ends the boot with all its runs. The address is silent until Return; the next boot serves the connections that were made meanwhile.
+func (in *Instance) Vanish() error { return in.crash(proxy.Mode{CutForward: true, CutBackward: true}) }
+
+func (in *Instance) crash(m proxy.Mode) error {
 	defer in.fleet.lock()()
 	in.fleet.advance()
 	in.crashed = true
@@ -88,7 +93,16 @@
 	}
 	in.runs = map[string]*run{}
 	in.wake()
-	return in.link.Set(proxy.Mode{Reset: true})
+	return in.link.Set(m)
+}
+
+// accept returns the boot that serves a new connection.
+func (in *Instance) accept() int {
+	defer in.fleet.lock()()
+	if in.crashed {
+		return in.boots + 1
+	}
+	return in.boots
 }
 
 // Return starts the next boot after a crash.
