Send an acknowledgement of ends only until it is answered

A poll for the boot before is carried out 2 s later, by the next boot, which forgets the end.

Cause: each poll repeated the last acknowledged end, also the hundreds that had nothing new to acknowledge. Connections that are bound to boots keep such a poll from the next boot, but not one that the instance carries out late.

Change: NextPoll sends an acknowledgement until a poll with it is answered (StatusReport.AckedEnd). An end that is acknowledged once stays forgotten. What is left is a poll with a new acknowledgement that is carried out late by the next boot.

TestAcknowledgementIsSentUntilItIsAnswered fails without the change ("7 != 0: the acknowledgement was answered"). Packages scheduler, supervisor, platform and courier pass.

--- a/internal/scheduler/fleet_test.go
+++ b/internal/scheduler/fleet_test.go
@@ -213,7 +213,7 @@
 			continue
 		}
 		f.unackedEnds[id] = slices.DeleteFunc(f.unackedEnds[id], func(e scheduler.ReportedEnd) bool { return e.Number <= request.AckedEnd })
-		report := scheduler.StatusReport{Clock: time.Minute + f.now, Ended: slices.Clone(f.unackedEnds[id])}
+		report := scheduler.StatusReport{Clock: time.Minute + f.now, AckedEnd: request.AckedEnd, Ended: slices.Clone(f.unackedEnds[id])}
 		if f.endsPerReport > 0 {
 			report.Ended, report.MoreEnds = firstEnds(f.unackedEnds[id], f.endsPerReport)
 		}
--- a/internal/scheduler/instance.go
+++ b/internal/scheduler/instance.go
@@ -63,10 +63,12 @@
 	claimed        workload.Resources
 	// capacity is that of the pool if the instance is schedulable in the current planning run, else nil.
 	capacity *poolCapacity
-	// lastEndNumber is the highest end number that was processed, ackedEnd the highest that is acknowledged.
+	// lastEndNumber is the highest end number that was processed, ackedEnd the highest that is acknowledged, and confirmedAck the highest
+	// acknowledgement that the boot has answered.
 	lastEndNumber uint64
 	pendingEnds   []pendingEnd
 	ackedEnd      uint64
+	confirmedAck  uint64
 	// orphans holds the time of the last stop order for each orphaned run.
 	orphans         map[runKey]time.Duration
 	backoffUntil    time.Duration
--- a/internal/scheduler/oracle_polls_test.go
+++ b/internal/scheduler/oracle_polls_test.go
@@ -120,6 +120,9 @@
 	}
 	if p.report == nil && p.outcome == scheduler.Accepted && s.now >= p.releasedAt && !p.boot.crashed {
 		report := s.makeReport(p.boot)
+		if p.request.Boot == p.boot.Boot {
+			report.AckedEnd = p.request.AckedEnd
+		}
 		s.reportCount++
 		p.report, p.order = &report, s.reportCount
 	}
--- a/internal/scheduler/oracle_target_test.go
+++ b/internal/scheduler/oracle_target_test.go
@@ -278,6 +278,9 @@
 	}
 	s.carryOutPoll(in, request)
 	report := s.makeReport(in)
+	if request.Boot == in.Boot {
+		report.AckedEnd = request.AckedEnd
+	}
 	s.now += time.Millisecond
 	s.scheduler.HandleReport(s.now, in.ID, sentAt, report)
 }
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -15,7 +15,7 @@
 	Instance fleet.InstanceID `cbor:"1,keyasint"`
 	Address  string           `cbor:"2,keyasint"`
 	Fence    uint64           `cbor:"3,keyasint"`
-	// AckedEnd acknowledges the ends up to this number; their handling is committed.
+	// AckedEnd acknowledges the ends up to this number; their handling is committed. It is zero if the instance has answered a poll with it.
 	AckedEnd uint64 `cbor:"4,keyasint,omitempty"`
 	// Deadline extends the lease, on the clock of the instance; zero leaves it unchanged.
 	Deadline time.Duration `cbor:"5,keyasint,omitempty"`
@@ -42,6 +42,8 @@
 	MoreEnds bool `cbor:"5,keyasint,omitempty"`
 	// Probe is set if the poll was sent without AckedEnd, Deadline and Wait, because it might have reached another boot.
 	Probe bool `cbor:"6,keyasint,omitempty"`
+	// AckedEnd is that of the poll as it was sent.
+	AckedEnd uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // ReportedRun is a run in a status report.
@@ -74,7 +76,11 @@
 		return PollRequest{}, false
 	}
 	in.advanceAckedEnd(s.committedBatch)
-	request := PollRequest{Instance: id, Boot: in.Boot, Address: in.Address, DataCentre: in.DataCentre, Fence: s.options.Fence, AckedEnd: in.ackedEnd}
+	request := PollRequest{Instance: id, Boot: in.Boot, Address: in.Address, DataCentre: in.DataCentre, Fence: s.options.Fence}
+	if in.ackedEnd > in.confirmedAck {
+		// Not repeated once it is answered: a poll may be carried out late, by the next boot, which numbers its ends anew.
+		request.AckedEnd = in.ackedEnd
+	}
 	if in.clock > 0 && in.failedPolls == 0 {
 		request.Deadline = s.nextDeadline(in)
 	}
@@ -152,6 +158,7 @@
 		s.replaceRestarted(in, report)
 		return
 	}
+	in.confirmedAck = max(in.confirmedAck, report.AckedEnd)
 	if report.Clock < in.reportedAt {
 		return
 	}
--- a/internal/scheduler/poll_test.go
+++ b/internal/scheduler/poll_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphiresail/sapphiresail/internal/scheduler"
+	"github.com/sapphiresail/sapphiresail/internal/workload"
 )
 
 // TestCrossedPollsKeepRun guards against a second run of one task: the report of a poll that was sent before the start was
@@ -64,3 +65,36 @@
 		})
 	}
 }
+
+// TestAcknowledgementIsSentUntilItIsAnswered guards against a second run of one task (TWICE): a poll without anything new to acknowledge is carried out
+// late, by the next boot under the ID, which forgets its ends up to the acknowledged number before they are read. It guards as well against an
+// acknowledgement that is lost with the answer to its poll.
+func TestAcknowledgementIsSentUntilItIsAnswered(t *testing.T) {
+	f := newTestFleet(t)
+	id := f.addInstance("a", "p")
+	f.advance(time.Second)
+	clock := time.Minute + f.now
+	report := func(r scheduler.StatusReport) {
+		clock += 10 * time.Millisecond
+		f.now += 10 * time.Millisecond
+		r.Clock = clock
+		f.scheduler.HandleReport(f.now, id, f.now-time.Millisecond, r)
+	}
+	next := func() scheduler.PollRequest {
+		request, ok := f.scheduler.NextPoll(f.now, id, false)
+		assert.Assert(t, ok)
+		return request
+	}
+	assert.Equal(t, next().AckedEnd, uint64(0))
+	report(scheduler.StatusReport{Ended: []scheduler.ReportedEnd{{Number: 7, Ending: workload.EndedStopped}}})
+	unanswered := next()
+	assert.Equal(t, unanswered.AckedEnd, uint64(7))
+	f.scheduler.HandlePollFailure(f.now, unanswered, scheduler.Uncertain)
+	assert.Equal(t, next().AckedEnd, uint64(7), "the answer was lost")
+	report(scheduler.StatusReport{Probe: true})
+	assert.Equal(t, next().AckedEnd, uint64(7), "a probe acknowledges nothing")
+	report(scheduler.StatusReport{AckedEnd: 7})
+	assert.Equal(t, next().AckedEnd, uint64(0), "the acknowledgement was answered")
+	report(scheduler.StatusReport{Ended: []scheduler.ReportedEnd{{Number: 9, Ending: workload.EndedStopped}}})
+	assert.Equal(t, next().AckedEnd, uint64(9))
+}
--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -151,11 +151,11 @@
 		return
 	}
 	if report.Probe {
-		request.AckedEnd, request.Deadline = 0, 0
+		request.Deadline = 0
 	}
 	t.instruments.pollsCrossed.Inc(1)
 	event.BootMismatched.Info(t.options.Logger, zap.String("instance", string(request.Instance)), zap.Int64("boot", request.Boot), zap.Int64("answered-by", report.Boot),
-		zap.Uint64("acknowledged", request.AckedEnd), zap.Duration("deadline", request.Deadline), zap.Duration("clock", report.Clock),
+		zap.Uint64("acknowledged", report.AckedEnd), zap.Duration("deadline", request.Deadline), zap.Duration("clock", report.Clock),
 		zap.Int("running", len(report.Running)), zap.Int("ended", len(report.Ended)))
 }
 
