Back off and stop the gang when a start was not sent to another boot

After the outcome Restarted the task was free at once, on an instance that still counted as schedulable, and the sender knows without a request that the boot is another one: 250 starts in 250 ms. The other members of a gang ran on and waited for the part that was not started.

TestRestartedInstanceIsNotTriedInALoop (250 starts before, 3 at most now) and TestGangIsStoppedIfAPartWasNotSent failed before.

--- a/internal/scheduler/next_boot_test.go
+++ b/internal/scheduler/next_boot_test.go
@@ -41,6 +41,52 @@
 	}
 }
 
+// TestRestartedInstanceIsNotTriedInALoop guards against a leader that places a task on a restarted instance hundreds of times a second until a report shows
+// the restart: the sender knows without a request that the boot is another one.
+func TestRestartedInstanceIsNotTriedInALoop(t *testing.T) {
+	f := newTestFleet(t)
+	f.addInstance("a", "p")
+	f.advance(time.Second)
+	f.submitJob(workload.Step{Count: 1, Resources: workload.Resources{Processors: 1000}})
+	starts := 0
+	for range 250 {
+		f.now += time.Millisecond
+		f.scheduler.Tick(f.now, f.now.Milliseconds())
+		for _, o := range f.scheduler.TakeOrders() {
+			if o.Kind == scheduler.Start {
+				starts++
+				f.scheduler.HandleOrderOutcome(f.now, o, scheduler.Restarted)
+			}
+		}
+	}
+	assert.Assert(t, starts > 0 && starts <= 3, "%d starts in 250 ms", starts)
+}
+
+// TestGangIsStoppedIfAPartWasNotSent guards against tasks that wait for the rest of their gang until they give up: a start was not sent, as its
+// instance had restarted.
+func TestGangIsStoppedIfAPartWasNotSent(t *testing.T) {
+	f := newTestFleet(t)
+	f.addInstance("a", "p")
+	f.addInstance("b", "p")
+	f.advance(time.Second)
+	f.submitJob(workload.Step{Count: 2, Gang: true, Resources: workload.Resources{Processors: 1000}, MaxPerInstance: 1})
+	f.scheduler.Tick(f.now, f.now.Milliseconds())
+	var starts []scheduler.Order
+	for _, o := range f.scheduler.TakeOrders() {
+		if o.Kind == scheduler.Start {
+			starts = append(starts, o)
+		}
+	}
+	assert.Equal(t, len(starts), 2)
+	f.scheduler.HandleOrderOutcome(f.now, starts[0], scheduler.Accepted)
+	f.scheduler.HandleOrderOutcome(f.now, starts[1], scheduler.Restarted)
+	stopped := false
+	for _, o := range f.scheduler.TakeOrders() {
+		stopped = stopped || o.Kind == scheduler.Stop && o.Task == starts[0].Task
+	}
+	assert.Assert(t, stopped, "the part that was started is not stopped")
+}
+
 // TestLeaseOfNextBootOutlivesDeadlinesOfEarlierBoot guards against a second run of one task (TWICE): an instance that has restarted under its ID
 // carries a poll or start for the earlier boot out, takes its deadline for one on its own clock, and is cut off soon after.
 func TestLeaseOfNextBootOutlivesDeadlinesOfEarlierBoot(t *testing.T) {
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -110,6 +110,8 @@
 	case Restarted:
 		s.logRunDecision("run unsent", r, in, "instance has restarted")
 		s.detachRun(in, r)
+		s.stopGang(r, "a part of the gang was not started")
+		in.backoffUntil = s.now + rejectedStartBackoff
 		s.pollNow(in)
 	default:
 		s.logRunDecision("run uncertain", r, in, outcome.String())
