Reuse connections of unknown boots, close idle ones in time, and give orders their own time

TestConnectionWithoutBootIsReused. - Idle connections were closed only by a later request to any instance, so that a former leader kept its own. Each has a timer now; TestIdleConnectionsExpire no longer sends a request to have them closed, and counts on the side of the server. - The probe before an order used up the time of the order: with responses of 250 ms no order was answered in its 400 ms.

--- a/internal/connector/connection.go
+++ b/internal/connector/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"net/http"
 	"time"
 )
@@ -14,12 +15,20 @@
 	address   string
 	boot      int64
 	broken    bool
-	usedAt    time.Time
+	expiry    *time.Timer // of an idle connection
 }
 
 // Boot returns the boot at the other end, or zero if it is not known.
 func (c *Connection) Boot() int64 { return c.boot }
 
+// rank orders idle connections for a request to a boot: that boot, the later ones, those whose boot is not known.
+func (c *Connection) rank(boot int64) int64 {
+	if c.boot == 0 && boot != 0 {
+		return math.MaxInt64
+	}
+	return c.boot
+}
+
 // Bind records the boot that has answered on the connection.
 func (c *Connection) Bind(boot int64) { c.boot = boot }
 
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -36,7 +36,6 @@
 const (
 	defaultMaxConnections = 5
 	defaultIdleTimeout    = 60 * time.Second
-	defaultSweepInterval  = 10 * time.Second
 	maxResponseBytes      = 8 << 20
 )
 
@@ -45,13 +44,11 @@
 	transport      *http.Transport
 	maxConnections int
 	idleTimeout    time.Duration
-	sweepInterval  time.Duration
 
-	mutex   sync.Mutex
-	closed  bool
-	hosts   map[string]*host
-	sweptAt time.Time
-	inUse   sync.WaitGroup
+	mutex  sync.Mutex
+	closed bool
+	hosts  map[string]*host
+	inUse  sync.WaitGroup
 }
 
 // host is the connections to one address.
@@ -73,12 +70,11 @@
 // WithIdleTimeout sets after which time without a request a connection is closed. The default is 60 s.
 func WithIdleTimeout(d time.Duration) Option { return func(c *Connector) { c.idleTimeout = d } }
 
-// WithSweepInterval sets how often idle connections are checked. The default is 10 s.
-func WithSweepInterval(d time.Duration) Option { return func(c *Connector) { c.sweepInterval = d } }
-
-// New returns a connector that dials with the settings of a transport.
+// New returns a connector that dials with the settings of a transport, except its limits on connections.
 func New(transport *http.Transport, options ...Option) *Connector {
-	c := &Connector{transport: transport, maxConnections: defaultMaxConnections, idleTimeout: defaultIdleTimeout, sweepInterval: defaultSweepInterval, hosts: map[string]*host{}}
+	transport = transport.Clone()
+	transport.MaxConnsPerHost = 0 // a ClientConn is not counted when it is made, but subtracted when it is closed
+	c := &Connector{transport: transport, maxConnections: defaultMaxConnections, idleTimeout: defaultIdleTimeout, hosts: map[string]*host{}}
 	for _, o := range options {
 		o(c)
 	}
@@ -97,8 +93,8 @@
 	return nil
 }
 
-// Acquire returns a connection to an address: one of the given boot if any is idle, else one of a later boot, else a new one, whose boot is not
-// known. Idle connections of earlier boots are closed. The caller releases the connection.
+// Acquire returns a connection to an address: one of the given boot if any is idle, else one of a later boot, else one whose boot is not known.
+// Idle connections of earlier boots are closed. The caller releases the connection.
 func (c *Connector) Acquire(ctx context.Context, address string, boot int64) (*Connection, error) {
 	h, err := c.enter(address)
 	if err != nil {
@@ -111,6 +107,7 @@
 		return nil, &Error{Op: "acquire", Kind: KindUnreachable, Err: ctx.Err()}
 	}
 	if conn := c.takeIdle(h, boot); conn != nil {
+		conn.expiry.Stop()
 		return conn, nil
 	}
 	client, err := c.transport.NewClientConn(ctx, "http", address)
@@ -129,7 +126,6 @@
 	if c.closed {
 		return nil, &Error{Op: "acquire", Kind: KindClosed}
 	}
-	c.sweep(time.Now())
 	h := c.hosts[address]
 	if h == nil {
 		h = &host{slots: make(chan struct{}, c.maxConnections)}
@@ -150,17 +146,18 @@
 	c.inUse.Done()
 }
 
-// takeIdle takes an idle connection of the boot or a later one, the earliest first, and closes those that have ended.
+// takeIdle takes an idle connection of the boot, or else of the next one after it, or else one whose boot is not known. It closes those that have
+// ended.
 func (c *Connector) takeIdle(h *host, boot int64) *Connection {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	h.closeIdle(func(conn *Connection) bool { return conn.boot < boot })
+	h.closeIdle(func(conn *Connection) bool { return conn.boot != 0 && conn.boot < boot })
 	if len(h.idle) == 0 {
 		return nil
 	}
-	best := len(h.idle) - 1
-	for i := best - 1; i >= 0; i-- {
-		if h.idle[i].boot < h.idle[best].boot {
+	best := 0
+	for i, conn := range h.idle {
+		if conn.rank(boot) <= h.idle[best].rank(boot) {
 			best = i
 		}
 	}
@@ -180,17 +177,14 @@
 	})
 }
 
-// sweep closes the connections that have been idle for too long.
-func (c *Connector) sweep(now time.Time) {
-	if now.Sub(c.sweptAt) < c.sweepInterval {
-		return
-	}
-	c.sweptAt = now
-	for address, h := range c.hosts {
-		h.closeIdle(func(conn *Connection) bool { return now.Sub(conn.usedAt) > c.idleTimeout })
-		if h.users == 0 && len(h.idle) == 0 {
-			delete(c.hosts, address)
-		}
+// expire closes a connection if it is still idle.
+func (c *Connector) expire(conn *Connection) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	h := conn.host
+	h.closeIdle(func(other *Connection) bool { return other == conn })
+	if h.users == 0 && len(h.idle) == 0 && c.hosts[conn.address] == h {
+		delete(c.hosts, conn.address)
 	}
 }
 
@@ -199,7 +193,7 @@
 	c.mutex.Lock()
 	reusable := !c.closed && !conn.broken && conn.client.Err() == nil
 	if reusable {
-		conn.usedAt = time.Now()
+		conn.expiry = time.AfterFunc(c.idleTimeout, func() { c.expire(conn) })
 		conn.host.idle = append(conn.host.idle, conn)
 	}
 	c.mutex.Unlock()
--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -24,6 +24,7 @@
 	address  string
 	mutex    sync.Mutex
 	accepted []net.Conn
+	closed   int
 	body     string
 	delay    time.Duration
 }
@@ -41,8 +42,11 @@
 	s.http.Config.ConnState = func(c net.Conn, state http.ConnState) {
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
-		if state == http.StateNew {
+		switch state {
+		case http.StateNew:
 			s.accepted = append(s.accepted, c)
+		case http.StateClosed:
+			s.closed++
 		}
 	}
 	s.http.Start()
@@ -57,6 +61,12 @@
 	return len(s.accepted)
 }
 
+func (s *server) open() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.accepted) - s.closed
+}
+
 // breakConnections resets all connections.
 func (s *server) breakConnections() {
 	s.mutex.Lock()
@@ -193,17 +203,33 @@
 	assert.NilError(t, c.Close())
 }
 
-// TestIdleConnectionsExpire guards against connections to instances that are gone, which nothing else closes.
+// TestIdleConnectionsExpire guards against connections to instances that are gone, to which no request is sent any more.
 func TestIdleConnectionsExpire(t *testing.T) {
 	s := startServer(t)
-	c := connector.New(&http.Transport{}, connector.WithIdleTimeout(time.Nanosecond), connector.WithSweepInterval(time.Nanosecond))
+	c := connector.New(&http.Transport{}, connector.WithIdleTimeout(time.Millisecond))
 	conn := acquire(t, c, s, 5)
 	exchange(t, s, conn, 5)
 	conn.Release()
+	for end := time.Now().Add(10 * time.Second); s.open() > 0; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "an idle connection stays open")
+	}
 	assert.Equal(t, acquireAndRelease(t, c, s, 5), int64(0))
 	assert.NilError(t, c.Close())
 }
 
+// TestConnectionWithoutBootIsReused guards against a new connection for each request to an instance that does not name its boot, as an unhealthy one.
+func TestConnectionWithoutBootIsReused(t *testing.T) {
+	s := startServer(t)
+	c := connector.New(&http.Transport{MaxConnsPerHost: 1})
+	for range 5 {
+		conn := acquire(t, c, s, 5)
+		exchange(t, s, conn, 0)
+		conn.Release()
+	}
+	assert.Equal(t, s.connections(), 1)
+	assert.NilError(t, c.Close())
+}
+
 // TestCloseWaits guards against a request that goes on after the process is said to have stopped.
 func TestCloseWaits(t *testing.T) {
 	s := startServer(t)
--- a/internal/courier/dispatcher.go
+++ b/internal/courier/dispatcher.go
@@ -97,7 +97,7 @@
 		}
 		return d.options.Direct.Order(ctx, o)
 	}
-	r := d.exchange(ctx, l, exchange{Order: &o}, o.Timeout)
+	r := d.exchange(ctx, l, exchange{Order: &o}, 2*o.Timeout) // the carrier may have to probe the instance first
 	return r.Outcome, r.err()
 }
 
