Poll again at once after a probe

A probe extends no lease. With two polls lost in a row and a probe after them, the time between two deadlines could reach 5.5 s at an overloaded leader by the constants, beyond the lease of 5.4 s (calculated in the independent review, not seen in a run). The pause after a probe is left out, but for instances without runs. Package supervisor passes.

--- a/internal/supervisor/dispatch.go
+++ b/internal/supervisor/dispatch.go
@@ -129,6 +129,9 @@
 				t.skipPlan() // only the clock of the instance is new
 			}
 			following.pause = t.pollPacer.pause(following.need, now-dueAt)
+			if report.Probe && following.need != scheduler.PollWhenIdle {
+				following.pause = 0 // a probe extends no lease
+			}
 		}
 		if !t.postAndWait(ctx, handle) {
 			return nextPoll{}, false
