Let polls that cross a restart extend leases in the oracle

The oracle dropped the deadline of each poll that reached the next boot. Two comments say what holds since connections are bound to boots.

--- a/internal/scheduler/oracle_polls_test.go
+++ b/internal/scheduler/oracle_polls_test.go
@@ -156,17 +156,17 @@
 	return scheduler.Accepted
 }
 
-// carryOutPoll extends the lease and acknowledges ends. A poll for another boot has no deadline and no acknowledgement when it arrives: the sender
-// finds out on each connection which boot it leads to.
+// carryOutPoll extends the lease and acknowledges ends. A poll for another boot extends the lease as well, since an instance may carry it out late, but
+// acknowledges nothing: what a late one takes from the next boot cannot be repaired.
 func (s *simulation) carryOutPoll(in *target, request scheduler.PollRequest) {
 	in.highestFence = request.Fence
+	if request.Deadline > 0 {
+		s.extendLease(in, request.Deadline)
+	}
 	if request.Boot != in.Boot {
 		s.reorderings.crossed++
 		return
 	}
-	if request.Deadline > 0 {
-		s.extendLease(in, request.Deadline)
-	}
 	s.acknowledgeEnds(in, request.AckedEnd)
 }
 
--- a/internal/scheduler/restart.go
+++ b/internal/scheduler/restart.go
@@ -25,8 +25,8 @@
 	return replacement
 }
 
-// unansweredStarts returns the runs that a later boot may execute or have executed: no report of this boot has listed them, and a response does
-// not say which boot it is from. The later boot does not know of stops that the instance has accepted.
+// unansweredStarts returns the runs that a later boot may execute or have executed: no report of this boot has listed them, and an instance that
+// names no boot may have accepted them after its restart. The later boot does not know of stops that the instance has accepted.
 func (in *instance) unansweredStarts() []*run {
 	var list []*run
 	for _, r := range in.runsInOrder() {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -83,7 +83,7 @@
 	Uncarried
 	// Withheld means that the start was never sent, because the data centre of the instance was drained after it was ordered.
 	Withheld
-	// Restarted means that the order was never sent, because a later boot of the instance answered.
+	// Restarted means that the order was never sent, because another boot of the instance answered.
 	Restarted
 )
 
