--- a/internal/scheduler/next_boot_test.go
+++ b/internal/scheduler/next_boot_test.go
@@ -136,3 +136,46 @@
 		})
 	}
 }
+
+// TestLatePollForgetsNoUnreadEnd guards against a second run of one task (TWICE): an instance receives a poll with an acknowledgement, restarts under its ID, and
+// carries the poll out late, when the next boot has an end that nobody has read.
+func TestLatePollForgetsNoUnreadEnd(t *testing.T) {
+	f := newTestFleet(t)
+	id := f.addInstance("a", "p")
+	f.advance(time.Second)
+	f.submitJob(workload.Step{Count: 5, Resources: workload.Resources{Processors: 1000}})
+	f.advance(300 * time.Millisecond)
+	for task := range f.runs[id] {
+		f.endRun(id, task, workload.EndedDone)
+	}
+	f.advance(100 * time.Millisecond)
+	late, _ := f.scheduler.NextPoll(f.now, id, true)
+	assert.Equal(t, late.AckedEnd, uint64(5))
+	f.scheduler.HandlePollFailure(f.now, late, scheduler.Uncertain)
+	next := f.state.Workload.Enrolled[id]
+	next.Boot, next.Clock = next.Boot+500, time.Second
+	f.enrol(next)
+	clock := next.Clock
+	report := func(running ...scheduler.ReportedRun) {
+		f.now += 100 * time.Millisecond
+		clock += 100 * time.Millisecond
+		f.scheduler.HandleReport(f.now, id, f.now-time.Millisecond, scheduler.StatusReport{Boot: next.Boot, Clock: clock, Running: running})
+	}
+	takeStarts := func() (starts []scheduler.Order) {
+		f.scheduler.Tick(f.now, f.now.Milliseconds())
+		for _, o := range f.scheduler.TakeOrders() {
+			if o.Kind == scheduler.Start {
+				starts = append(starts, o)
+			}
+		}
+		return starts
+	}
+	report()
+	f.submitJob(workload.Step{Count: 1, Resources: workload.Resources{Processors: 1000}})
+	for _, start := range takeStarts() {
+		f.scheduler.HandleOrderOutcome(f.now, start, scheduler.Accepted)
+		report(scheduler.ReportedRun{Task: start.Task, Run: start.Run, Percent: 50})
+		report() // the run has ended as done, and the late poll has acknowledged that end
+		assert.Equal(t, len(takeStarts()), 0, "%s starts again after its end as done was acknowledged", start.Task)
+	}
+}
