--- a/internal/scheduler/oracle_polls_test.go
+++ b/internal/scheduler/oracle_polls_test.go
@@ -80,6 +80,18 @@
 	return time.Duration(rapid.IntRange(0, most).Draw(s.t, label)) * tickInterval
 }
 
+// pollAll polls all instances, some of them beside polls that are in flight.
+func (s *simulation) pollAll() {
+	for _, in := range s.sortedInstances() {
+		if rapid.IntRange(0, 3).Draw(s.t, "poll in flight") == 0 {
+			s.sendPoll(in)
+		} else {
+			s.poll(in)
+		}
+	}
+	s.advance(1)
+}
+
 // sendPoll sends a poll beside those that are in flight.
 func (s *simulation) sendPoll(in *target) {
 	request, ok := s.scheduler.NextPoll(s.now, in.ID, true)
--- a/internal/scheduler/oracle_test.go
+++ b/internal/scheduler/oracle_test.go
@@ -390,14 +390,3 @@
 	t.Logf("%d cases, out of order: %+v", cases, counts)
 	counts.check(t, cases)
 }
-
-func (s *simulation) pollAll() {
-	for _, in := range s.sortedInstances() {
-		if rapid.IntRange(0, 3).Draw(s.t, "poll in flight") == 0 {
-			s.sendPoll(in)
-		} else {
-			s.poll(in)
-		}
-	}
-	s.advance(1)
-}
