--- a/review/harness3/worker.go
+++ b/review/harness3/worker.go
@@ -277,6 +277,13 @@
 		k.silence(r.Context())
 	}
 	target := r.Header.Get("Target-Instance")
+	if delay := k.w.holdStarts; delay > 0 && r.URL.Path == "/-/run-start" && !k.w.held[o.Task] {
+		k.w.holdStart(k, target, o, delay)
+		k.w.mutex.Unlock()
+		<-r.Context().Done()
+		k.w.mutex.Lock()
+		panic(http.ErrAbortHandler)
+	}
 	if k.w.lateShare > 0 && strings.HasPrefix(r.URL.Path, "/-/run-") && rand.Float64() < k.w.lateShare {
 		k.carryOutLate(r.URL.Path, target, o)
 		k.w.mutex.Unlock()
@@ -301,7 +308,9 @@
 	time.AfterFunc(delay, func() {
 		defer k.w.lock()()
 		if !k.dead {
+			k.w.carriedOutLate = true // bounds of time don't hold for these
 			status, answer := k.carryOut(context.Background(), path, target, o)
+			k.w.carriedOutLate = false
 			k.w.note("%s %s run %d at %s is carried out late: %d %v", path, o.Task, o.Run, k.id, status, answer["reason"])
 		}
 	})
