--- a/review/harness3/worker.go
+++ b/review/harness3/worker.go
@@ -80,6 +80,7 @@
 	rejected          map[string]uint64
 	ends              []end
 	endsNumber        uint64
+	listed            uint64 // the highest end that was listed in an answer
 	changed           chan struct{}
 	draining          bool
 	drainAcked        time.Time
@@ -218,6 +219,9 @@
 			continue
 		}
 		worked := r.base + now.Sub(r.began)
+		if r.step.Long && r.percent() >= 100 && r.stopping.IsZero() {
+			k.w.taskOf(r.task).atWork = now
+		}
 		if r.step.Checkpointing {
 			if n := worked / saveInterval; n > 0 && time.Duration(n)*saveInterval > r.base {
 				r.saved = k.w.checkpointOf(r, time.Duration(n)*saveInterval)
@@ -277,6 +281,22 @@
 		k.silence(r.Context())
 	}
 	target := r.Header.Get("Target-Instance")
+	if r.URL.Path == "/-/hold" && k.w.holdPollOf == k.id && o.AckCursor > 0 {
+		k.w.holdPoll(k, target, o)
+		k.w.mutex.Unlock()
+		<-r.Context().Done()
+		k.w.mutex.Lock()
+		panic(http.ErrAbortHandler)
+	}
+	if k.w.holdOrder != nil {
+		if delay := k.w.holdOrder(r.URL.Path, o); delay > 0 {
+			k.carryOutAfter(delay, r.URL.Path, target, o)
+			k.w.mutex.Unlock()
+			<-r.Context().Done()
+			k.w.mutex.Lock()
+			panic(http.ErrAbortHandler)
+		}
+	}
 	if delay := k.w.holdStarts; delay > 0 && r.URL.Path == "/-/run-start" && !k.w.held[o.Task] {
 		k.w.holdStart(k, target, o, delay)
 		k.w.mutex.Unlock()
@@ -303,7 +323,10 @@
 
 // carryOutLate carries an order out 2 to 12 s later, if this life lasts so long.
 func (k *worker) carryOutLate(path, target string, o order) {
-	delay := 2*time.Second + rand.N(10*time.Second)
+	k.carryOutAfter(2*time.Second+rand.N(10*time.Second), path, target, o)
+}
+
+func (k *worker) carryOutAfter(delay time.Duration, path, target string, o order) {
 	k.w.note("%s %s run %d at %s is left without an answer for %s", path, o.Task, o.Run, k.id, delay)
 	time.AfterFunc(delay, func() {
 		defer k.w.lock()()
@@ -354,6 +377,7 @@
 	case "/-/run-stop":
 		k.rejected[o.Task] = max(k.rejected[o.Task], o.Run)
 		if r := k.runs[o.Task]; r != nil && r.number <= o.Run && r.stopping.IsZero() {
+			k.w.checkAway(k, r)
 			r.stopping = now.Add(stopTimeout / 2)
 			if r.step.Checkpointing && !r.began.IsZero() {
 				r.saved = k.w.checkpointOf(r, r.base+now.Sub(r.began))
@@ -388,6 +412,7 @@
 		}
 		for _, e := range k.ends[:min(len(k.ends), maxPage)] {
 			ended = append(ended, []any{e.number, e.run.task, e.run.number, e.how, e.run.saved})
+			k.listed = max(k.listed, e.number)
 		}
 		answer["running"], answer["ended"], answer["clockMs"] = running, ended, k.clockMs()
 	default:
--- a/review/harness3/world.go
+++ b/review/harness3/world.go
@@ -85,6 +85,7 @@
 	failedNoted int
 	starts      []time.Time
 	saved       map[string]bool
+	atWork      time.Time // when a subtask that lasts was at work last
 }
 
 // world is all that surrounds the system. One mutex orders what happens.
@@ -105,7 +106,11 @@
 	allowed   map[string]map[string]bool
 	lateShare float64
 	// holdStarts is how long the first start of each subtask is on its way, and held has the subtasks whose start was held.
-	holdStarts     time.Duration
+	holdStarts time.Duration
+	// holdOrder returns after which time an order without an answer is carried out, or zero for one that is answered.
+	holdOrder func(path string, o order) time.Duration
+	// holdPollOf is the id of the worker whose polls that acknowledge ends are held.
+	holdPollOf     string
 	held           map[string]bool
 	carriedOutLate bool
 	cloudLate      float64
@@ -722,3 +727,23 @@
 	}
 	return need <= 0
 }
+
+// noticeTime is after what time a subtask that is not at work counts as away.
+const noticeTime = 4500 * time.Millisecond
+
+// checkAway checks that a stop ends no subtask at work while too many others of its step are away.
+func (w *world) checkAway(k *worker, r *run) {
+	if r.step.MayMiss == 0 || w.carriedOutLate || r.percent() < 100 || k.draining || !r.job.cancelled.IsZero() || r.job.acked.IsZero() {
+		return
+	}
+	away := 0
+	for i := range r.step.Count {
+		name := fmt.Sprintf("%s.%d", gangKey(r.task), i)
+		if last := w.taskOf(name).atWork; name != r.task && time.Since(last) > noticeTime && time.Since(r.job.acked) > noticeTime {
+			away++
+		}
+	}
+	if away >= r.step.MayMiss {
+		w.violate("AVAIL", "%s run %d is at work at %s and ended by a stop; %d others of its step are away, and %d may be", r.task, r.number, k.id, away, r.step.MayMiss)
+	}
+}
